Lay out modules, formatter, linter and the seams of the decision logic

Cause: nothing exists yet; parts must be built side by side. Change: Maven reactor with Spotless, Checkstyle, Error Prone and NullAway failing the build; ArchUnit tests for model, logic and programs; records of the file set, of requests and decisions; interfaces between request machine, selection, admission, retries and keys; settings parser. Conclusion: the seams compile; every part behind them is still to come.

--- /dev/null
+++ b/chivecross-admin/src/main/java/org/chivecross/cli/admin/package-info.java
@@ -0,0 +1,5 @@
+/** Reader of the administration API. */
+@NullMarked
+package org.chivecross.cli.admin;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/chivecross-check/src/main/java/org/chivecross/cli/check/package-info.java
@@ -0,0 +1,5 @@
+/** Offline check and packing of a file set. */
+@NullMarked
+package org.chivecross.cli.check;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/balance/TargetSelector.java
@@ -0,0 +1,22 @@
+package org.chivecross.logic.balance;
+
+import org.chivecross.model.fileset.RequestClass;
+
+/** Chooses the target of an attempt. Implementations are safe for use by many threads. */
+@FunctionalInterface
+public interface TargetSelector {
+
+  /** Returned when no target may take the request. */
+  int NONE = -1;
+
+  /**
+   * Chooses a target.
+   *
+   * @param service row of the service
+   * @param requestClass class of the request
+   * @param excludedTarget row of a target to avoid while another one is left, or {@link #NONE}
+   * @param nowNanos monotonic time
+   * @return row of the target, or {@link #NONE}
+   */
+  int select(int service, RequestClass requestClass, int excludedTarget, long nowNanos);
+}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/retry/package-info.java
@@ -0,0 +1,5 @@
+/** Retry budgets and hedging. */
+@NullMarked
+package org.chivecross.logic.retry;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/routing/Route.java
@@ -0,0 +1,12 @@
+package org.chivecross.logic.routing;
+
+import org.chivecross.model.fileset.RequestClass;
+
+/**
+ * Where a request belongs.
+ *
+ * @param service row of the service
+ * @param requestClass class of the request
+ * @param deadlineMillis default deadline of the class, in ms
+ */
+public record Route(int service, RequestClass requestClass, long deadlineMillis) {}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/settings/SettingsParser.java
@@ -0,0 +1,109 @@
+package org.chivecross.logic.settings;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.chivecross.model.failure.Failure;
+import org.chivecross.model.failure.Result;
+import org.chivecross.model.failure.Step;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.NamedOptionDef;
+import org.kohsuke.args4j.spi.OptionHandler;
+
+/**
+ * Fills the annotated fields of an options object from flags and environment variables.
+ *
+ * <p>Each flag has a variable: {@code --peer-port} and {@code CHIVECROSS_PEER_PORT}. A flag wins
+ * over its variable. Pure: the environment is an argument. Not thread-safe.
+ */
+public final class SettingsParser {
+
+  private static final String VARIABLE_PREFIX = "CHIVECROSS_";
+  private static final int HELP_COLUMN = 34;
+
+  private final String program;
+  private final Map<String, String> environment;
+
+  /** Creates a parser for the named program. */
+  public SettingsParser(String program, Map<String, String> environment) {
+    this.program = program;
+    this.environment = Map.copyOf(environment);
+  }
+
+  /**
+   * Fills {@code options}.
+   *
+   * @return the same object, or one failure that names the setting, what was given and what is
+   *     allowed
+   */
+  public <T> Result<T> parse(T options, List<String> arguments) {
+    CmdLineParser parser = new CmdLineParser(options);
+    List<String> all = new ArrayList<>();
+    for (OptionHandler<?> handler : parser.getOptions()) {
+      String flag = handler.option.toString();
+      String value = environment.get(variableName(flag));
+      if (value == null || isGiven(flag, arguments)) {
+        continue;
+      }
+      if (!isSwitch(handler)) {
+        all.add(flag);
+        all.add(value);
+        continue;
+      }
+      if (!value.equals("true") && !value.equals("false")) {
+        return Result.failed(
+            Step.SETTINGS,
+            Failure.LOCAL,
+            variableName(flag) + ": got \"" + value + "\", allowed: true, false");
+      }
+      if (value.equals("true")) {
+        all.add(flag);
+      }
+    }
+    all.addAll(arguments);
+    try {
+      parser.parseArgument(all);
+    } catch (CmdLineException e) {
+      return Result.failed(Step.SETTINGS, Failure.LOCAL, String.valueOf(e.getMessage()));
+    }
+    return Result.success(options);
+  }
+
+  /** Returns the help text: each flag with its variable, meaning, unit and default. */
+  public String help(Object options) {
+    StringBuilder text = new StringBuilder("usage: " + program + " [flags]\n\n");
+    for (OptionHandler<?> handler : new CmdLineParser(options).getOptions()) {
+      String flag = handler.option.toString();
+      String meta = isSwitch(handler) ? "" : " " + handler.getMetaVariable(null);
+      text.append(String.format("  %-" + HELP_COLUMN + "s %s%n", flag + meta, variableName(flag)));
+      text.append("      ").append(handler.option.usage());
+      String given = isSwitch(handler) ? null : handler.printDefaultValue();
+      if (given != null) {
+        text.append(" (default ").append(given).append(')');
+      }
+      text.append('\n');
+    }
+    return text.toString();
+  }
+
+  /** Returns the environment variable of a flag. */
+  public static String variableName(String flag) {
+    String bare = flag.startsWith("--") ? flag.substring(2) : flag;
+    return VARIABLE_PREFIX + bare.toUpperCase(Locale.ROOT).replace('-', '_');
+  }
+
+  private static boolean isGiven(String flag, List<String> arguments) {
+    for (String argument : arguments) {
+      if (argument.equals(flag) || argument.startsWith(flag + "=")) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static boolean isSwitch(OptionHandler<?> handler) {
+    return handler.option instanceof NamedOptionDef && handler.setter.getType() == boolean.class;
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/model/fileset/Deployment.java
@@ -0,0 +1,26 @@
+package org.chivecross.model.fileset;
+
+import java.util.List;
+
+/**
+ * What all entries of one deployment agree on.
+ *
+ * @param name name of the deployment; entries of other deployments are refused
+ * @param entryBound upper bound on entries alive at once; every shared budget is divided by it
+ * @param directoryLifetimeMillis time for which callers may keep a directory answer, in ms
+ * @param keyWindowMillis time for which an entry answers for an idempotency key, in ms
+ * @param dataCentres all data centres
+ * @param links round trips between data centres
+ */
+public record Deployment(
+    String name,
+    int entryBound,
+    int directoryLifetimeMillis,
+    int keyWindowMillis,
+    List<String> dataCentres,
+    List<DataCentreLink> links) {
+  public Deployment {
+    dataCentres = List.copyOf(dataCentres);
+    links = List.copyOf(links);
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/model/fileset/FileSet.java
@@ -0,0 +1,20 @@
+package org.chivecross.model.fileset;
+
+import java.util.List;
+
+/**
+ * A whole checked file set. Immutable; every name in it resolves.
+ *
+ * @param deployment settings of the deployment
+ * @param tenants all tenants
+ * @param services all services
+ * @param rules all rules
+ */
+public record FileSet(
+    Deployment deployment, List<Tenant> tenants, List<Service> services, List<Rule> rules) {
+  public FileSet {
+    tenants = List.copyOf(tenants);
+    services = List.copyOf(services);
+    rules = List.copyOf(rules);
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/model/fileset/Rule.java
@@ -0,0 +1,23 @@
+package org.chivecross.model.fileset;
+
+import java.util.Set;
+
+/**
+ * Maps requests to a service and a class.
+ *
+ * @param host host name, or {@code *} for any
+ * @param pathPrefix start of the path, ending at a segment border
+ * @param methods HTTP methods in upper case
+ * @param service name of the service
+ * @param requestClass class of the requests
+ */
+public record Rule(
+    String host,
+    String pathPrefix,
+    Set<String> methods,
+    String service,
+    RequestClass requestClass) {
+  public Rule {
+    methods = Set.copyOf(methods);
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/model/request/Decision.java
@@ -0,0 +1,61 @@
+package org.chivecross.model.request;
+
+import java.util.OptionalLong;
+import org.chivecross.model.failure.Failure;
+
+/** What the shell must do next for one request. Immutable. */
+public sealed interface Decision {
+
+  /**
+   * Send the request to a target. Other attempts go on.
+   *
+   * @param attempt number of the attempt, from 0
+   * @param target row of the target
+   * @param kind connection to use
+   * @param deadlineNanos monotonic time after which no byte may be sent
+   */
+  record Send(int attempt, int target, ConnectionKind kind, long deadlineNanos)
+      implements Decision {}
+
+  /**
+   * Relay the response of an attempt and cancel all other attempts.
+   *
+   * @param attempt number of the attempt
+   */
+  record Relay(int attempt) implements Decision {}
+
+  /**
+   * Do nothing until the next event, or until a time.
+   *
+   * @param wakeNanos monotonic time at which to call the timer event
+   */
+  record Await(long wakeNanos) implements Decision {}
+
+  /**
+   * Answer the caller and cancel all attempts.
+   *
+   * @param status HTTP status
+   * @param outcome what became of the request
+   * @param failure step and peer of the cause
+   * @param retryAfterMillis when the caller may ask again, in ms
+   */
+  record Answer(int status, Outcome outcome, Failure failure, OptionalLong retryAfterMillis)
+      implements Decision {}
+
+  /**
+   * Abort the caller's connection, since part of an answer was relayed.
+   *
+   * @param failure step and peer of the cause
+   */
+  record Abort(Failure failure) implements Decision {}
+
+  /**
+   * Pass the request to the entry that owns its idempotency key.
+   *
+   * @param ownerIncarnation incarnation of the owner
+   */
+  record PassToOwner(long ownerIncarnation) implements Decision {}
+
+  /** The request is over; nothing is left to do. */
+  record Finish() implements Decision {}
+}
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/package-info.java
@@ -0,0 +1,5 @@
+/** The balancer process on each entry VM. */
+@NullMarked
+package org.chivecross.cli.entry;
+
+import org.jspecify.annotations.NullMarked;
