Add the upstream stand-in and the open-loop load tool

Cause: the thin path needs targets and callers. Change: chivecross-standin upstream serves every target of a file set with slots, a FIFO queue and behaviour that a control endpoint changes; chivecross-load draws seeded arrivals, asks the directory, checks each body and counts latency from the intended start.

--- /dev/null
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/history/package-info.java
@@ -0,0 +1,5 @@
+/** Writing of history files. */
+@NullMarked
+package org.chivecross.cli.history;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/load/CallSender.java
@@ -0,0 +1,153 @@
+package org.chivecross.cli.load;
+
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
+import org.chivecross.cli.history.BodyPattern;
+import org.chivecross.cli.history.StandinHeaders;
+import org.chivecross.model.fileset.RequestClass;
+
+/**
+ * Sends requests and classifies what comes back. A request that is undecided or proved not to have
+ * run is sent again, writes only with the same key. Thread-safe.
+ */
+final class CallSender {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(30);
+  private static final int SERVER_ERROR = 500;
+
+  private final HttpClient client;
+  private final LoadPreferences preferences;
+  private final List<CallerDirectory> directories;
+  private final LongSupplier clock;
+  private final AtomicLong nextTarget = new AtomicLong();
+
+  CallSender(
+      HttpClient client,
+      LoadPreferences preferences,
+      List<CallerDirectory> directories,
+      LongSupplier clock) {
+    this.client = client;
+    this.preferences = preferences;
+    this.directories = List.copyOf(directories);
+    this.clock = clock;
+  }
+
+  /** Sends a request; the future completes with what became of it and never fails. */
+  CompletableFuture<CallResult> send(RequestTicket ticket) {
+    DirectoryAnswer directory = directoryOf(ticket);
+    return send(ticket, directory, 0);
+  }
+
+  private DirectoryAnswer directoryOf(RequestTicket ticket) {
+    if (preferences.direct()) {
+      return new DirectoryAnswer(List.of(), "", Long.MAX_VALUE);
+    }
+    return directories.get(ticket.caller()).current(clock.getAsLong());
+  }
+
+  private CompletableFuture<CallResult> send(
+      RequestTicket ticket, DirectoryAnswer directory, int attempt) {
+    String destination = destination(ticket, directory, attempt);
+    return client
+        .sendAsync(request(ticket, directory, destination), HttpResponse.BodyHandlers.ofByteArray())
+        .handle((response, failure) -> classify(ticket, response, failure, attempt))
+        .thenCompose(
+            result -> {
+              boolean again = attempt < preferences.resends() && maySendAgain(result, directory);
+              return again
+                  ? send(ticket, directory, attempt + 1)
+                  : CompletableFuture.completedFuture(result);
+            });
+  }
+
+  private static boolean maySendAgain(CallResult result, DirectoryAnswer directory) {
+    boolean keyed = !directory.keyPrefix().isEmpty();
+    RequestClass requestClass = result.ticket().kind().requestClass();
+    return switch (result.verdict()) {
+      case NOT_RUN -> result.status() == 0;
+      case UNKNOWN -> requestClass == RequestClass.READ || keyed;
+      case ANSWERED, EXPIRED -> false;
+    };
+  }
+
+  private String destination(RequestTicket ticket, DirectoryAnswer directory, int attempt) {
+    if (preferences.direct()) {
+      List<String> targets = ticket.kind().targets();
+      return targets.get((int) (nextTarget.getAndIncrement() % targets.size()));
+    }
+    List<String> entries = directory.entries();
+    return entries.get(attempt % entries.size());
+  }
+
+  private HttpRequest request(RequestTicket ticket, DirectoryAnswer directory, String destination) {
+    RequestKind kind = ticket.kind();
+    HttpRequest.Builder builder =
+        HttpRequest.newBuilder(URI.create("http://" + destination + kind.path()))
+            .timeout(TIMEOUT)
+            .header("Host", kind.host())
+            .header(StandinHeaders.REQUEST_ID, ticket.id())
+            .header(StandinHeaders.WORK_MICROS, Long.toString(ticket.workMicros()))
+            .header(StandinHeaders.BODY_BYTES, Long.toString(preferences.bodyBytes()));
+    if (kind.requestClass() == RequestClass.WRITE && !directory.keyPrefix().isEmpty()) {
+      builder.header("Idempotency-Key", directory.keyPrefix() + ticket.id());
+    }
+    return builder.method(kind.method(), bodyOf(ticket)).build();
+  }
+
+  private HttpRequest.BodyPublisher bodyOf(RequestTicket ticket) {
+    return switch (ticket.kind().requestClass()) {
+      case READ -> HttpRequest.BodyPublishers.noBody();
+      case WRITE -> HttpRequest.BodyPublishers.ofString(ticket.id());
+      case UPLOAD ->
+          HttpRequest.BodyPublishers.ofByteArray(
+              new BodyPattern(ticket.id()).bytes(0, preferences.uploadBytes()));
+    };
+  }
+
+  private CallResult classify(
+      RequestTicket ticket, HttpResponse<byte[]> response, Throwable failure, int attempt) {
+    long latency = clock.getAsLong() - ticket.intendedNanos();
+    if (failure != null) {
+      Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+      Verdict verdict = cause instanceof ConnectException ? Verdict.NOT_RUN : Verdict.UNKNOWN;
+      return new CallResult(ticket, verdict, 0, "", latency, attempt + 1, true);
+    }
+    Optional<String> outcome = response.headers().firstValue("Chivecross-Outcome");
+    String target = response.headers().firstValue(StandinHeaders.TARGET).orElse("");
+    Verdict verdict = verdictOf(outcome, response.statusCode());
+    boolean intact = verdict != Verdict.ANSWERED || isIntact(ticket, response);
+    return new CallResult(
+        ticket, verdict, response.statusCode(), target, latency, attempt + 1, intact);
+  }
+
+  private static Verdict verdictOf(Optional<String> outcome, int status) {
+    if (outcome.isEmpty()) {
+      return status == SERVER_ERROR ? Verdict.UNKNOWN : Verdict.ANSWERED;
+    }
+    return switch (outcome.get()) {
+      case "not-run" -> Verdict.NOT_RUN;
+      case "expired" -> Verdict.EXPIRED;
+      default -> Verdict.UNKNOWN;
+    };
+  }
+
+  private boolean isIntact(RequestTicket ticket, HttpResponse<byte[]> response) {
+    if (response.statusCode() != 200) {
+      return true;
+    }
+    byte[] body = response.body();
+    boolean head = ticket.kind().method().equals("HEAD");
+    boolean whole = head ? body.length == 0 : body.length == preferences.bodyBytes();
+    return whole && new BodyPattern(ticket.id()).matches(0, body);
+  }
+}
--- /dev/null
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/load/CallerDirectory.java
@@ -0,0 +1,110 @@
+package org.chivecross.cli.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.tinylog.Logger;
+
+/**
+ * Directory answer of one caller, kept for its lifetime and renewed in the background when half of
+ * it has passed. Thread-safe.
+ */
+final class CallerDirectory {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+  private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+  private final HttpClient client;
+  private final String caller;
+  private final List<String> seeds;
+  private DirectoryAnswer answer;
+  private long renewNanos;
+  private boolean renewing;
+  private int nextSeed;
+
+  CallerDirectory(HttpClient client, String caller, List<String> seeds) {
+    this.client = client;
+    this.caller = caller;
+    this.seeds = List.copyOf(seeds);
+    answer = new DirectoryAnswer(seeds, "", 0);
+  }
+
+  /** Asks for the first answer and waits for it; tries every seed once. */
+  void load(long nowNanos) {
+    for (int i = 0; i < seeds.size(); i++) {
+      try {
+        accept(client.send(request(), HttpResponse.BodyHandlers.ofString()), nowNanos);
+        return;
+      } catch (IOException e) {
+        Logger.warn("directory of caller {} at a seed: {}", caller, e.toString());
+        nextSeed++;
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+    }
+  }
+
+  /** Returns the answer in force, and starts to renew it when that is due. */
+  synchronized DirectoryAnswer current(long nowNanos) {
+    if (nowNanos >= renewNanos && !renewing) {
+      renewing = true;
+      CompletableFuture<HttpResponse<String>> pending =
+          client.sendAsync(request(), HttpResponse.BodyHandlers.ofString());
+      pending.whenComplete(
+          (response, failure) -> {
+            if (failure == null) {
+              accept(response, nowNanos);
+            } else {
+              postpone(nowNanos);
+            }
+          });
+    }
+    return answer;
+  }
+
+  private synchronized void postpone(long nowNanos) {
+    nextSeed++;
+    renewNanos = nowNanos + RETRY_NANOS;
+    renewing = false;
+  }
+
+  private synchronized void accept(HttpResponse<String> response, long nowNanos) {
+    renewing = false;
+    try {
+      JsonNode body = MAPPER.readTree(response.body());
+      List<String> entries = new ArrayList<>();
+      body.path("entries").forEach(entry -> entries.add(entry.asText()));
+      if (response.statusCode() != 200 || entries.isEmpty()) {
+        postpone(nowNanos);
+        return;
+      }
+      long lifetime = TimeUnit.MILLISECONDS.toNanos(body.path("lifetimeMillis").asLong());
+      answer = new DirectoryAnswer(entries, body.path("keyPrefix").asText(""), nowNanos + lifetime);
+      renewNanos = nowNanos + lifetime / 2;
+    } catch (IOException e) {
+      Logger.warn("directory of caller {}: {}", caller, e.toString());
+      postpone(nowNanos);
+    }
+  }
+
+  private synchronized HttpRequest request() {
+    List<String> known = answer.entries();
+    String from =
+        nextSeed < known.size()
+            ? known.get(nextSeed)
+            : seeds.get(Math.floorMod(nextSeed, seeds.size()));
+    URI uri = URI.create("http://" + from + "/chivecross/entries?caller=" + caller);
+    return HttpRequest.newBuilder(uri).timeout(TIMEOUT).GET().build();
+  }
+}
--- /dev/null
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/load/LoadReport.java
@@ -0,0 +1,108 @@
+package org.chivecross.cli.load;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Figures of a run, by service and class. Not thread-safe; filled by one thread after the other
+ * under the lock of the run.
+ */
+final class LoadReport {
+
+  private static final long LONGEST_NANOS = 120_000_000_000L;
+  private static final int DIGITS = 3;
+  private static final double NANOS_PER_MILLI = 1_000_000.0;
+
+  private final Map<String, Row> rows = new TreeMap<>();
+
+  /** Figures of one service and class. */
+  static final class Row {
+    private final Histogram latency = new Histogram(LONGEST_NANOS, DIGITS);
+    private final Map<String, Long> byTarget = new TreeMap<>();
+    private final long[] verdicts = new long[Verdict.values().length];
+    private long sent;
+    private long resent;
+    private long damaged;
+
+    Histogram latency() {
+      return latency;
+    }
+
+    long sent() {
+      return sent;
+    }
+
+    long count(Verdict verdict) {
+      return verdicts[verdict.ordinal()];
+    }
+
+    long damaged() {
+      return damaged;
+    }
+
+    long resent() {
+      return resent;
+    }
+
+    double percentileMillis(double percentile) {
+      return latency.getValueAtPercentile(percentile) / NANOS_PER_MILLI;
+    }
+
+    /** Returns the largest share of a target relative to the mean; 0 when no target answered. */
+    double spread() {
+      Collection<Long> counts = byTarget.values();
+      double mean = counts.stream().mapToLong(Long::longValue).average().orElse(0);
+      long max = counts.stream().mapToLong(Long::longValue).max().orElse(0);
+      return mean == 0 ? 0 : max / mean;
+    }
+  }
+
+  /** Counts a request that is about to be sent. */
+  void sent(RequestTicket ticket) {
+    row(ticket).sent++;
+  }
+
+  /** Counts the end of a request. */
+  void ended(CallResult result) {
+    Row row = row(result.ticket());
+    row.verdicts[result.verdict().ordinal()]++;
+    row.resent += result.sends() - 1;
+    if (!result.intact()) {
+      row.damaged++;
+    }
+    if (result.verdict() == Verdict.ANSWERED) {
+      row.latency.recordValue(Math.min(result.latencyNanos(), LONGEST_NANOS));
+      row.byTarget.merge(result.target(), 1L, Long::sum);
+    }
+  }
+
+  Map<String, Row> rows() {
+    return rows;
+  }
+
+  /** Returns requests that never came to an end. */
+  long missing() {
+    long missing = 0;
+    for (Row row : rows.values()) {
+      missing += row.sent;
+      for (long count : row.verdicts) {
+        missing -= count;
+      }
+    }
+    return missing;
+  }
+
+  /** Returns answers that were cut short or belonged to another request. */
+  long damaged() {
+    return rows.values().stream().mapToLong(Row::damaged).sum();
+  }
+
+  private Row row(RequestTicket ticket) {
+    RequestKind kind = ticket.kind();
+    String name =
+        kind.service() + "/" + kind.requestClass().name().toLowerCase(java.util.Locale.ROOT);
+    return rows.computeIfAbsent(name, any -> new Row());
+  }
+}
--- /dev/null
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/load/RequestKind.java
@@ -0,0 +1,24 @@
+package org.chivecross.cli.load;
+
+import java.util.List;
+import org.chivecross.model.fileset.RequestClass;
+
+/**
+ * A kind of request that the rules of a file set allow. Immutable.
+ *
+ * @param tenant owner of the service
+ * @param service name of the service
+ * @param requestClass class of the request
+ * @param method HTTP method
+ * @param host value of the Host header
+ * @param path path of the request
+ * @param targets addresses of the service's targets
+ */
+record RequestKind(
+    String tenant,
+    String service,
+    RequestClass requestClass,
+    String method,
+    String host,
+    String path,
+    List<String> targets) {}
--- /dev/null
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/standin/upstream/BehaviourControl.java
@@ -0,0 +1,130 @@
+package org.chivecross.cli.standin.upstream;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.chivecross.cli.settings.HostPort;
+
+/**
+ * Endpoint by which tests and experiments change the behaviour of targets.
+ *
+ * <p>{@code POST /behaviour?target=PREFIX&slowdown=10&fail-fast=true} sets the behaviour of every
+ * target whose address starts with the prefix; what is left out is normal. {@code POST /silence}
+ * lets all open connections go silent. {@code GET /targets} lists requests served. Thread-safe.
+ */
+final class BehaviourControl {
+
+  private static final int OK = 200;
+  private static final int BAD_REQUEST = 400;
+
+  private final HttpServer server;
+  private final Collection<SlottedTarget> targets;
+  private final Runnable silence;
+
+  BehaviourControl(HostPort address, Collection<SlottedTarget> targets, Runnable silence)
+      throws IOException {
+    server = HttpServer.create(new InetSocketAddress(address.host(), address.port()), 0);
+    this.targets = List.copyOf(targets);
+    this.silence = silence;
+    server.createContext("/behaviour", this::changeBehaviour);
+    server.createContext("/silence", this::silenceConnections);
+    server.createContext("/targets", this::listTargets);
+  }
+
+  void start() {
+    server.start();
+  }
+
+  void stop() {
+    server.stop(0);
+  }
+
+  int port() {
+    return server.getAddress().getPort();
+  }
+
+  private void changeBehaviour(HttpExchange exchange) throws IOException {
+    Map<String, String> query = query(exchange.getRequestURI());
+    Behaviour behaviour;
+    try {
+      behaviour = toBehaviour(query);
+    } catch (NumberFormatException e) {
+      answer(exchange, BAD_REQUEST, "not a number: " + e.getMessage() + "\n");
+      return;
+    }
+    String prefix = query.getOrDefault("target", "");
+    int changed = 0;
+    for (SlottedTarget target : targets) {
+      if (target.address().startsWith(prefix)) {
+        target.setBehaviour(behaviour);
+        changed++;
+      }
+    }
+    answer(exchange, OK, changed + " targets changed\n");
+  }
+
+  private void silenceConnections(HttpExchange exchange) throws IOException {
+    silence.run();
+    answer(exchange, OK, "open connections are silent\n");
+  }
+
+  private void listTargets(HttpExchange exchange) throws IOException {
+    Map<String, Long> served = new TreeMap<>();
+    for (SlottedTarget target : targets) {
+      served.put(target.address(), target.servedCount());
+    }
+    StringBuilder text = new StringBuilder();
+    served.forEach((address, count) -> text.append(address).append(' ').append(count).append('\n'));
+    answer(exchange, OK, text.toString());
+  }
+
+  private static Behaviour toBehaviour(Map<String, String> query) {
+    return new Behaviour(
+        Double.parseDouble(query.getOrDefault("slowdown", "1")),
+        isOn(query, "fail-fast"),
+        isOn(query, "shedding"),
+        isOn(query, "leaving"),
+        isOn(query, "idle-load-reported"),
+        Integer.parseInt(query.getOrDefault("report-delay-ms", "0")),
+        isOn(query, "broken-body"),
+        isOn(query, "cold"),
+        isOn(query, "refusing"));
+  }
+
+  private static boolean isOn(Map<String, String> query, String name) {
+    return Boolean.parseBoolean(query.get(name));
+  }
+
+  private static Map<String, String> query(URI uri) {
+    Map<String, String> values = new HashMap<>();
+    if (uri.getRawQuery() == null) {
+      return values;
+    }
+    for (String part : uri.getRawQuery().split("&")) {
+      int cut = part.indexOf('=');
+      String name = cut < 0 ? part : part.substring(0, cut);
+      String value = cut < 0 ? "true" : part.substring(cut + 1);
+      values.put(name, URLDecoder.decode(value, StandardCharsets.UTF_8));
+    }
+    return values;
+  }
+
+  private static void answer(HttpExchange exchange, int status, String text) throws IOException {
+    byte[] body = text.getBytes(StandardCharsets.UTF_8);
+    exchange.getRequestBody().readAllBytes();
+    exchange.sendResponseHeaders(status, body.length);
+    try (OutputStream out = exchange.getResponseBody()) {
+      out.write(body);
+    }
+  }
+}
--- /dev/null
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/standin/upstream/Exchange.java
@@ -0,0 +1,87 @@
+package org.chivecross.cli.standin.upstream;
+
+import java.util.zip.CRC32C;
+import org.chivecross.cli.history.StandinHeaders;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+
+/**
+ * One request at the stand-in. The connection delivers its parts one after the other; {@link
+ * #abandon} may come from another thread.
+ */
+final class Exchange {
+
+  private static final String DEADLINE_HEADER = "Chivecross-Deadline-Ms";
+  private static final long NANOS_PER_MILLI = 1_000_000L;
+  private static final long DEFAULT_WORK_MICROS = 1_000;
+  private static final long DEFAULT_BODY_BYTES = 256;
+
+  private final HttpRequestPacket request;
+  private final SlottedTarget target;
+  private final long deadlineNanos;
+  private final CRC32C checksum = new CRC32C();
+  private long receivedBytes;
+  private volatile boolean abandoned;
+
+  Exchange(HttpRequestPacket request, SlottedTarget target, long nowNanos) {
+    this.request = request;
+    this.target = target;
+    long millis = numberHeader(DEADLINE_HEADER, -1);
+    deadlineNanos = millis < 0 ? Long.MAX_VALUE : nowNanos + millis * NANOS_PER_MILLI;
+  }
+
+  HttpRequestPacket request() {
+    return request;
+  }
+
+  SlottedTarget target() {
+    return target;
+  }
+
+  void received(Buffer content) {
+    receivedBytes += content.remaining();
+    checksum.update(content.toByteBuffer());
+  }
+
+  long receivedBytes() {
+    return receivedBytes;
+  }
+
+  String receivedChecksum() {
+    return Long.toHexString(checksum.getValue());
+  }
+
+  String requestId() {
+    String id = request.getHeader(StandinHeaders.REQUEST_ID);
+    return id == null ? "" : id;
+  }
+
+  long workMicros() {
+    return numberHeader(StandinHeaders.WORK_MICROS, DEFAULT_WORK_MICROS);
+  }
+
+  long bodyBytes() {
+    return numberHeader(StandinHeaders.BODY_BYTES, DEFAULT_BODY_BYTES);
+  }
+
+  /** Marks that nobody waits for the answer any more. */
+  void abandon() {
+    abandoned = true;
+  }
+
+  boolean isWanted(long nowNanos) {
+    return !abandoned && nowNanos < deadlineNanos;
+  }
+
+  private long numberHeader(String name, long otherwise) {
+    String value = request.getHeader(name);
+    if (value == null) {
+      return otherwise;
+    }
+    try {
+      return Long.parseLong(value.trim());
+    } catch (NumberFormatException e) {
+      return otherwise;
+    }
+  }
+}
--- /dev/null
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/standin/upstream/UpstreamFilter.java
@@ -0,0 +1,187 @@
+package org.chivecross.cli.standin.upstream;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
+import org.chivecross.cli.history.BodyPattern;
+import org.chivecross.cli.history.HistoryWriter;
+import org.chivecross.cli.history.StandinHeaders;
+import org.chivecross.model.request.LoadReport;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+
+/**
+ * Serves requests as the target behind the local address of a connection. Thread-safe: the parts of
+ * one request come one after the other, and each target guards itself.
+ */
+final class UpstreamFilter extends BaseFilter {
+
+  /** Path of the health endpoint; asking it takes a slot for the time that a probe costs. */
+  static final String HEALTH_PATH = "/health";
+
+  private static final int SERVICE_UNAVAILABLE = 503;
+  private static final int SERVER_ERROR = 500;
+  private static final int OK = 200;
+  private static final long PROBE_MICROS = 6_000;
+
+  private final Attribute<Exchange> current =
+      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("standin-exchange");
+  private final Map<String, SlottedTarget> targets;
+  private final HistoryWriter history;
+  private final LongSupplier clock;
+  private final Set<Connection<?>> open = ConcurrentHashMap.newKeySet();
+  private final Set<Connection<?>> silenced = ConcurrentHashMap.newKeySet();
+
+  UpstreamFilter(Map<String, SlottedTarget> targets, HistoryWriter history, LongSupplier clock) {
+    this.targets = Map.copyOf(targets);
+    this.history = history;
+    this.clock = clock;
+  }
+
+  /** Lets all connections that are open now go silent for good; new ones work. */
+  void silenceOpenConnections() {
+    silenced.addAll(open);
+  }
+
+  @Override
+  public NextAction handleAccept(FilterChainContext context) throws IOException {
+    Connection<?> connection = context.getConnection();
+    if (targetOf(connection).behaviour().refusing()) {
+      connection.terminateSilently();
+      return context.getStopAction();
+    }
+    open.add(connection);
+    return context.getInvokeAction();
+  }
+
+  @Override
+  public NextAction handleClose(FilterChainContext context) throws IOException {
+    Connection<?> connection = context.getConnection();
+    open.remove(connection);
+    silenced.remove(connection);
+    Exchange exchange = current.remove(connection);
+    if (exchange != null) {
+      exchange.abandon();
+    }
+    return context.getInvokeAction();
+  }
+
+  @Override
+  public NextAction handleRead(FilterChainContext context) throws IOException {
+    Connection<?> connection = context.getConnection();
+    if (silenced.contains(connection)) {
+      return context.getStopAction();
+    }
+    HttpContent content = context.getMessage();
+    Exchange exchange = current.get(connection);
+    if (exchange == null) {
+      HttpRequestPacket request = (HttpRequestPacket) content.getHttpHeader();
+      exchange = new Exchange(request, targetOf(connection), clock.getAsLong());
+      current.set(connection, exchange);
+    }
+    exchange.received(content.getContent());
+    if (!content.isLast()) {
+      return context.getStopAction();
+    }
+    context.suspend();
+    serve(context, exchange);
+    return context.getSuspendAction();
+  }
+
+  private SlottedTarget targetOf(Connection<?> connection) {
+    InetSocketAddress local = (InetSocketAddress) connection.getLocalAddress();
+    SlottedTarget target = targets.get(local.getAddress().getHostAddress() + ":" + local.getPort());
+    if (target == null) {
+      throw new IllegalStateException("no target at " + local);
+    }
+    return target;
+  }
+
+  private void serve(FilterChainContext context, Exchange exchange) {
+    Behaviour behaviour = exchange.target().behaviour();
+    if (behaviour.failFast()) {
+      answer(context, exchange, SERVER_ERROR, false);
+      return;
+    }
+    if (behaviour.shedding()) {
+      answer(context, exchange, SERVICE_UNAVAILABLE, true);
+      return;
+    }
+    boolean probe = exchange.request().getRequestURI().equals(HEALTH_PATH);
+    SlottedTarget.Job job =
+        new SlottedTarget.Job(
+            probe ? PROBE_MICROS : exchange.workMicros(),
+            () -> exchange.isWanted(clock.getAsLong()),
+            () -> record("run-start", exchange),
+            () -> {
+              record("run-end", exchange);
+              answer(context, exchange, OK, false);
+            },
+            () -> answer(context, exchange, SERVICE_UNAVAILABLE, true));
+    if (!exchange.target().submit(job)) {
+      answer(context, exchange, SERVICE_UNAVAILABLE, true);
+    }
+  }
+
+  private void record(String event, Exchange exchange) {
+    if (exchange.requestId().isEmpty()) {
+      return;
+    }
+    Map<String, Object> line = new LinkedHashMap<>();
+    line.put("event", event);
+    line.put("nanos", clock.getAsLong());
+    line.put("request", exchange.requestId());
+    line.put("target", exchange.target().address());
+    line.put("method", exchange.request().getMethod().getMethodString());
+    line.put("bytes", exchange.receivedBytes());
+    history.write(line);
+  }
+
+  private void answer(FilterChainContext context, Exchange exchange, int status, boolean notRun) {
+    Connection<?> connection = context.getConnection();
+    Behaviour behaviour = exchange.target().behaviour();
+    HttpResponsePacket response = exchange.request().getResponse();
+    response.setStatus(status);
+    LoadReport load = exchange.target().report();
+    response.setHeader(
+        "Chivecross-Load",
+        "in-service=%d, queued=%d, slots=%d"
+            .formatted(load.inService(), load.queued(), load.slots()));
+    response.setHeader(StandinHeaders.TARGET, exchange.target().address());
+    response.setHeader(StandinHeaders.RECEIVED_BYTES, Long.toString(exchange.receivedBytes()));
+    response.setHeader(StandinHeaders.RECEIVED_CHECKSUM, exchange.receivedChecksum());
+    if (behaviour.leaving()) {
+      response.setHeader("Chivecross-Leaving", "1");
+    }
+    if (notRun) {
+      response.setHeader("Chivecross-Not-Run", "1");
+    }
+    boolean empty = status != OK || exchange.request().isHeadRequest();
+    long length = empty ? 0 : exchange.bodyBytes();
+    response.setContentLengthLong(
+        exchange.request().isHeadRequest() ? exchange.bodyBytes() : length);
+    boolean broken = behaviour.brokenBody() && length > 1;
+    current.remove(connection);
+    BodyPattern pattern = new BodyPattern(exchange.requestId());
+    Runnable whenDone =
+        () -> {
+          if (broken) {
+            connection.terminateSilently();
+          }
+          context.resume(context.getStopAction());
+        };
+    new BodyWriter(context, response, pattern, length, whenDone)
+        .write(broken ? length / 2 : length);
+  }
+}
