--- a/chivecross-core/src/test/java/org/chivecross/logic/manifest/ManifestCodecTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/manifest/ManifestCodecTest.java
@@ -44,7 +44,7 @@
   @Test
   void unknownFieldAndBadDigestAreRefused() {
     String json = new String(codec.write(manifest), StandardCharsets.UTF_8);
-    assertTrue(detail(readText(json.replace("\"epoch\"", "\"era\""))).contains("era"));
+    assertTrue(detail(readText(json.replaceFirst("\\{", "{\"era\":1,"))).contains("era"));
     String digest = manifest.files().get(0).sha256();
     assertTrue(detail(readText(json.replace(digest, "12"))).contains("SHA-256"));
   }
