Decide routes, targets, admission and retries behind one engine

The request path needs real policies: rules by host, longest prefix and method; two random choices by local in-flight; shares of limits by the bound on entries; retries earned by successes. Rows of the tables stay across file sets, so counters of what did not change are kept.

Tests: countersOfTargetsThatStayAreKeptAcrossFileSets and three others pass.

--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/engine/EnginePreferences.java
@@ -0,0 +1,21 @@
+package org.chivecross.logic.engine;
+
+/**
+ * Settings of the engine of one entry. Immutable.
+ *
+ * @param entryId name of the entry, unique in the deployment
+ * @param dataCentre data centre of the entry
+ * @param targetCapacity most targets over all services
+ * @param serviceCapacity most services; also the most tenants
+ */
+public record EnginePreferences(
+    String entryId, String dataCentre, int targetCapacity, int serviceCapacity) {
+
+  private static final int DEFAULT_TARGETS = 8192;
+  private static final int DEFAULT_SERVICES = 1024;
+
+  /** Returns preferences with capacities of three times the size to design for. */
+  public static EnginePreferences of(String entryId, String dataCentre) {
+    return new EnginePreferences(entryId, dataCentre, DEFAULT_TARGETS, DEFAULT_SERVICES);
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/limit/AdmissionView.java
@@ -0,0 +1,32 @@
+package org.chivecross.logic.limit;
+
+import java.util.Arrays;
+import org.jspecify.annotations.Nullable;
+
+/** Limits of all services by row. Immutable and safe for use by many threads. */
+public final class AdmissionView {
+
+  /** View without any service. */
+  public static final AdmissionView EMPTY = new AdmissionView(new ServiceLimits[0]);
+
+  private final @Nullable ServiceLimits[] byService;
+
+  /**
+   * Limits that a request of one service meets.
+   *
+   * @param own share in the limits of the service
+   * @param tenant share in the limits of its owner
+   * @param tenantRow row of its owner
+   */
+  public record ServiceLimits(LimitShare own, LimitShare tenant, int tenantRow) {}
+
+  /** Creates a view; the array holds null for a row without a service. */
+  public AdmissionView(@Nullable ServiceLimits[] byService) {
+    this.byService = Arrays.copyOf(byService, byService.length);
+  }
+
+  /** Returns the limits of a service, or null when the row has none; allocates nothing. */
+  public @Nullable ServiceLimits find(int service) {
+    return service >= 0 && service < byService.length ? byService[service] : null;
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/model/table/ServiceTable.java
@@ -0,0 +1,125 @@
+package org.chivecross.model.table;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicIntegerArray;
+import java.util.concurrent.atomic.AtomicLongArray;
+
+/**
+ * Services or tenants by name, with their live counters.
+ *
+ * <p>Invariants: a name has at most one row; a row keeps its live columns for as long as its name
+ * is part of the file set.
+ *
+ * <p>Thread safety: the live columns are atomic and may be used by any thread. Rows are acquired
+ * and released by one thread at a time, and names become visible to others by the publication of a
+ * view.
+ */
+public final class ServiceTable {
+
+  private final RowHandles handles;
+  private final Map<String, Integer> rows = new HashMap<>();
+  private final String[] names;
+  private final AtomicIntegerArray inFlight;
+  private final AtomicLongArray rateNanos;
+
+  /** Creates a table for at most {@code capacity} names. */
+  public ServiceTable(int capacity) {
+    handles = new RowHandles(capacity);
+    names = new String[capacity];
+    inFlight = new AtomicIntegerArray(capacity);
+    rateNanos = new AtomicLongArray(capacity);
+  }
+
+  /** Returns the row of a name, or empty when it has none. */
+  public Optional<Integer> row(String name) {
+    return Optional.ofNullable(rows.get(name));
+  }
+
+  /**
+   * Returns the row of a name; a new row starts with clean live columns.
+   *
+   * @throws IllegalStateException when the table is full
+   */
+  public int acquire(String name) {
+    Integer known = rows.get(name);
+    if (known != null) {
+      return known;
+    }
+    long handle = handles.acquire();
+    if (handle == RowHandles.NONE) {
+      throw new IllegalStateException("table is full at " + handles.capacity() + " rows");
+    }
+    int row = RowHandles.row(handle);
+    rows.put(name, row);
+    names[row] = name;
+    inFlight.set(row, 0);
+    rateNanos.set(row, TargetTable.NEVER);
+    return row;
+  }
+
+  /** Releases a row. The caller checked that nothing is in flight. */
+  public void release(int row) {
+    rows.remove(names[row]);
+    handles.release(handles.handleOf(row));
+  }
+
+  /** Returns the rows in use in ascending order. */
+  public int[] liveRows() {
+    return handles.liveRows();
+  }
+
+  /** Returns the number of rows. */
+  public int capacity() {
+    return names.length;
+  }
+
+  /** Returns the name of a row. */
+  public String name(int row) {
+    return names[row];
+  }
+
+  /** Returns the admitted requests that are not over. */
+  public int inFlight(int row) {
+    return inFlight.get(row);
+  }
+
+  /** Counts a request in unless {@code limit} are in flight. */
+  public boolean tryEnter(int row, int limit) {
+    int now = inFlight.get(row);
+    while (now < limit) {
+      if (inFlight.compareAndSet(row, now, now + 1)) {
+        return true;
+      }
+      now = inFlight.get(row);
+    }
+    return false;
+  }
+
+  /** Counts a request out. */
+  public void leave(int row) {
+    inFlight.decrementAndGet(row);
+  }
+
+  /**
+   * Takes one token from the rate bucket of a row, which is kept as the time at which it would be
+   * full again.
+   *
+   * @param intervalNanos time in which one token is earned, in ns
+   * @param burst most tokens held
+   */
+  public boolean tryTakeToken(int row, long intervalNanos, int burst, long nowNanos) {
+    long window = intervalNanos * burst;
+    while (true) {
+      long full = rateNanos.get(row);
+      long start = full == TargetTable.NEVER ? nowNanos : Math.max(full, nowNanos);
+      if (start + intervalNanos - nowNanos > window) {
+        return false;
+      }
+      if (rateNanos.compareAndSet(row, full, start + intervalNanos)) {
+        return true;
+      }
+    }
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/test/java/org/chivecross/logic/engine/BalancerEngineTest.java
@@ -0,0 +1,84 @@
+package org.chivecross.logic.engine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.chivecross.logic.balance.TargetSelector;
+import org.chivecross.logic.limit.AdmissionControl.Verdict;
+import org.chivecross.model.fileset.FileSet;
+import org.chivecross.model.fileset.Limits;
+import org.chivecross.model.fileset.RequestClass;
+import org.junit.jupiter.api.Test;
+
+class BalancerEngineTest {
+
+  private static final long DEADLINE = EngineFixture.SECOND;
+
+  @Test
+  void countersOfTargetsThatStayAreKeptAcrossFileSets() {
+    BalancerEngine engine = EngineFixture.engine(EngineFixture.board(3, 4, 1, EngineFixture.WIDE));
+    var observer = engine.policies(NoKeys.INSTANCE).observer();
+    FileSet two = EngineFixture.board(2, 4, 1, EngineFixture.WIDE);
+    String kept = two.services().get(0).targets().get(0).addresses().get(0);
+    int row = engine.targetRow(kept);
+    observer.attemptStarted(row, 0);
+    observer.attemptEnded(row, EngineFixture.MILLI, true, 0);
+    observer.attemptStarted(row, 0);
+
+    engine.apply(two, 1);
+
+    assertEquals(row, engine.targetRow(kept));
+    TargetStatus status =
+        engine.targetStatuses(1).stream()
+            .filter(target -> target.row() == row)
+            .findFirst()
+            .orElseThrow();
+    assertEquals(1, status.inFlight());
+    assertEquals(1, status.successes());
+  }
+
+  @Test
+  void rowOfRemovedTargetIsNotReusedWhileAnAttemptIsInFlight() {
+    BalancerEngine engine = EngineFixture.engine(EngineFixture.board(1, 4, 1, EngineFixture.WIDE));
+    var observer = engine.policies(NoKeys.INSTANCE).observer();
+    int row = select(engine, "board");
+    observer.attemptStarted(row, 0);
+    FileSet other =
+        EngineFixture.set(
+            1, List.of(EngineFixture.service("ledger", "team", 1, 4, EngineFixture.WIDE)));
+    engine.apply(other, 1);
+    engine.tick(2 * FileSetApplier.RELEASE_DELAY_NANOS);
+    assertNotEquals(row, select(engine, "ledger"));
+    observer.attemptEnded(row, 1, true, 2);
+  }
+
+  @Test
+  void serviceWithoutTargetsSelectsNone() {
+    BalancerEngine engine = EngineFixture.engine(EngineFixture.board(0, 4, 1, EngineFixture.WIDE));
+    assertEquals(TargetSelector.NONE, select(engine, "board"));
+  }
+
+  @Test
+  void concurrencyShareQueuesAndReleaseFreesIt() {
+    var admission =
+        EngineFixture.engine(EngineFixture.board(2, 4, 2, new Limits(4, 1_000_000, 1_000)))
+            .policies(NoKeys.INSTANCE)
+            .admission();
+    assertEquals(Verdict.ADMITTED, admission.admit(0, RequestClass.READ, DEADLINE, 0));
+    assertEquals(Verdict.ADMITTED, admission.admit(0, RequestClass.READ, DEADLINE, 0));
+    assertEquals(Verdict.QUEUED, admission.admit(0, RequestClass.READ, DEADLINE, 0));
+    admission.release(0, RequestClass.READ, 0);
+    assertEquals(Verdict.ADMITTED, admission.admit(0, RequestClass.READ, DEADLINE, 0));
+    assertTrue(admission.retryAfterMillis(0, RequestClass.READ, 0) >= 1);
+  }
+
+  private static int select(BalancerEngine engine, String service) {
+    int row = engine.serviceRow(service).orElseThrow();
+    return engine
+        .policies(NoKeys.INSTANCE)
+        .selector()
+        .select(row, RequestClass.READ, TargetSelector.NONE, 0);
+  }
+}
