Decide the outcome of one request in a state machine

Cause: the shell needs the decisions of a request from its arrival to its one outcome, with not-run only on proof. Seams: Outcome gains ANSWERED (a re-sent key whose first request an upstream answered); UpstreamObserver gains attemptAbandoned (default calls attemptEnded) for hedge losers and callers that went away; after sending() returns false the shell drops the attempt and calls timer(). Conclusion: the data path can drive RequestMachines from here on.

--- a/chivecross-core/src/main/java/org/chivecross/logic/balance/UpstreamObserver.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/balance/UpstreamObserver.java
@@ -22,6 +22,18 @@
    */
   void attemptEnded(int target, long latencyNanos, boolean succeeded, long nowNanos);
 
+  /**
+   * An attempt ended without the target's doing: another attempt won, or the caller went away. Each
+   * started attempt is ended or abandoned once.
+   *
+   * @param target row of the target
+   * @param waitedNanos time from the start of the attempt
+   * @param nowNanos monotonic time
+   */
+  default void attemptAbandoned(int target, long waitedNanos, long nowNanos) {
+    attemptEnded(target, waitedNanos, false, nowNanos);
+  }
+
   /** An attempt lost its connection; {@link #attemptEnded} is called as well. */
   void connectionFailed(int target, ConnectionFault fault, long nowNanos);
 
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/Arrival.java
@@ -0,0 +1,90 @@
+package org.chivecross.logic.request;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import org.chivecross.logic.key.KeyClaim;
+import org.chivecross.logic.key.KeyRegistry;
+import org.chivecross.logic.routing.Route;
+import org.chivecross.model.fileset.RequestClass;
+import org.chivecross.model.request.Decision;
+import org.chivecross.model.request.Outcome;
+import org.chivecross.model.request.RequestHead;
+
+/** Works out deadline and idempotency key of a request that was routed. Immutable. */
+final class Arrival {
+
+  private static final long LONGEST_DEADLINE_MILLIS = TimeUnit.HOURS.toMillis(24);
+
+  private final KeyRegistry keys;
+  private final Refusals refusals;
+
+  Arrival(KeyRegistry keys, Refusals refusals) {
+    this.keys = keys;
+    this.refusals = refusals;
+  }
+
+  /** What follows from the key of a request. */
+  sealed interface Step {}
+
+  /**
+   * The request may go on.
+   *
+   * @param context the request
+   */
+  record Proceed(RequestContext context) implements Step {}
+
+  /**
+   * The request ends here.
+   *
+   * @param decision what the shell must do
+   */
+  record Stop(Decision decision) implements Step {}
+
+  Step claim(Route route, RequestHead head, Optional<NotRunProof> proof, long nowNanos) {
+    long deadline = deadlineNanos(route, head, nowNanos);
+    RequestContext plain = new RequestContext(route, head, deadline, Optional.empty());
+    if (route.requestClass() == RequestClass.READ || head.idempotencyKey().isEmpty()) {
+      return new Proceed(plain);
+    }
+    String key = head.idempotencyKey().get();
+    KeyClaim claim = keys.claim(key, nowNanos);
+    if (claim instanceof KeyClaim.Run) {
+      return new Proceed(new RequestContext(route, head, deadline, Optional.of(key)));
+    }
+    return new Stop(refuse(claim, plain, proof, nowNanos));
+  }
+
+  private Decision refuse(
+      KeyClaim claim, RequestContext context, Optional<NotRunProof> proof, long nowNanos) {
+    if (claim instanceof KeyClaim.Foreign foreign) {
+      return new Decision.PassToOwner(foreign.ownerIncarnation());
+    }
+    if (claim instanceof KeyClaim.Finished finished) {
+      String detail = "the first request ended with status " + finished.status();
+      return refusals.knownKey(finished.outcome(), detail, OptionalLong.empty());
+    }
+    if (claim instanceof KeyClaim.Fenced) {
+      return refusals.knownKey(
+          refusals.settle(proof), "the key was cancelled", OptionalLong.empty());
+    }
+    if (claim instanceof KeyClaim.InFlight) {
+      OptionalLong retryAfter = refusals.retryAfter(context, nowNanos);
+      return refusals.knownKey(Outcome.UNKNOWN, "the first request is in flight", retryAfter);
+    }
+    if (claim instanceof KeyClaim.OutsideWindow) {
+      return refusals.knownKey(
+          Outcome.UNKNOWN, "the window of the key has passed", OptionalLong.empty());
+    }
+    if (claim instanceof KeyClaim.TableFull) {
+      return refusals.keysFull(proof, context, nowNanos);
+    }
+    return refusals.malformedKey(proof);
+  }
+
+  private static long deadlineNanos(Route route, RequestHead head, long nowNanos) {
+    long millis = head.deadlineMillis().orElse(route.deadlineMillis());
+    long bounded = Math.max(0, Math.min(millis, LONGEST_DEADLINE_MILLIS));
+    return nowNanos + TimeUnit.MILLISECONDS.toNanos(bounded);
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/AttemptTable.java
@@ -0,0 +1,141 @@
+package org.chivecross.logic.request;
+
+import java.util.Arrays;
+
+/**
+ * Attempts of one request; a row for each, numbered in the order of their start.
+ *
+ * <p>Invariants: a row is opened once and closed once; {@link #markSending} succeeds only for an
+ * open row, so that no byte can follow once a row is closed. Not thread-safe.
+ */
+final class AttemptTable {
+
+  /** Most attempts of one request, hedged and retried ones included. */
+  static final int CAPACITY = 4;
+
+  /** Time that never comes. */
+  static final long NEVER = Long.MAX_VALUE;
+
+  private final int[] targets = new int[CAPACITY];
+  private final long[] startedNanos = new long[CAPACITY];
+  private final long[] silentAtNanos = new long[CAPACITY];
+  private final boolean[] open = new boolean[CAPACITY];
+  private final boolean[] sent = new boolean[CAPACITY];
+  private final boolean[] notRun = new boolean[CAPACITY];
+  private int size;
+
+  /** Opens a row and returns its number. */
+  int open(int target, long nowNanos) {
+    int attempt = size;
+    targets[attempt] = target;
+    startedNanos[attempt] = nowNanos;
+    silentAtNanos[attempt] = NEVER;
+    open[attempt] = true;
+    size++;
+    return attempt;
+  }
+
+  /** Marks that bytes of an attempt may leave from now on; false when the row is closed. */
+  boolean markSending(int attempt, long silentAt) {
+    if (!isOpen(attempt)) {
+      return false;
+    }
+    if (!sent[attempt]) {
+      sent[attempt] = true;
+      silentAtNanos[attempt] = silentAt;
+    }
+    return true;
+  }
+
+  /** Marks that the target proved that it did not run the attempt. */
+  void markNotRun(int attempt) {
+    notRun[attempt] = true;
+  }
+
+  /** Stops waiting for the first byte of an attempt. */
+  void clearSilence(int attempt) {
+    silentAtNanos[attempt] = NEVER;
+  }
+
+  void close(int attempt) {
+    open[attempt] = false;
+  }
+
+  boolean isOpen(int attempt) {
+    return attempt >= 0 && attempt < size && open[attempt];
+  }
+
+  boolean isSent(int attempt) {
+    return sent[attempt];
+  }
+
+  boolean hasOpen() {
+    return hasOpenBesides(-1);
+  }
+
+  boolean hasOpenBesides(int attempt) {
+    for (int i = 0; i < size; i++) {
+      if (i != attempt && open[i]) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  boolean isFull() {
+    return size == CAPACITY;
+  }
+
+  /** Returns whether no byte of any attempt can have left. */
+  boolean nothingSent() {
+    for (int i = 0; i < size; i++) {
+      if (sent[i]) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Returns whether an attempt neither stayed unsent nor was proved not to have run. */
+  boolean isDoubtful(int attempt) {
+    return open[attempt] || (sent[attempt] && !notRun[attempt]);
+  }
+
+  int target(int attempt) {
+    return targets[attempt];
+  }
+
+  long startedNanos(int attempt) {
+    return startedNanos[attempt];
+  }
+
+  int size() {
+    return size;
+  }
+
+  /** Returns the open attempt whose first byte is overdue, or -1. */
+  int overdue(long nowNanos) {
+    for (int i = 0; i < size; i++) {
+      if (open[i] && nowNanos >= silentAtNanos[i]) {
+        return i;
+      }
+    }
+    return -1;
+  }
+
+  /** Returns the earliest time at which a first byte is overdue, or {@link #NEVER}. */
+  long nextOverdueNanos() {
+    long next = NEVER;
+    for (int i = 0; i < size; i++) {
+      if (open[i]) {
+        next = Math.min(next, silentAtNanos[i]);
+      }
+    }
+    return next;
+  }
+
+  @Override
+  public String toString() {
+    return "targets " + Arrays.toString(Arrays.copyOf(targets, size));
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/PolicyRequestMachine.java
@@ -0,0 +1,417 @@
+package org.chivecross.logic.request;
+
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.chivecross.logic.balance.TargetSelector;
+import org.chivecross.logic.limit.AdmissionControl.Verdict;
+import org.chivecross.logic.retry.RetryControl;
+import org.chivecross.logic.routing.Route;
+import org.chivecross.model.failure.Failure;
+import org.chivecross.model.failure.Step;
+import org.chivecross.model.request.ConnectionFault;
+import org.chivecross.model.request.ConnectionKind;
+import org.chivecross.model.request.Decision;
+import org.chivecross.model.request.Outcome;
+import org.chivecross.model.request.RequestHead;
+import org.chivecross.model.request.ResponseHead;
+
+/**
+ * Follows one request through the {@link RequestState}s.
+ *
+ * <p>Invariants: what was admitted is released once; every started attempt is ended once; a claimed
+ * key is finished once; a non-idempotent request is sent again only while a {@link NotRunProof}
+ * exists; nothing is sent after the deadline or after the outcome. Not thread-safe.
+ */
+final class PolicyRequestMachine implements RequestMachine {
+
+  private static final long QUEUE_POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
+  private static final int BAD_GATEWAY = 502;
+  private static final int UNAVAILABLE = 503;
+  private static final int GATEWAY_TIMEOUT = 504;
+  private static final int SERVER_ERROR = 500;
+
+  private final RequestPolicies policies;
+  private final AttemptTable attempts = new AttemptTable();
+  private final Refusals refusals;
+  private RequestState state = new RequestState.Arriving();
+  private boolean bodySent;
+  private int retries;
+
+  PolicyRequestMachine(RequestPolicies policies) {
+    this.policies = policies;
+    refusals = new Refusals(policies.admission());
+  }
+
+  @Override
+  public Decision arrived(RequestHead head, long nowNanos) {
+    if (!(state instanceof RequestState.Arriving)) {
+      return new Decision.Finish();
+    }
+    Optional<Route> route = policies.router().route(head.method(), head.host(), head.path());
+    if (route.isEmpty()) {
+      state = new RequestState.Done();
+      return refusals.noRoute(proof(), head);
+    }
+    Arrival arrival = new Arrival(policies.keys(), refusals);
+    Arrival.Step step = arrival.claim(route.get(), head, proof(), nowNanos);
+    if (step instanceof Arrival.Stop stop) {
+      state = new RequestState.Done();
+      return stop.decision();
+    }
+    return admit(((Arrival.Proceed) step).context(), nowNanos);
+  }
+
+  @Override
+  public boolean sending(int attempt, long nowNanos) {
+    if (!(state instanceof RequestState.Sending sending) || !attempts.isOpen(attempt)) {
+      return false;
+    }
+    RequestContext context = sending.context();
+    if (nowNanos >= context.deadlineNanos()) {
+      return false;
+    }
+    long silence =
+        policies.retries().silenceNanos(attempts.target(attempt), context.requestClass());
+    boolean watched = context.isIdempotent() && silence < context.deadlineNanos() - nowNanos;
+    return attempts.markSending(attempt, watched ? nowNanos + silence : AttemptTable.NEVER);
+  }
+
+  @Override
+  public void bodySent(long nowNanos) {
+    bodySent = true;
+  }
+
+  @Override
+  public Decision responseHead(int attempt, ResponseHead head, long nowNanos) {
+    if (!(state instanceof RequestState.Sending sending) || !attempts.isOpen(attempt)) {
+      return await();
+    }
+    if (!attempts.isSent(attempt)) {
+      // An answer to nothing belongs to someone else.
+      return connectionFailed(attempt, ConnectionFault.MALFORMED, nowNanos);
+    }
+    int target = attempts.target(attempt);
+    head.load().ifPresent(load -> policies.observer().loadReported(target, load, nowNanos));
+    if (head.leaving()) {
+      policies.observer().leavingReported(target, nowNanos);
+    }
+    attempts.clearSilence(attempt);
+    if (head.notRun() && head.status() == UNAVAILABLE) {
+      attempts.markNotRun(attempt);
+      return attemptFailed(sending, attempt, "shed by the target", nowNanos);
+    }
+    if (head.status() >= BAD_GATEWAY && head.status() <= GATEWAY_TIMEOUT) {
+      Optional<Decision> next = replaceFailedRead(sending, attempt, nowNanos);
+      if (next.isPresent()) {
+        return next.get();
+      }
+    }
+    RequestContext context = sending.context();
+    abandonOthers(attempt, nowNanos);
+    state = new RequestState.Relaying(context, attempt, head.status(), nowNanos);
+    return new Decision.Relay(attempt);
+  }
+
+  @Override
+  public Decision responseEnd(int attempt, long nowNanos) {
+    if (!(state instanceof RequestState.Relaying relaying) || relaying.attempt() != attempt) {
+      return await();
+    }
+    RequestContext context = relaying.context();
+    boolean succeeded = relaying.status() < SERVER_ERROR;
+    if (succeeded) {
+      policies.retries().succeeded(context.service(), context.requestClass(), nowNanos);
+    }
+    finishRelaying(relaying, succeeded, nowNanos);
+    return new Decision.Finish();
+  }
+
+  @Override
+  public Decision connectionFailed(int attempt, ConnectionFault fault, long nowNanos) {
+    if (!attempts.isOpen(attempt)) {
+      return await();
+    }
+    policies.observer().connectionFailed(attempts.target(attempt), fault, nowNanos);
+    if (state instanceof RequestState.Relaying relaying) {
+      return abort(relaying, "connection " + fault, nowNanos);
+    }
+    if (state instanceof RequestState.Sending sending) {
+      return attemptFailed(sending, attempt, "connection " + fault, nowNanos);
+    }
+    return await();
+  }
+
+  @Override
+  public Decision timer(long nowNanos) {
+    if (state instanceof RequestState.Queued queued) {
+      return admit(queued.context(), nowNanos);
+    }
+    if (state instanceof RequestState.Relaying relaying) {
+      return nowNanos < relaying.context().deadlineNanos()
+          ? await()
+          : abort(relaying, "deadline passed", nowNanos);
+    }
+    if (!(state instanceof RequestState.Sending sending)) {
+      return await();
+    }
+    if (nowNanos >= sending.context().deadlineNanos()) {
+      return deadlinePassed(sending.context(), nowNanos);
+    }
+    if (nowNanos >= sending.retryAtNanos()) {
+      state = withRetryAt(sending, AttemptTable.NEVER);
+      return send(sending.context(), nowNanos);
+    }
+    int silent = attempts.overdue(nowNanos);
+    if (silent >= 0) {
+      return replaceSilent(sending, silent, nowNanos);
+    }
+    if (nowNanos >= sending.hedgeAtNanos()) {
+      return hedge(sending, nowNanos);
+    }
+    return await();
+  }
+
+  @Override
+  public Decision cancelled(long nowNanos) {
+    if (state instanceof RequestState.Relaying relaying) {
+      finishRelaying(relaying, relaying.status() < SERVER_ERROR, nowNanos);
+    } else if (state instanceof RequestState.Queued queued) {
+      finishKey(queued.context(), 0, refusals.settle(proof()), nowNanos);
+    } else if (state instanceof RequestState.Sending sending) {
+      abandonOthers(-1, nowNanos);
+      finish(sending.context(), 0, refusals.settle(proof()), nowNanos);
+    }
+    state = new RequestState.Done();
+    return new Decision.Finish();
+  }
+
+  @Override
+  public long nextTimerNanos() {
+    if (state instanceof RequestState.Queued queued) {
+      return Math.min(queued.askAgainNanos(), queued.context().deadlineNanos());
+    }
+    if (state instanceof RequestState.Relaying relaying) {
+      return relaying.context().deadlineNanos();
+    }
+    if (state instanceof RequestState.Sending sending) {
+      long planned = Math.min(sending.retryAtNanos(), sending.hedgeAtNanos());
+      long next = Math.min(planned, attempts.nextOverdueNanos());
+      return Math.min(next, sending.context().deadlineNanos());
+    }
+    return AttemptTable.NEVER;
+  }
+
+  private Decision admit(RequestContext context, long nowNanos) {
+    if (nowNanos >= context.deadlineNanos()) {
+      return refuse(context, refusals.expired(proof(), context, nowNanos), nowNanos);
+    }
+    Verdict verdict =
+        policies
+            .admission()
+            .admit(context.service(), context.requestClass(), context.deadlineNanos(), nowNanos);
+    if (verdict == Verdict.QUEUED) {
+      state = new RequestState.Queued(context, nowNanos + QUEUE_POLL_NANOS);
+      return await();
+    }
+    if (verdict != Verdict.ADMITTED) {
+      return refuse(context, refusals.refused(proof(), verdict, context, nowNanos), nowNanos);
+    }
+    long delay = RetryControl.NO_HEDGE;
+    if (context.isIdempotent()) {
+      delay = policies.retries().hedgeDelayNanos(context.service(), context.requestClass());
+    }
+    boolean hedged = delay < context.deadlineNanos() - nowNanos;
+    state =
+        new RequestState.Sending(
+            context, AttemptTable.NEVER, hedged ? nowNanos + delay : AttemptTable.NEVER);
+    return send(context, nowNanos);
+  }
+
+  /** Ends a request that was never admitted. */
+  private Decision refuse(RequestContext context, Decision.Answer answer, long nowNanos) {
+    finishKey(context, 0, answer.outcome(), nowNanos);
+    state = new RequestState.Done();
+    return answer;
+  }
+
+  private Decision send(RequestContext context, long nowNanos) {
+    int avoided = attempts.size() == 0 ? TargetSelector.NONE : attempts.target(attempts.size() - 1);
+    int target =
+        policies.selector().select(context.service(), context.requestClass(), avoided, nowNanos);
+    if (target != TargetSelector.NONE) {
+      return start(context, target, nowNanos);
+    }
+    if (attempts.hasOpen()) {
+      return await();
+    }
+    return giveUp(
+        context,
+        UNAVAILABLE,
+        new Failure(Step.SELECT_TARGET, Failure.LOCAL, "no target"),
+        nowNanos);
+  }
+
+  private Decision start(RequestContext context, int target, long nowNanos) {
+    boolean idleIsGood = context.isIdempotent() && attempts.size() == 0;
+    ConnectionKind kind = idleIsGood ? ConnectionKind.ANY : ConnectionKind.RECENTLY_LIVE;
+    int attempt = attempts.open(target, nowNanos);
+    policies.observer().attemptStarted(target, nowNanos);
+    return new Decision.Send(attempt, target, kind, context.deadlineNanos());
+  }
+
+  private Decision attemptFailed(
+      RequestState.Sending sending, int attempt, String detail, long nowNanos) {
+    end(attempt, false, nowNanos);
+    if (attempts.hasOpen() || sending.retryAtNanos() != AttemptTable.NEVER) {
+      return await();
+    }
+    RequestContext context = sending.context();
+    if (mayRepeat(context) && scheduleRetry(sending, nowNanos)) {
+      return await();
+    }
+    Step step = attempts.isSent(attempt) ? Step.AWAIT_RESPONSE : Step.CONNECT;
+    String peer = refusals.peer(attempts.target(attempt));
+    return giveUp(context, BAD_GATEWAY, new Failure(step, peer, detail), nowNanos);
+  }
+
+  /** Lets an error answer of a read go when another attempt may still bring a good one. */
+  private Optional<Decision> replaceFailedRead(
+      RequestState.Sending sending, int attempt, long nowNanos) {
+    if (!sending.context().isIdempotent()) {
+      return Optional.empty();
+    }
+    boolean otherWay =
+        attempts.hasOpenBesides(attempt) || sending.retryAtNanos() != AttemptTable.NEVER;
+    if (!otherWay && !(mayRepeat(sending.context()) && scheduleRetry(sending, nowNanos))) {
+      return Optional.empty();
+    }
+    end(attempt, false, nowNanos);
+    return Optional.of(await());
+  }
+
+  private Decision replaceSilent(RequestState.Sending sending, int attempt, long nowNanos) {
+    attempts.clearSilence(attempt);
+    policies
+        .observer()
+        .connectionFailed(attempts.target(attempt), ConnectionFault.SILENT, nowNanos);
+    RequestContext context = sending.context();
+    boolean wanted = sending.retryAtNanos() == AttemptTable.NEVER && mayRepeat(context);
+    return wanted && takeRetry(context, nowNanos) ? send(context, nowNanos) : await();
+  }
+
+  private Decision hedge(RequestState.Sending sending, long nowNanos) {
+    RequestContext context = sending.context();
+    state = new RequestState.Sending(context, sending.retryAtNanos(), AttemptTable.NEVER);
+    boolean wanted = attempts.hasOpen() && mayRepeat(context);
+    int depth = context.head().depth();
+    if (!wanted
+        || !policies
+            .retries()
+            .tryHedge(context.service(), context.requestClass(), depth, nowNanos)) {
+      return await();
+    }
+    return send(context, nowNanos);
+  }
+
+  /** Returns whether another attempt can do no harm. */
+  private boolean mayRepeat(RequestContext context) {
+    if (bodySent || attempts.isFull()) {
+      return false;
+    }
+    return context.isIdempotent() || NotRunProof.of(attempts).isPresent();
+  }
+
+  private boolean scheduleRetry(RequestState.Sending sending, long nowNanos) {
+    RequestContext context = sending.context();
+    long at = nowNanos + policies.retries().backoffNanos(retries);
+    if (at >= context.deadlineNanos() || !takeRetry(context, nowNanos)) {
+      return false;
+    }
+    state = withRetryAt(sending, at);
+    return true;
+  }
+
+  private boolean takeRetry(RequestContext context, long nowNanos) {
+    int depth = context.head().depth();
+    if (!policies.retries().tryRetry(context.service(), context.requestClass(), depth, nowNanos)) {
+      return false;
+    }
+    retries++;
+    return true;
+  }
+
+  private Decision deadlinePassed(RequestContext context, long nowNanos) {
+    endAll(nowNanos);
+    Decision.Answer answer = refusals.expired(proof(), context, nowNanos);
+    finish(context, 0, answer.outcome(), nowNanos);
+    return answer;
+  }
+
+  private Decision giveUp(RequestContext context, int status, Failure failure, long nowNanos) {
+    Decision.Answer answer = refusals.givenUp(proof(), status, failure, context, nowNanos);
+    finish(context, 0, answer.outcome(), nowNanos);
+    return answer;
+  }
+
+  private Decision abort(RequestState.Relaying relaying, String detail, long nowNanos) {
+    String peer = refusals.peer(attempts.target(relaying.attempt()));
+    finishRelaying(relaying, false, nowNanos);
+    return new Decision.Abort(new Failure(Step.RELAY_RESPONSE, peer, detail));
+  }
+
+  private void finishRelaying(RequestState.Relaying relaying, boolean succeeded, long nowNanos) {
+    int attempt = relaying.attempt();
+    attempts.close(attempt);
+    long latency = relaying.headNanos() - attempts.startedNanos(attempt);
+    policies.observer().attemptEnded(attempts.target(attempt), latency, succeeded, nowNanos);
+    finish(relaying.context(), relaying.status(), Outcome.ANSWERED, nowNanos);
+  }
+
+  private void finish(RequestContext context, int status, Outcome outcome, long nowNanos) {
+    policies.admission().release(context.service(), context.requestClass(), nowNanos);
+    finishKey(context, status, outcome, nowNanos);
+    state = new RequestState.Done();
+  }
+
+  private void finishKey(RequestContext context, int status, Outcome outcome, long nowNanos) {
+    context.claimedKey().ifPresent(key -> policies.keys().finish(key, status, outcome, nowNanos));
+  }
+
+  private void end(int attempt, boolean succeeded, long nowNanos) {
+    attempts.close(attempt);
+    long latency = nowNanos - attempts.startedNanos(attempt);
+    policies.observer().attemptEnded(attempts.target(attempt), latency, succeeded, nowNanos);
+  }
+
+  private void endAll(long nowNanos) {
+    for (int i = 0; i < attempts.size(); i++) {
+      if (attempts.isOpen(i)) {
+        end(i, false, nowNanos);
+      }
+    }
+  }
+
+  private void abandonOthers(int kept, long nowNanos) {
+    for (int i = 0; i < attempts.size(); i++) {
+      if (i != kept && attempts.isOpen(i)) {
+        attempts.close(i);
+        long waited = nowNanos - attempts.startedNanos(i);
+        policies.observer().attemptAbandoned(attempts.target(i), waited, nowNanos);
+      }
+    }
+  }
+
+  private Optional<NotRunProof> proof() {
+    return NotRunProof.of(attempts);
+  }
+
+  private Decision await() {
+    return state instanceof RequestState.Done
+        ? new Decision.Finish()
+        : new Decision.Await(nextTimerNanos());
+  }
+
+  private static RequestState.Sending withRetryAt(RequestState.Sending sending, long atNanos) {
+    return new RequestState.Sending(sending.context(), atNanos, sending.hedgeAtNanos());
+  }
+}
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/RequestMachine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/RequestMachine.java
@@ -22,7 +22,8 @@
    * A byte of the attempt is about to be handed to the connection. From here on only the target can
    * prove that the request did not run.
    *
-   * @return false when the attempt must not be sent any more, since its time is used up
+   * @return false when the attempt must not be sent any more: its time is used up, or it was
+   *     cancelled by a later decision. The shell then drops it and calls {@link #timer}.
    */
   boolean sending(int attempt, long nowNanos);
 
--- a/chivecross-core/src/main/java/org/chivecross/model/request/Outcome.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/request/Outcome.java
@@ -1,13 +1,15 @@
 package org.chivecross.model.request;
 
-/** What an entry tells a caller about a request that no upstream answered. */
+/** What an entry tells a caller about a request whose answer it doesn't relay. */
 public enum Outcome {
   /** Proved: no byte of it reached an upstream, or the upstream said that it did not run it. */
   NOT_RUN("not-run"),
   /** It may have run. */
   UNKNOWN("unknown"),
   /** Its deadline passed before any byte of it was sent. */
-  EXPIRED("expired");
+  EXPIRED("expired"),
+  /** An upstream answered the first request with the same idempotency key. */
+  ANSWERED("answered");
 
   private final String headerValue;
 
