Serve a first thin path from callers through an entry to targets

Cause: the demo and the other parts need an entry that runs. Change: chivecross-entry reads a file set, binds the port for callers and drives one RequestMachine per request. Two Grizzly filter chains, one to each side, run on selector threads alone; a reader is suspended while the other side's write queue is full. A pool per target hands out the connection used last and takes it back only when the read that ended the response was processed to its last byte. Seen: curl GET, HEAD, POST, chunked POST, an unknown path and the directory against the upstream stand-in.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryMain.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryMain.java
@@ -1,7 +1,11 @@
 package org.chivecross.cli.entry;
 
+import java.io.IOException;
 import java.util.List;
 import org.chivecross.logic.settings.ProgramLauncher;
+import org.chivecross.model.failure.Failure;
+import org.chivecross.model.failure.Result;
+import org.tinylog.Logger;
 
 /** Start of {@code chivecross-entry}. */
 public final class EntryMain {
@@ -12,8 +16,41 @@
   public static void main(String[] arguments) {
     ProgramLauncher launcher =
         new ProgramLauncher("chivecross-entry", System.getenv(), System.out, System.err);
-    System.exit(
-        launcher.launch(
-            new EntryOptions(), List.of(arguments), options -> ProgramLauncher.SUCCESS));
+    int code = launcher.launch(new EntryOptions(), List.of(arguments), EntryMain::run);
+    if (code != ProgramLauncher.SUCCESS) {
+      System.exit(code);
+    }
+  }
+
+  private static int run(EntryOptions options) {
+    Result<EntryPreferences> preferences = EntryPreferences.of(options);
+    if (preferences instanceof Result.Failed<EntryPreferences> failed) {
+      System.err.println("chivecross-entry: " + failed.failures().get(0).detail());
+      return ProgramLauncher.BAD_SETTING;
+    }
+    return serve(((Result.Success<EntryPreferences>) preferences).value());
+  }
+
+  private static int serve(EntryPreferences preferences) {
+    try {
+      Result<EntryProcess> process = EntryProcess.create(preferences);
+      if (process instanceof Result.Failed<EntryProcess> failed) {
+        for (Failure failure : failed.failures()) {
+          System.err.println("chivecross-entry: " + failure);
+        }
+        return ProgramLauncher.FAILURE;
+      }
+      EntryProcess entry = ((Result.Success<EntryProcess>) process).value();
+      entry.start();
+      Runtime.getRuntime().addShutdownHook(new Thread(entry::stop, "stop"));
+      entry.awaitStop();
+      return ProgramLauncher.SUCCESS;
+    } catch (IOException e) {
+      Logger.error(e, "start failed");
+      return ProgramLauncher.FAILURE;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return ProgramLauncher.FAILURE;
+    }
   }
 }
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryTicker.java
@@ -0,0 +1,48 @@
+package org.chivecross.cli.entry;
+
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
+import org.tinylog.Logger;
+
+/**
+ * Runs the periodic work of an entry, all on one thread. Each task gets the monotonic time. A task
+ * that throws is logged and runs again next time. Thread-safe.
+ */
+final class EntryTicker {
+
+  private final ScheduledExecutorService executor =
+      Executors.newSingleThreadScheduledExecutor(
+          task -> {
+            Thread thread = new Thread(task, "ticker");
+            thread.setDaemon(true);
+            return thread;
+          });
+
+  private final Queue<Future<?>> running = new ConcurrentLinkedQueue<>();
+
+  /** Runs tasks in order with a pause of {@code periodMillis} between the runs. */
+  void every(long periodMillis, List<LongConsumer> tasks) {
+    Runnable run = () -> tasks.forEach(EntryTicker::runSafely);
+    running.add(
+        executor.scheduleWithFixedDelay(run, periodMillis, periodMillis, TimeUnit.MILLISECONDS));
+  }
+
+  void stop() {
+    running.forEach(task -> task.cancel(false));
+    executor.shutdownNow();
+  }
+
+  private static void runSafely(LongConsumer task) {
+    try {
+      task.accept(System.nanoTime());
+    } catch (RuntimeException e) {
+      Logger.error(e, "periodic task failed");
+    }
+  }
+}
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/FileSetReader.java
@@ -0,0 +1,33 @@
+package org.chivecross.cli.entry;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+
+/** Reads the files of a set from a directory. Stateless. */
+final class FileSetReader {
+
+  private FileSetReader() {}
+
+  /**
+   * Returns the contents by path relative to the directory, with {@code /} as separator.
+   *
+   * @throws IOException if a file can't be read
+   */
+  static Map<String, String> read(Path directory) throws IOException {
+    List<Path> files;
+    try (Stream<Path> paths = Files.walk(directory)) {
+      files = paths.filter(Files::isRegularFile).toList();
+    }
+    Map<String, String> contents = new HashMap<>();
+    for (Path file : files) {
+      String name = directory.relativize(file).toString().replace('\\', '/');
+      contents.put(name, Files.readString(file));
+    }
+    return contents;
+  }
+}
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
@@ -0,0 +1,203 @@
+package org.chivecross.cli.entry.http;
+
+import java.net.SocketAddress;
+import org.chivecross.model.request.Decision;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteHandler;
+import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One attempt of an exchange at a target.
+ *
+ * <p>Guarded by the lock of its exchange, which all callers but the selector threads hold; methods
+ * that are called without it take it. Invariant: {@code over} is set once, and from then on nothing
+ * that arrives on the connection reaches the exchange.
+ */
+final class Attempt {
+
+  private final Exchange exchange;
+  private final Decision.Send order;
+  private final long startedNanos;
+  private @Nullable UpstreamConnection upstream;
+  private @Nullable HttpRequestPacket packet;
+  private @Nullable FilterChainContext parkedReader;
+  private boolean requestComplete;
+  private boolean headReceived;
+  private boolean responseComplete;
+  private boolean readerDone;
+  private boolean reusable;
+  private boolean over;
+
+  Attempt(Exchange exchange, Decision.Send order, long startedNanos) {
+    this.exchange = exchange;
+    this.order = order;
+    this.startedNanos = startedNanos;
+  }
+
+  Exchange exchange() {
+    return exchange;
+  }
+
+  int number() {
+    return order.attempt();
+  }
+
+  int target() {
+    return order.target();
+  }
+
+  Decision.Send order() {
+    return order;
+  }
+
+  long startedNanos() {
+    return startedNanos;
+  }
+
+  boolean isOver() {
+    return over;
+  }
+
+  boolean hasConnection() {
+    return upstream != null;
+  }
+
+  boolean headReceived() {
+    return headReceived;
+  }
+
+  void markHeadReceived() {
+    headReceived = true;
+  }
+
+  /** Binds the connection on which the request will be sent. */
+  void bind(UpstreamConnection connection, HttpRequestPacket head) {
+    upstream = connection;
+    packet = head;
+    connection.use(this);
+  }
+
+  /** Writes a part of the request; the first one carries the head. */
+  void write(Buffer content, boolean last) {
+    if (upstream == null || packet == null || over) {
+      return;
+    }
+    if (last) {
+      requestComplete = true;
+    }
+    HttpContent part = packet.httpContentBuilder().content(content).last(last).build();
+    upstream.connection().write(part, new WriteFailure());
+  }
+
+  /** Returns whether more of a body may be queued now; otherwise {@code resume} runs later. */
+  boolean canWrite(Runnable resume) {
+    if (upstream == null || over) {
+      return true;
+    }
+    if (upstream.connection().canWrite()) {
+      return true;
+    }
+    upstream.connection().notifyCanWrite(new ResumeOnWrite(resume));
+    return false;
+  }
+
+  /**
+   * Suspends the reading of the response, unless the reason for it has gone meanwhile.
+   *
+   * @return whether it was suspended
+   */
+  boolean parkReader(FilterChainContext context) {
+    synchronized (exchange.lock()) {
+      if (over || !exchange.isCallerCongested()) {
+        return false;
+      }
+      context.suspend();
+      parkedReader = context;
+      return true;
+    }
+  }
+
+  /** Takes the suspended reader, if any; the caller resumes it without the lock. */
+  @Nullable FilterChainContext takeParkedReader() {
+    FilterChainContext context = parkedReader;
+    parkedReader = null;
+    return context;
+  }
+
+  /** The whole response was read; the connection may serve others when nothing else follows. */
+  void responseEnded(boolean keepAlive) {
+    responseComplete = true;
+    reusable = keepAlive && requestComplete;
+    over = true;
+    settle();
+  }
+
+  /** The read that brought the end of the response was processed to its last byte. */
+  void readingDone() {
+    synchronized (exchange.lock()) {
+      readerDone = true;
+      settle();
+    }
+  }
+
+  /** Ends the attempt; its connection is closed, so that nothing late can reach anyone else. */
+  void abandon() {
+    if (over) {
+      return;
+    }
+    over = true;
+    FilterChainContext reader = takeParkedReader();
+    if (upstream != null) {
+      upstream.close();
+    }
+    if (reader != null) {
+      reader.completeAndRecycle();
+    }
+  }
+
+  private void settle() {
+    UpstreamConnection connection = upstream;
+    if (connection == null || !responseComplete || (reusable && !readerDone)) {
+      return;
+    }
+    upstream = null;
+    if (!reusable) {
+      connection.close();
+      return;
+    }
+    connection.use(null);
+    connection.pool().release(connection);
+  }
+
+  /** Closes the connection when a write fails; the close is what ends the attempt. */
+  private final class WriteFailure
+      extends EmptyCompletionHandler<WriteResult<HttpContent, SocketAddress>> {
+
+    @Override
+    public void failed(Throwable cause) {
+      UpstreamConnection connection = upstream;
+      if (connection != null) {
+        connection.connection().terminateSilently();
+      }
+    }
+  }
+
+  /** Runs an action when the connection takes bytes again. */
+  private record ResumeOnWrite(Runnable action) implements WriteHandler {
+
+    @Override
+    public void onWritePossible() {
+      action.run();
+    }
+
+    @Override
+    public void onError(Throwable cause) {
+      action.run();
+    }
+  }
+}
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerExchange.java
@@ -0,0 +1,25 @@
+package org.chivecross.cli.entry.http;
+
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+
+/** One request and its response on the connection of a caller. */
+interface CallerExchange {
+
+  /** Returns the head of the request. */
+  HttpRequestPacket request();
+
+  /**
+   * A part of the request arrived; the first one comes with the head.
+   *
+   * @return whether more may be read now
+   */
+  boolean received(HttpContent content);
+
+  /** Suspends reading, unless the reason for it has gone; returns whether it was suspended. */
+  boolean parkReader(FilterChainContext context);
+
+  /** The connection is gone. */
+  void callerClosed();
+}
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
@@ -0,0 +1,159 @@
+package org.chivecross.cli.entry.http;
+
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.nio.channels.SocketChannel;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.CompletionHandler;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteHandler;
+import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.Protocol;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.nio.NIOConnection;
+
+/**
+ * Response to one request of a caller. Guarded by the lock of the exchange.
+ *
+ * <p>Invariant: it ends either with its last part or with a reset of the connection, so that a
+ * caller never takes a part for the whole.
+ */
+final class CallerResponse {
+
+  private static final CompletionHandler<WriteResult<HttpContent, SocketAddress>> WRITTEN =
+      new EmptyCompletionHandler<>();
+  private static final CompletionHandler<WriteResult<HttpResponsePacket, SocketAddress>>
+      ACKNOWLEDGED = new EmptyCompletionHandler<>();
+
+  private final NIOConnection connection;
+  private final HttpRequestPacket request;
+  private final HttpResponsePacket packet;
+  private boolean closeAfter;
+
+  CallerResponse(NIOConnection connection, HttpRequestPacket request) {
+    this.connection = connection;
+    this.request = request;
+    packet = request.getResponse();
+  }
+
+  /** Makes this response the last one of its connection. */
+  void closeAfterwards() {
+    closeAfter = true;
+  }
+
+  /** Prepares the head of a relayed response; it goes out with the first part. */
+  void relayHead(HttpResponsePacket upstream) {
+    packet.setStatus(upstream.getStatus());
+    if (upstream.isCustomReasonPhraseSet()) {
+      packet.setReasonPhrase(upstream.getReasonPhrase());
+    }
+    ResponseHeads.copyEndToEnd(upstream, packet);
+    if (!upstream.isChunked()) {
+      packet.setContentLengthLong(upstream.getContentLength());
+    } else if (mayChunk()) {
+      packet.setChunked(true);
+    } else {
+      closeAfter = true;
+    }
+    prepareConnection();
+  }
+
+  /** Writes a part of a relayed body. */
+  void write(Buffer content, boolean last) {
+    HttpContent part = packet.httpContentBuilder().content(content).last(last).build();
+    if (last && isLastOfConnection()) {
+      connection.write(part, new CloseWhenWritten());
+    } else {
+      connection.write(part, WRITTEN);
+    }
+  }
+
+  /** Answers without an upstream. */
+  void answer(LocalResponse answer) {
+    byte[] body = answer.bodyBytes();
+    packet.setStatus(answer.status());
+    answer.headers().forEach(packet::setHeader);
+    packet.setContentType(answer.contentType());
+    packet.setContentLengthLong(body.length);
+    prepareConnection();
+    Buffer content =
+        request.isHeadRequest()
+            ? Buffers.EMPTY_BUFFER
+            : Buffers.wrap(connection.getMemoryManager(), body);
+    write(content, true);
+  }
+
+  /** Tells the caller to send the body that it announced. */
+  void sendContinue() {
+    packet.setAcknowledgement(true);
+    packet.setStatus(100);
+    connection.write(packet, ACKNOWLEDGED);
+    packet.acknowledged();
+  }
+
+  /** Breaks the connection visibly: a reset, never an orderly end. */
+  void abort() {
+    if (connection.getChannel() instanceof SocketChannel channel) {
+      try {
+        channel.setOption(java.net.StandardSocketOptions.SO_LINGER, 0);
+      } catch (IOException | UnsupportedOperationException e) {
+        org.tinylog.Logger.debug(e, "no reset possible");
+      }
+    }
+    connection.terminateSilently();
+  }
+
+  /** Returns whether the caller takes more bytes now; otherwise {@code resume} runs later. */
+  boolean canWrite(Runnable resume) {
+    if (connection.canWrite()) {
+      return true;
+    }
+    connection.notifyCanWrite(
+        new WriteHandler() {
+          @Override
+          public void onWritePossible() {
+            resume.run();
+          }
+
+          @Override
+          public void onError(Throwable cause) {
+            resume.run();
+          }
+        });
+    return false;
+  }
+
+  /** Returns whether the connection ends with this response. */
+  boolean isLastOfConnection() {
+    return closeAfter || !request.getProcessingState().isKeepAlive();
+  }
+
+  private boolean mayChunk() {
+    return request.getProtocol() == Protocol.HTTP_1_1;
+  }
+
+  private void prepareConnection() {
+    if (closeAfter) {
+      request.getProcessingState().setKeepAlive(false);
+      packet.setHeader("Connection", "close");
+    }
+  }
+
+  /** Closes the connection when the last part was handed to the socket. */
+  private final class CloseWhenWritten
+      extends EmptyCompletionHandler<WriteResult<HttpContent, SocketAddress>> {
+
+    @Override
+    public void completed(WriteResult<HttpContent, SocketAddress> result) {
+      connection.closeSilently();
+    }
+
+    @Override
+    public void failed(Throwable cause) {
+      connection.terminateSilently();
+    }
+  }
+}
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
@@ -0,0 +1,114 @@
+package org.chivecross.cli.entry.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import org.chivecross.logic.request.RequestMachines;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+
+/**
+ * The way of requests through this entry: takes them from callers, has them decided, sends them to
+ * targets and relays the answers. Selector threads do all the work. Safe for use by many threads.
+ */
+public final class DataPath {
+
+  private static final int QUEUE_BYTES = 256 * 1024;
+  private static final int ACCEPT_BACKLOG = 4096;
+
+  private final TCPNIOTransport callerTransport;
+  private final UpstreamClient client;
+  private final InFlight inFlight = new InFlight();
+  private final CallerFilter callerFilter;
+  private final DataPathSettings settings;
+
+  /**
+   * Creates a data path that is not started.
+   *
+   * @param machines creates the machine of each request
+   * @param addresses where the targets listen
+   * @param localRoutes paths that this entry answers itself
+   * @param settings limits and time-outs
+   */
+  public DataPath(
+      RequestMachines machines,
+      UpstreamAddresses addresses,
+      LocalRoutes localRoutes,
+      DataPathSettings settings) {
+    this.settings = settings;
+    client = new UpstreamClient(transport("upstream"), addresses, settings);
+    callerFilter = new CallerFilter(new ExchangeServices(machines, client, inFlight), localRoutes);
+    callerTransport = transport("caller");
+    callerTransport.setProcessor(
+        FilterChainBuilder.stateless()
+            .add(new TransportFilter())
+            .add(new StrictServerFilter(settings))
+            .add(callerFilter)
+            .build());
+  }
+
+  /**
+   * Starts to serve callers.
+   *
+   * @return the address in use, with the port that the system chose if 0 was given
+   * @throws IOException if the address can't be bound
+   */
+  public InetSocketAddress start(InetSocketAddress address) throws IOException {
+    client.start();
+    TCPNIOServerConnection server = callerTransport.bind(address, ACCEPT_BACKLOG);
+    callerTransport.start();
+    return (InetSocketAddress) server.getLocalAddress();
+  }
+
+  /**
+   * Closes all connections at once.
+   *
+   * @throws IOException if a transport can't be stopped
+   */
+  public void stop() throws IOException {
+    callerTransport.shutdownNow();
+    client.stop();
+  }
+
+  /** Stops accepting connections; those that are open go on. */
+  public void stopAccepting() {
+    callerTransport.unbindAll();
+  }
+
+  /** Returns the number of requests in flight. */
+  public int inFlightCount() {
+    return inFlight.count();
+  }
+
+  /** Runs the timers of requests that are due. Called by one thread. */
+  public void tick(long nowNanos) {
+    inFlight.tick(nowNanos);
+  }
+
+  /** Closes connections that have been idle too long or send a head too slowly. */
+  public void closeIdle(long nowNanos) {
+    client.closeIdle(nowNanos);
+    long idleNanos = TimeUnit.MILLISECONDS.toNanos(settings.idleTimeoutMillis());
+    long headNanos = TimeUnit.MILLISECONDS.toNanos(settings.headerTimeoutMillis());
+    for (CallerConnection caller : callerFilter.callers()) {
+      if (caller.isIdleLongerThan(idleNanos, nowNanos) || caller.isHeadLate(headNanos, nowNanos)) {
+        caller.connection().closeSilently();
+      }
+    }
+  }
+
+  private static TCPNIOTransport transport(String name) {
+    TCPNIOTransport transport =
+        TCPNIOTransportBuilder.newInstance()
+            .setName(name)
+            .setIOStrategy(SameThreadIOStrategy.getInstance())
+            .setTcpNoDelay(true)
+            .setMaxAsyncWriteQueueSizeInBytes(QUEUE_BYTES)
+            .build();
+    return transport;
+  }
+}
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/InFlight.java
@@ -0,0 +1,31 @@
+package org.chivecross.cli.entry.http;
+
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** The exchanges in flight; their timers are run on each tick. Safe for use by many threads. */
+final class InFlight {
+
+  private final Set<Exchange> exchanges = ConcurrentHashMap.newKeySet();
+
+  void add(Exchange exchange) {
+    exchanges.add(exchange);
+  }
+
+  void remove(Exchange exchange) {
+    exchanges.remove(exchange);
+  }
+
+  int count() {
+    return exchanges.size();
+  }
+
+  /** Runs the timers that are due. */
+  void tick(long nowNanos) {
+    for (Exchange exchange : exchanges) {
+      if (exchange.wakeNanos() <= nowNanos) {
+        exchange.timer(nowNanos);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
@@ -0,0 +1,95 @@
+package org.chivecross.cli.entry.http;
+
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.jspecify.annotations.Nullable;
+
+/** A request that a {@link LocalHandler} answers. All state is guarded by this object. */
+final class LocalExchange implements CallerExchange {
+
+  private final CallerConnection caller;
+  private final HttpRequestPacket request;
+  private final CallerResponse response;
+  private final LocalHandler handler;
+  private boolean over;
+
+  LocalExchange(CallerConnection caller, HttpRequestPacket request, LocalHandler handler) {
+    this.caller = caller;
+    this.request = request;
+    this.handler = handler;
+    response = new CallerResponse(caller.connection(), request);
+  }
+
+  @Override
+  public HttpRequestPacket request() {
+    return request;
+  }
+
+  @Override
+  public boolean received(HttpContent content) {
+    if (content.isLast()) {
+      handler.handle(toLocalRequest(), this::answer);
+    }
+    return true;
+  }
+
+  @Override
+  public boolean parkReader(FilterChainContext context) {
+    return false;
+  }
+
+  @Override
+  public synchronized void callerClosed() {
+    over = true;
+  }
+
+  private void answer(LocalResponse answer) {
+    FilterChainContext next;
+    synchronized (this) {
+      if (over) {
+        return;
+      }
+      over = true;
+      response.answer(answer);
+      next = caller.end(System.nanoTime());
+    }
+    if (next != null) {
+      next.resume();
+    }
+  }
+
+  private LocalRequest toLocalRequest() {
+    return new LocalRequest(
+        request.getMethodDC().toString(),
+        request.getRequestURI(),
+        parseQuery(request.getQueryString()),
+        RequestHeads.callerAddress(caller.connection()));
+  }
+
+  private static Map<String, String> parseQuery(@Nullable String query) {
+    Map<String, String> parameters = new HashMap<>();
+    if (query == null || query.isEmpty()) {
+      return parameters;
+    }
+    for (String pair : query.split("&", -1)) {
+      int equals = pair.indexOf('=');
+      String name = equals < 0 ? pair : pair.substring(0, equals);
+      String value = equals < 0 ? "" : pair.substring(equals + 1);
+      parameters.putIfAbsent(decode(name), decode(value));
+    }
+    return parameters;
+  }
+
+  private static String decode(String text) {
+    try {
+      return URLDecoder.decode(text, StandardCharsets.UTF_8);
+    } catch (IllegalArgumentException e) {
+      return text;
+    }
+  }
+}
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalRoutes.java
@@ -0,0 +1,32 @@
+package org.chivecross.cli.entry.http;
+
+import java.util.Map;
+import java.util.Optional;
+
+/** Handlers of the paths that this entry answers itself. Immutable and safe for many threads. */
+public final class LocalRoutes {
+
+  /** Start of all paths that are never balanced. */
+  public static final String PREFIX = "/chivecross/";
+
+  private final Map<String, LocalHandler> handlers;
+
+  /** Creates routes from exact paths, each starting with {@link #PREFIX}. */
+  public LocalRoutes(Map<String, LocalHandler> handlers) {
+    this.handlers = Map.copyOf(handlers);
+  }
+
+  /** Returns the handler of a path under {@link #PREFIX}; unknown ones are answered with 404. */
+  Optional<LocalHandler> find(String path) {
+    if (!path.startsWith(PREFIX)) {
+      return Optional.empty();
+    }
+    return Optional.of(handlers.getOrDefault(path, LocalRoutes::notFound));
+  }
+
+  private static void notFound(
+      LocalRequest request, java.util.function.Consumer<LocalResponse> responder) {
+    responder.accept(
+        new LocalResponse(404, Map.of(), "application/json", "{\"error\":\"no such path\"}\n"));
+  }
+}
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestHeads.java
@@ -0,0 +1,147 @@
+package org.chivecross.cli.entry.http;
+
+import java.net.InetSocketAddress;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import org.chivecross.model.request.RequestHead;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.Protocol;
+import org.glassfish.grizzly.http.util.MimeHeaders;
+import org.jspecify.annotations.Nullable;
+
+/** Translates request heads between callers, decisions and upstreams. Stateless. */
+final class RequestHeads {
+
+  private static final String DEADLINE = "chivecross-deadline-ms";
+  private static final String DEPTH = "chivecross-depth";
+  private static final String IDEMPOTENCY_KEY = "idempotency-key";
+
+  private RequestHeads() {}
+
+  /**
+   * Returns what the decisions need.
+   *
+   * @param elapsedMillis time since the head arrived, in ms; deducted from the caller's deadline
+   */
+  static RequestHead toDecisionHead(HttpRequestPacket request, long elapsedMillis) {
+    MimeHeaders headers = request.getHeaders();
+    Optional<Long> deadline =
+        parseLong(headers.getHeader(DEADLINE)).map(millis -> Math.max(0, millis - elapsedMillis));
+    int depth = parseLong(headers.getHeader(DEPTH)).map(Long::intValue).orElse(0);
+    return new RequestHead(
+        request.getMethodDC().toString(),
+        hostWithoutPort(headers.getHeader("host")),
+        request.getRequestURI(),
+        deadline,
+        depth,
+        Optional.ofNullable(headers.getHeader(IDEMPOTENCY_KEY)),
+        hasBody(request));
+  }
+
+  /** Returns whether a body follows the head. */
+  static boolean hasBody(HttpRequestPacket request) {
+    return request.isChunked() || request.getContentLength() > 0;
+  }
+
+  /**
+   * Builds the head that goes to a target.
+   *
+   * @param remainingMillis time left for the target, in ms
+   */
+  static HttpRequestPacket toUpstream(
+      HttpRequestPacket request, Connection<?> caller, long remainingMillis) {
+    MimeHeaders from = request.getHeaders();
+    HttpRequestPacket packet =
+        HttpRequestPacket.builder()
+            .method(request.getMethodDC().toString())
+            .uri(request.getRequestURI())
+            .protocol(Protocol.HTTP_1_1)
+            .build();
+    String query = request.getQueryString();
+    if (query != null) {
+      packet.setQueryString(query);
+    }
+    MimeHeaders to = packet.getHeaders();
+    copyEndToEnd(from, to);
+    addForwarding(from, to, callerAddress(caller));
+    to.addValue("Chivecross-Deadline-Ms").setString(Long.toString(remainingMillis));
+    long depth = parseLong(from.getHeader(DEPTH)).orElse(0L);
+    to.addValue("Chivecross-Depth").setString(Long.toString(depth + 1));
+    if (request.isChunked()) {
+      packet.setChunked(true);
+    } else if (request.getContentLength() >= 0) {
+      packet.setContentLengthLong(request.getContentLength());
+    }
+    return packet;
+  }
+
+  /** Returns the IP address of the other end of a connection. */
+  static String callerAddress(Connection<?> caller) {
+    return caller.getPeerAddress() instanceof InetSocketAddress address
+        ? address.getAddress().getHostAddress()
+        : "unknown";
+  }
+
+  private static void copyEndToEnd(MimeHeaders from, MimeHeaders to) {
+    Set<String> hop = HopHeaders.of(from);
+    for (int i = 0; i < from.size(); i++) {
+      String name = from.getName(i).toString().toLowerCase(Locale.ROOT);
+      if (hop.contains(name) || name.equals(DEADLINE) || name.equals(DEPTH) || isForwarding(name)) {
+        continue;
+      }
+      to.addValue(name).setString(from.getValue(i).toString());
+    }
+  }
+
+  private static boolean isForwarding(String name) {
+    return name.equals("x-forwarded-for") || name.equals("forwarded");
+  }
+
+  private static void addForwarding(MimeHeaders from, MimeHeaders to, String address) {
+    String earlier = joined(from, "x-forwarded-for");
+    to.addValue("X-Forwarded-For").setString(earlier + address);
+    if (!from.contains("x-forwarded-proto")) {
+      to.addValue("X-Forwarded-Proto").setString("http");
+    }
+    String host = from.getHeader("host");
+    if (host != null && !from.contains("x-forwarded-host")) {
+      to.addValue("X-Forwarded-Host").setString(host);
+    }
+    String node = address.indexOf(':') >= 0 ? "\"[" + address + "]\"" : address;
+    to.addValue("Forwarded").setString(joined(from, "forwarded") + "for=" + node + ";proto=http");
+  }
+
+  private static String joined(MimeHeaders headers, String name) {
+    if (!headers.contains(name)) {
+      return "";
+    }
+    StringBuilder text = new StringBuilder();
+    for (String value : headers.values(name)) {
+      text.append(value).append(", ");
+    }
+    return text.toString();
+  }
+
+  private static String hostWithoutPort(@Nullable String host) {
+    if (host == null) {
+      return "";
+    }
+    int bracket = host.lastIndexOf(']');
+    int colon = host.lastIndexOf(':');
+    String bare = colon > bracket ? host.substring(0, colon) : host;
+    return bare.toLowerCase(Locale.ROOT);
+  }
+
+  private static Optional<Long> parseLong(@Nullable String text) {
+    if (text == null) {
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(Math.max(0, Long.parseLong(text.strip())));
+    } catch (NumberFormatException e) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
@@ -0,0 +1,148 @@
+package org.chivecross.cli.entry.http;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.Collection;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.chivecross.model.request.ConnectionFault;
+import org.chivecross.model.request.ConnectionKind;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.nio.NIOConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+
+/** Opens, pools and reuses connections to targets. Safe for use by many threads. */
+final class UpstreamClient {
+
+  /** Receives a connection or the reason for its absence; called on any thread. */
+  interface AcquireHandler {
+
+    /** A connection is ready for one exchange. */
+    void acquired(UpstreamConnection connection);
+
+    /** No connection could be had; no byte was sent. */
+    void failed(ConnectionFault fault);
+  }
+
+  private final TCPNIOTransport transport;
+  private final UpstreamAddresses addresses;
+  private final DataPathSettings settings;
+  private final TCPNIOConnectorHandler connector;
+  private final UpstreamFilter filter;
+  private final Map<InetSocketAddress, UpstreamPool> pools = new ConcurrentHashMap<>();
+
+  UpstreamClient(
+      TCPNIOTransport transport, UpstreamAddresses addresses, DataPathSettings settings) {
+    this.transport = transport;
+    this.addresses = addresses;
+    this.settings = settings;
+    filter = new UpstreamFilter();
+    FilterChain chain =
+        FilterChainBuilder.stateless()
+            .add(new TransportFilter())
+            .add(new StrictClientFilter(settings.maxHeadBytes()))
+            .add(filter)
+            .build();
+    connector = TCPNIOConnectorHandler.builder(transport).processor(chain).build();
+  }
+
+  void start() throws IOException {
+    transport.start();
+  }
+
+  void stop() throws IOException {
+    transport.shutdownNow();
+  }
+
+  /** Gets a connection to a target; {@code handler} may be called before this returns. */
+  void acquire(int target, ConnectionKind kind, long nowNanos, AcquireHandler handler) {
+    Optional<InetSocketAddress> address = addresses.address(target);
+    if (address.isEmpty()) {
+      handler.failed(ConnectionFault.REFUSED);
+      return;
+    }
+    UpstreamPool pool = poolOf(address.get());
+    Optional<UpstreamConnection> idle = pool.takeIdle(kind, nowNanos);
+    if (idle.isPresent()) {
+      handler.acquired(idle.get());
+      return;
+    }
+    if (!pool.tryReserve(addresses.connectionLimit(target))) {
+      handler.failed(ConnectionFault.REFUSED);
+      return;
+    }
+    connector.connect(
+        (SocketAddress) address.get(), new ConnectCompletion(pool, address.get(), handler));
+  }
+
+  /** Closes idle connections to a target that showed no recent life. */
+  int closeSuspects(int target, long nowNanos) {
+    return addresses
+        .address(target)
+        .map(address -> poolOf(address).closeSuspects(nowNanos))
+        .orElse(0);
+  }
+
+  /** Closes connections that have been idle too long. */
+  void closeIdle(long nowNanos) {
+    long idleNanos = TimeUnit.MILLISECONDS.toNanos(settings.idleTimeoutMillis());
+    Collection<UpstreamPool> all = pools.values();
+    all.forEach(pool -> pool.closeIdle(idleNanos, nowNanos));
+  }
+
+  private UpstreamPool poolOf(InetSocketAddress address) {
+    return pools.computeIfAbsent(
+        address,
+        key -> new UpstreamPool(TimeUnit.MILLISECONDS.toNanos(settings.recentLifeMillis())));
+  }
+
+  /** Hands a new connection to the waiting attempt. */
+  private final class ConnectCompletion extends EmptyCompletionHandler<Connection> {
+
+    private final UpstreamPool pool;
+    private final InetSocketAddress address;
+    private final AcquireHandler handler;
+
+    ConnectCompletion(UpstreamPool pool, InetSocketAddress address, AcquireHandler handler) {
+      this.pool = pool;
+      this.address = address;
+      this.handler = handler;
+    }
+
+    @Override
+    public void completed(Connection connection) {
+      UpstreamConnection upstream =
+          new UpstreamConnection((NIOConnection) connection, pool, System.nanoTime());
+      filter.attach(upstream);
+      handler.acquired(upstream);
+    }
+
+    @Override
+    public void failed(Throwable cause) {
+      pool.connectFailed();
+      handler.failed(faultOf(cause));
+    }
+
+    @Override
+    public void cancelled() {
+      pool.connectFailed();
+      handler.failed(ConnectionFault.REFUSED);
+    }
+
+    private ConnectionFault faultOf(Throwable cause) {
+      boolean timedOut =
+          cause instanceof java.net.SocketTimeoutException
+              || cause instanceof java.util.concurrent.TimeoutException;
+      org.tinylog.Logger.debug("connect to {} failed: {}", address, cause);
+      return timedOut ? ConnectionFault.CONNECT_TIMEOUT : ConnectionFault.REFUSED;
+    }
+  }
+}
