Refuse malformed requests before anything is sent

Cause: the HTTP library takes folded lines, LF alone, repeated lengths and bytes between chunks, so two readers of one connection could disagree on where a request ends. Change: a guard over the bytes of each head, a check of the lines between chunks, problem details with step, peer and outcome, limits on head and body. An exchange is marked over before its last part is written, since the close that follows a written part came back into it and let the rest of a refused body start a new request. Conclusion: framing is decided at the edge.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
@@ -63,8 +63,9 @@
     return over;
   }
 
-  boolean hasConnection() {
-    return upstream != null;
+  /** Returns whether a byte of the request may have left. */
+  boolean isSent() {
+    return packet != null;
   }
 
   boolean headReceived() {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
@@ -49,8 +49,10 @@
 
   /** Ends the current exchange and returns the request that waited for it, if any. */
   synchronized @Nullable FilterChainContext end(long nowNanos) {
-    finished = current == null ? null : current.request();
-    current = null;
+    if (current != null) {
+      finished = current.request();
+      current = null;
+    }
     idleSinceNanos = nowNanos;
     FilterChainContext context = pipelined;
     pipelined = null;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerExchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerExchange.java
@@ -20,6 +20,9 @@
   /** Suspends reading, unless the reason for it has gone; returns whether it was suspended. */
   boolean parkReader(FilterChainContext context);
 
+  /** The body can't be read to its end, since its coding is wrong. */
+  void bodyBroken();
+
   /** The connection is gone. */
   void callerClosed();
 }
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerRegistry.java
@@ -0,0 +1,60 @@
+package org.chivecross.cli.entry.http;
+
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.nio.NIOConnection;
+
+/** The connections of callers that are open. Safe for use by many threads. */
+final class CallerRegistry {
+
+  private final Attribute<CallerConnection> attribute =
+      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("chivecross.caller");
+  private final Set<CallerConnection> open = ConcurrentHashMap.newKeySet();
+  private final long idleNanos;
+  private final long headNanos;
+
+  CallerRegistry(DataPathSettings settings) {
+    idleNanos = TimeUnit.MILLISECONDS.toNanos(settings.idleTimeoutMillis());
+    headNanos = TimeUnit.MILLISECONDS.toNanos(settings.headerTimeoutMillis());
+  }
+
+  /** Adds a connection that was accepted. */
+  void add(NIOConnection connection, long nowNanos) {
+    CallerConnection caller = new CallerConnection(connection, nowNanos);
+    attribute.set(connection, caller);
+    open.add(caller);
+    connection.addCloseListener((closeable, type) -> closed(caller));
+  }
+
+  /** Returns the caller of a connection, if it was accepted here. */
+  Optional<CallerConnection> of(Connection<?> connection) {
+    return Optional.ofNullable(attribute.get(connection));
+  }
+
+  /** Returns the number of open connections. */
+  int count() {
+    return open.size();
+  }
+
+  /** Closes connections that have been idle too long or send a head too slowly. */
+  void closeIdle(long nowNanos) {
+    for (CallerConnection caller : open) {
+      if (caller.isIdleLongerThan(idleNanos, nowNanos) || caller.isHeadLate(headNanos, nowNanos)) {
+        caller.connection().closeSilently();
+      }
+    }
+  }
+
+  private void closed(CallerConnection caller) {
+    open.remove(caller);
+    CallerExchange exchange = caller.current();
+    if (exchange != null) {
+      exchange.callerClosed();
+    }
+  }
+}
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.concurrent.TimeUnit;
 import org.chivecross.logic.request.RequestMachines;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.TransportFilter;
@@ -23,8 +22,7 @@
   private final TCPNIOTransport callerTransport;
   private final UpstreamClient client;
   private final InFlight inFlight = new InFlight();
-  private final CallerFilter callerFilter;
-  private final DataPathSettings settings;
+  private final CallerRegistry callers;
 
   /**
    * Creates a data path that is not started.
@@ -39,15 +37,15 @@
       UpstreamAddresses addresses,
       LocalRoutes localRoutes,
       DataPathSettings settings) {
-    this.settings = settings;
     client = new UpstreamClient(transport("upstream"), addresses, settings);
-    callerFilter = new CallerFilter(new ExchangeServices(machines, client, inFlight), localRoutes);
+    callers = new CallerRegistry(settings);
+    ExchangeServices services = new ExchangeServices(machines, client, inFlight, settings);
     callerTransport = transport("caller");
     callerTransport.setProcessor(
         FilterChainBuilder.stateless()
             .add(new TransportFilter())
-            .add(new StrictServerFilter(settings))
-            .add(callerFilter)
+            .add(new StrictServerFilter(settings, callers, System::nanoTime))
+            .add(new CallerFilter(callers, services, localRoutes))
             .build());
   }
 
@@ -92,13 +90,7 @@
   /** Closes connections that have been idle too long or send a head too slowly. */
   public void closeIdle(long nowNanos) {
     client.closeIdle(nowNanos);
-    long idleNanos = TimeUnit.MILLISECONDS.toNanos(settings.idleTimeoutMillis());
-    long headNanos = TimeUnit.MILLISECONDS.toNanos(settings.headerTimeoutMillis());
-    for (CallerConnection caller : callerFilter.callers()) {
-      if (caller.isIdleLongerThan(idleNanos, nowNanos) || caller.isHeadLate(headNanos, nowNanos)) {
-        caller.connection().closeSilently();
-      }
-    }
+    callers.closeIdle(nowNanos);
   }
 
   private static TCPNIOTransport transport(String name) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -82,6 +82,10 @@
         return true;
       }
       Buffer buffer = content.getContent();
+      if (body.receivedBytes() + buffer.remaining() > services.settings().maxBodyBytes()) {
+        refuse(413, "body is larger than " + services.settings().maxBodyBytes() + " bytes");
+        return true;
+      }
       boolean last = content.isLast();
       if (!body.retain(buffer, last)) {
         Attempt sink = bodySink;
@@ -132,13 +136,20 @@
     }
   }
 
+  @Override
+  public void bodyBroken() {
+    refuse(400, "body is not in valid chunks");
+  }
+
   @Override
   public void callerClosed() {
     synchronized (lock) {
       if (over) {
         return;
       }
-      machine.cancelled(System.nanoTime());
+      if (started) {
+        machine.cancelled(System.nanoTime());
+      }
       finish();
     }
   }
@@ -191,15 +202,38 @@
     carryOut(machine.arrived(RequestHeads.toDecisionHead(request, elapsed), now), now);
   }
 
+  /** Answers without the machine; says that nothing ran only if no attempt was ever sent. */
+  private void refuse(int status, String detail) {
+    synchronized (lock) {
+      if (over) {
+        return;
+      }
+      if (relayed != null) {
+        response.abort();
+        finish();
+        return;
+      }
+      boolean sent = attempts.stream().anyMatch(Attempt::isSent);
+      if (started) {
+        machine.cancelled(System.nanoTime());
+      }
+      response.closeAfterwards();
+      String peer = RequestHeads.callerAddress(caller.connection());
+      Failure failure = new Failure(Step.ACCEPT, peer, detail);
+      answer(status, sent ? Outcome.UNKNOWN : Outcome.NOT_RUN, failure, OptionalLong.empty());
+    }
+  }
+
   private boolean relay(Attempt attempt, HttpResponsePacket head, HttpContent content, long now) {
-    boolean last = content.isLast();
-    response.write(content.getContent(), last);
-    if (last) {
-      Decision decision = machine.responseEnd(attempt.number(), now);
+    if (content.isLast()) {
+      machine.responseEnd(attempt.number(), now);
       attempt.responseEnded(head.getProcessingState().isKeepAlive());
-      carryOut(decision, now);
+      over = true;
+      response.write(content.getContent(), true);
+      finish();
       return true;
     }
+    response.write(content.getContent(), false);
     callerCongested = !response.canWrite(this::callerWritable);
     return !callerCongested;
   }
@@ -234,6 +268,7 @@
     } else if (decision instanceof Decision.Answer answer) {
       answer(answer.status(), answer.outcome(), answer.failure(), answer.retryAfterMillis());
     } else if (decision instanceof Decision.Abort) {
+      over = true;
       response.abort();
       finish();
     } else if (decision instanceof Decision.Finish) {
@@ -293,6 +328,7 @@
     if (!body.isComplete()) {
       response.closeAfterwards();
     }
+    over = true;
     response.answer(ProblemAnswers.of(status, outcome, failure, retryAfterMillis));
     finish();
   }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
@@ -43,6 +43,13 @@
     return false;
   }
 
+  @Override
+  public void bodyBroken() {
+    response.closeAfterwards();
+    answer(
+        new LocalResponse(400, Map.of(), "application/json", "{\"error\":\"malformed body\"}\n"));
+  }
+
   @Override
   public synchronized void callerClosed() {
     over = true;
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestHeadGuard.java
@@ -0,0 +1,256 @@
+package org.chivecross.cli.entry.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+/**
+ * Checks the bytes of a request head before the HTTP library parses them.
+ *
+ * <p>The library accepts more than RFC 9112 allows: folded lines, lines that end with LF alone, and
+ * repeated lengths. Two readers of one connection must never disagree on where a request ends, so
+ * whatever is ambiguous is refused. Immutable and safe for use by many threads.
+ */
+final class RequestHeadGuard {
+
+  private static final int BAD_REQUEST = 400;
+  private static final int URI_TOO_LONG = 414;
+  private static final int CONTENT_TOO_LARGE = 413;
+  private static final int HEADERS_TOO_LARGE = 431;
+  private static final int NOT_IMPLEMENTED = 501;
+  private static final int VERSION_NOT_SUPPORTED = 505;
+  private static final int MAX_LENGTH_DIGITS = 18;
+  private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
+  private static final int ASCII_LIMIT = 128;
+  private static final boolean[] IS_TOKEN = new boolean[ASCII_LIMIT];
+
+  static {
+    for (int c = 0; c < ASCII_LIMIT; c++) {
+      IS_TOKEN[c] = Character.isLetterOrDigit(c) || TOKEN_SYMBOLS.indexOf(c) >= 0;
+    }
+  }
+
+  private final int maxHeadBytes;
+  private final int maxHeaders;
+  private final long maxBodyBytes;
+
+  RequestHeadGuard(DataPathSettings settings) {
+    maxHeadBytes = settings.maxHeadBytes();
+    maxHeaders = settings.maxHeaders();
+    maxBodyBytes = settings.maxBodyBytes();
+  }
+
+  /**
+   * Checks the lines of a head that are complete so far.
+   *
+   * @param bytes array that holds the head
+   * @param from index of the first byte
+   * @param to index after the last byte
+   * @return whether the head is complete
+   * @throws HeadRefusal when the head must be refused
+   */
+  boolean check(byte[] bytes, int from, int to) {
+    int lineEnd = endOfLine(bytes, from, to);
+    if (lineEnd < 0) {
+      requireRoom(to - from, URI_TOO_LONG, "request line is too long");
+      return false;
+    }
+    requireRoom(lineEnd - from, URI_TOO_LONG, "request line is too long");
+    boolean oldVersion = checkRequestLine(bytes, from, lineEnd);
+    Framing framing = new Framing();
+    int lines = 0;
+    int start = lineEnd + 2;
+    while (true) {
+      lineEnd = endOfLine(bytes, start, to);
+      requireRoom((lineEnd < 0 ? to : lineEnd) - from, HEADERS_TOO_LARGE, "head is too large");
+      if (lineEnd < 0) {
+        return false;
+      }
+      if (lineEnd == start) {
+        framing.check(oldVersion);
+        return true;
+      }
+      lines++;
+      if (lines > maxHeaders) {
+        throw new HeadRefusal(HEADERS_TOO_LARGE, "too many header lines");
+      }
+      checkHeaderLine(bytes, start, lineEnd, framing);
+      start = lineEnd + 2;
+    }
+  }
+
+  private void requireRoom(int length, int status, String detail) {
+    if (length > maxHeadBytes) {
+      throw new HeadRefusal(status, detail);
+    }
+  }
+
+  /** Returns the index of the CR that ends the line, or -1 when the line is not complete. */
+  private static int endOfLine(byte[] bytes, int from, int to) {
+    for (int i = from; i < to; i++) {
+      byte b = bytes[i];
+      if (b == '\n') {
+        throw new HeadRefusal(BAD_REQUEST, "line ends with LF alone");
+      }
+      if (b == '\r') {
+        if (i + 1 == to) {
+          return -1;
+        }
+        if (bytes[i + 1] != '\n') {
+          throw new HeadRefusal(BAD_REQUEST, "CR without LF");
+        }
+        return i;
+      }
+      if ((b >= 0 && b < ' ' && b != '\t') || b == 0x7f) {
+        throw new HeadRefusal(BAD_REQUEST, "control character in head");
+      }
+    }
+    return -1;
+  }
+
+  /** Checks method, target and version; returns whether the version is HTTP/1.0. */
+  private static boolean checkRequestLine(byte[] bytes, int from, int to) {
+    int methodEnd = indexOf(bytes, from, to, ' ');
+    int targetEnd = methodEnd < 0 ? -1 : indexOf(bytes, methodEnd + 1, to, ' ');
+    if (targetEnd < 0 || indexOf(bytes, targetEnd + 1, to, ' ') >= 0) {
+      throw new HeadRefusal(BAD_REQUEST, "request line needs method, target and version");
+    }
+    if (!isToken(bytes, from, methodEnd)) {
+      throw new HeadRefusal(BAD_REQUEST, "method is not a token");
+    }
+    checkTarget(bytes, methodEnd + 1, targetEnd, text(bytes, from, methodEnd));
+    String version = text(bytes, targetEnd + 1, to);
+    if (version.equals("HTTP/1.1") || version.equals("HTTP/1.0")) {
+      return version.equals("HTTP/1.0");
+    }
+    boolean known = version.matches("HTTP/\\d\\.\\d");
+    throw new HeadRefusal(known ? VERSION_NOT_SUPPORTED : BAD_REQUEST, "version is not HTTP/1.1");
+  }
+
+  private static void checkTarget(byte[] bytes, int from, int to, String method) {
+    for (int i = from; i < to; i++) {
+      if (bytes[i] <= ' ' || bytes[i] == '#') {
+        throw new HeadRefusal(BAD_REQUEST, "character not allowed in request target");
+      }
+    }
+    if (method.equals("CONNECT")) {
+      throw new HeadRefusal(NOT_IMPLEMENTED, "CONNECT is not served");
+    }
+    boolean origin = to > from && bytes[from] == '/';
+    boolean asterisk = to - from == 1 && bytes[from] == '*' && method.equals("OPTIONS");
+    String start = text(bytes, from, Math.min(to, from + "http://".length()));
+    if (!origin && !asterisk && !start.toLowerCase(Locale.ROOT).equals("http://")) {
+      throw new HeadRefusal(BAD_REQUEST, "request target must be a path or an http URI");
+    }
+  }
+
+  private void checkHeaderLine(byte[] bytes, int from, int to, Framing framing) {
+    if (bytes[from] == ' ' || bytes[from] == '\t') {
+      throw new HeadRefusal(BAD_REQUEST, "folded header line");
+    }
+    int colon = indexOf(bytes, from, to, ':');
+    if (colon < 0 || !isToken(bytes, from, colon)) {
+      throw new HeadRefusal(BAD_REQUEST, "header name is not a token");
+    }
+    // Most names differ in length from those that are checked, which saves making strings of them.
+    switch (colon - from) {
+      case 4, 14, 15, 16, 17, 22 ->
+          framing.take(
+              text(bytes, from, colon).toLowerCase(Locale.ROOT),
+              text(bytes, colon + 1, to).strip());
+      default -> {}
+    }
+  }
+
+  private static boolean isToken(byte[] bytes, int from, int to) {
+    for (int i = from; i < to; i++) {
+      if (bytes[i] < 0 || !IS_TOKEN[bytes[i]]) {
+        return false;
+      }
+    }
+    return to > from;
+  }
+
+  private static int indexOf(byte[] bytes, int from, int to, char c) {
+    for (int i = from; i < to; i++) {
+      if (bytes[i] == c) {
+        return i;
+      }
+    }
+    return -1;
+  }
+
+  private static String text(byte[] bytes, int from, int to) {
+    return new String(bytes, from, to - from, StandardCharsets.ISO_8859_1);
+  }
+
+  /** Headers that decide where a request ends and how it is treated; each at most once. */
+  private final class Framing {
+
+    private boolean host;
+    private boolean length;
+    private boolean coding;
+    private boolean key;
+
+    void take(String name, String value) {
+      switch (name) {
+        case "host" -> {
+          host = once(host, name);
+          checkHost(value);
+        }
+        case "content-length" -> {
+          length = once(length, name);
+          checkLength(value);
+        }
+        case "transfer-encoding" -> {
+          coding = once(coding, name);
+          if (!value.equalsIgnoreCase("chunked")) {
+            throw new HeadRefusal(NOT_IMPLEMENTED, "transfer coding other than chunked");
+          }
+        }
+        case "idempotency-key" -> key = once(key, name);
+        case "chivecross-deadline-ms", "chivecross-depth" -> requireDigits(name, value);
+        default -> {}
+      }
+    }
+
+    void check(boolean oldVersion) {
+      if (!host && !oldVersion) {
+        throw new HeadRefusal(BAD_REQUEST, "host is missing");
+      }
+      if (coding && (length || oldVersion)) {
+        throw new HeadRefusal(BAD_REQUEST, "transfer-encoding with content-length or HTTP/1.0");
+      }
+    }
+
+    private boolean once(boolean seen, String name) {
+      if (seen) {
+        throw new HeadRefusal(BAD_REQUEST, name + " is repeated");
+      }
+      return true;
+    }
+
+    private void checkHost(String value) {
+      for (int i = 0; i < value.length(); i++) {
+        char c = value.charAt(i);
+        if (!Character.isLetterOrDigit(c) && "-._~:[]%".indexOf(c) < 0) {
+          throw new HeadRefusal(BAD_REQUEST, "character not allowed in host");
+        }
+      }
+    }
+
+    private void checkLength(String value) {
+      requireDigits("content-length", value);
+      if (Long.parseLong(value) > maxBodyBytes) {
+        throw new HeadRefusal(CONTENT_TOO_LARGE, "body is larger than " + maxBodyBytes + " bytes");
+      }
+    }
+
+    private void requireDigits(String name, String value) {
+      if (value.isEmpty()
+          || value.length() > MAX_LENGTH_DIGITS
+          || !value.chars().allMatch(c -> c >= '0' && c <= '9')) {
+        throw new HeadRefusal(BAD_REQUEST, name + " is not a number");
+      }
+    }
+  }
+}
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/StrictClientFilter.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/StrictClientFilter.java
@@ -3,11 +3,15 @@
 import org.glassfish.grizzly.http.ContentEncoding;
 import org.glassfish.grizzly.http.HttpClientFilter;
 
-/** Response codec that leaves content codings alone. Safe for use by many threads. */
+/**
+ * Response codec that refuses unsound chunks and leaves content codings alone. Safe for use by many
+ * threads.
+ */
 final class StrictClientFilter extends HttpClientFilter {
 
   StrictClientFilter(int maxHeadBytes) {
     super(maxHeadBytes);
+    StrictChunkedEncoding.install(this, maxHeadBytes);
     for (ContentEncoding encoding : getContentEncodings()) {
       removeContentEncoding(encoding);
     }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/StrictServerFilter.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/StrictServerFilter.java
@@ -1,29 +1,105 @@
 package org.chivecross.cli.entry.http;
 
+import java.util.OptionalLong;
+import java.util.function.LongSupplier;
+import org.chivecross.model.failure.Failure;
+import org.chivecross.model.failure.Step;
+import org.chivecross.model.request.Outcome;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.ContentEncoding;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpHeader;
+import org.glassfish.grizzly.http.HttpPacketParsing;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.http.KeepAlive;
+import org.glassfish.grizzly.memory.Buffers;
 
-/** Request codec that leaves content codings alone. Safe for use by many threads. */
+/**
+ * Request codec that refuses what {@link RequestHeadGuard} refuses, answers with problem details
+ * and leaves content codings alone. Safe for use by many threads.
+ */
 final class StrictServerFilter extends HttpServerFilter {
 
   private static final int UNLIMITED = -1;
+  private static final int BAD_REQUEST = 400;
+  private static final String REFUSAL = "chivecross.refusal";
 
-  StrictServerFilter(DataPathSettings settings) {
+  private final RequestHeadGuard guard;
+  private final CallerRegistry callers;
+  private final LongSupplier clock;
+
+  StrictServerFilter(DataPathSettings settings, CallerRegistry callers, LongSupplier clock) {
     super(
         true,
-        settings.maxHeadBytes(),
+        2 * settings.maxHeadBytes(),
         null,
         keepAlive(),
         null,
-        settings.maxHeaders(),
-        settings.maxHeaders());
+        2 * settings.maxHeaders(),
+        2 * settings.maxHeaders());
+    this.callers = callers;
+    this.clock = clock;
+    guard = new RequestHeadGuard(settings);
+    StrictChunkedEncoding.install(this, settings.maxHeadBytes());
     setAllowPayloadForUndefinedHttpMethods(true);
     for (ContentEncoding encoding : getContentEncodings()) {
       removeContentEncoding(encoding);
     }
   }
 
+  @Override
+  protected boolean decodeHttpPacket(
+      FilterChainContext context, HttpPacketParsing parsing, Buffer input) {
+    byte[] bytes;
+    int from;
+    if (input.hasArray()) {
+      bytes = input.array();
+      from = input.arrayOffset() + input.position();
+    } else {
+      bytes = new byte[input.remaining()];
+      input.duplicate().get(bytes);
+      from = 0;
+    }
+    try {
+      if (!guard.check(bytes, from, from + input.remaining())) {
+        callers.of(context.getConnection()).ifPresent(c -> c.headIncomplete(clock.getAsLong()));
+      }
+    } catch (HeadRefusal refusal) {
+      ((HttpRequestPacket) parsing).setAttribute(REFUSAL, refusal);
+      throw refusal;
+    }
+    return super.decodeHttpPacket(context, parsing, input);
+  }
+
+  /** Leaves the answer to the exchange, which knows whether anything was sent. */
+  @Override
+  protected void onHttpContentError(
+      HttpHeader header, FilterChainContext context, Throwable cause) {
+    header.setContentBroken(true);
+  }
+
+  @Override
+  protected HttpContent customizeErrorResponse(HttpResponsePacket response) {
+    HeadRefusal refusal = (HeadRefusal) response.getRequest().getAttribute(REFUSAL);
+    int status = refusal == null ? Math.max(BAD_REQUEST, response.getStatus()) : refusal.status();
+    String detail = refusal == null ? "malformed request" : String.valueOf(refusal.getMessage());
+    String peer = RequestHeads.callerAddress(response.getRequest().getConnection());
+    LocalResponse answer =
+        ProblemAnswers.of(
+            status, Outcome.NOT_RUN, new Failure(Step.ACCEPT, peer, detail), OptionalLong.empty());
+    byte[] body = answer.bodyBytes();
+    response.setStatus(status);
+    answer.headers().forEach(response::setHeader);
+    response.setHeader("Connection", "close");
+    response.setContentType(answer.contentType());
+    response.setContentLengthLong(body.length);
+    Buffer content = Buffers.wrap(response.getRequest().getConnection().getMemoryManager(), body);
+    return response.httpContentBuilder().content(content).last(true).build();
+  }
+
   private static KeepAlive keepAlive() {
     KeepAlive keepAlive = new KeepAlive();
     keepAlive.setIdleTimeoutInSeconds(UNLIMITED);
--- /dev/null
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/DataPathFixture.java
@@ -0,0 +1,157 @@
+package org.chivecross.cli.entry.http;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.chivecross.logic.engine.BalancerEngine;
+import org.chivecross.logic.engine.EnginePreferences;
+import org.chivecross.logic.key.KeyClaim;
+import org.chivecross.logic.key.KeyRegistry;
+import org.chivecross.logic.request.DefaultRequestMachines;
+import org.chivecross.model.fileset.ClassPolicy;
+import org.chivecross.model.fileset.Deployment;
+import org.chivecross.model.fileset.FileSet;
+import org.chivecross.model.fileset.Limits;
+import org.chivecross.model.fileset.RequestClass;
+import org.chivecross.model.fileset.Rule;
+import org.chivecross.model.fileset.Service;
+import org.chivecross.model.fileset.TargetGroup;
+import org.chivecross.model.fileset.Tenant;
+import org.chivecross.model.request.Outcome;
+
+/** A data path on ports that the system chose, with one service whose targets are given. */
+final class DataPathFixture implements AutoCloseable {
+
+  static final Limits PLENTY = new Limits(10_000, 1_000_000, 10_000);
+
+  private final ScheduledExecutorService ticker = Executors.newSingleThreadScheduledExecutor();
+  private final DataPath dataPath;
+  private final InetSocketAddress address;
+
+  DataPathFixture(DataPathSettings settings, String... targets) throws IOException {
+    BalancerEngine engine =
+        new BalancerEngine(EnginePreferences.of("entry", "dc1"), new SplittableRandom(1));
+    engine.apply(fileSet(targets), System.nanoTime());
+    UpstreamAddresses addresses =
+        new UpstreamAddresses() {
+          @Override
+          public Optional<InetSocketAddress> address(int target) {
+            String[] parts = engine.address(target).split(":", -1);
+            return Optional.of(new InetSocketAddress(parts[0], Integer.parseInt(parts[1])));
+          }
+
+          @Override
+          public int connectionLimit(int target) {
+            return 100;
+          }
+        };
+    dataPath =
+        new DataPath(
+            new DefaultRequestMachines(engine.policies(new NoRecords())),
+            addresses,
+            new LocalRoutes(
+                Map.of("/chivecross/ping", (request, to) -> to.accept(LocalResponse.json("{}")))),
+            settings);
+    address = dataPath.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    ticker.scheduleWithFixedDelay(
+        () -> {
+          engine.tick(System.nanoTime());
+          dataPath.tick(System.nanoTime());
+          dataPath.closeIdle(System.nanoTime());
+        },
+        2,
+        2,
+        TimeUnit.MILLISECONDS);
+  }
+
+  static DataPathFixture to(ScriptedUpstream... upstreams) throws IOException {
+    return new DataPathFixture(
+        DataPathSettings.defaults(),
+        Arrays.stream(upstreams).map(ScriptedUpstream::address).toArray(String[]::new));
+  }
+
+  DataPath dataPath() {
+    return dataPath;
+  }
+
+  URI uri(String path) {
+    return URI.create("http://127.0.0.1:" + address.getPort() + path);
+  }
+
+  Socket connect() throws IOException {
+    Socket socket = new Socket(address.getAddress(), address.getPort());
+    socket.setSoTimeout(10_000);
+    return socket;
+  }
+
+  /** Sends raw text and returns everything until the connection ends. */
+  String exchange(String request) throws IOException {
+    try (Socket socket = connect()) {
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+      socket.getOutputStream().flush();
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    ticker.shutdownNow();
+    dataPath.stop();
+  }
+
+  private static FileSet fileSet(String... targets) {
+    ClassPolicy policy = new ClassPolicy(5_000, 1.0, 0.0);
+    Service service =
+        new Service(
+            "slots",
+            "dispatch",
+            0.01,
+            6,
+            4,
+            PLENTY,
+            Map.of(
+                RequestClass.READ, policy, RequestClass.WRITE, policy, RequestClass.UPLOAD, policy),
+            List.of(new TargetGroup("dc1", 100, 100, List.of(targets))));
+    return new FileSet(
+        new Deployment("test", 1, 5_000, 60_000, List.of("dc1"), List.of()),
+        List.of(new Tenant("dispatch", 1, PLENTY)),
+        List.of(service),
+        List.of(
+            new Rule("*", "/read", Set.of("GET", "HEAD", "POST"), "slots", RequestClass.READ),
+            new Rule("*", "/write", Set.of("POST"), "slots", RequestClass.WRITE),
+            new Rule("*", "/upload", Set.of("PUT", "POST"), "slots", RequestClass.UPLOAD)));
+  }
+
+  /** Lets every key run. */
+  private static final class NoRecords implements KeyRegistry {
+    @Override
+    public KeyClaim claim(String key, long nowNanos) {
+      return new KeyClaim.Run();
+    }
+
+    @Override
+    public void finish(String key, int status, Outcome outcome, long nowNanos) {}
+
+    @Override
+    public KeyClaim query(String key, long nowNanos) {
+      return new KeyClaim.OutsideWindow();
+    }
+
+    @Override
+    public KeyClaim cancel(String key, long nowNanos) {
+      return new KeyClaim.OutsideWindow();
+    }
+  }
+}
