Relay whole answers or reset, and reuse only clean connections

Cause: a first run of the new tests against the thin path showed five faults: 'Connection: close, x' kept the connection open; an answer of unknown length to HTTP/1.0 was never ended; an Upgrade header switched the framing of the request off; surplus bytes that were no whole head stayed in a pooled connection; a connection went back to its pool after the caller had its answer, so the next request opened another one. Change: tokens of Connection are read one by one; an end without bytes is queued behind the parts before it; offers to upgrade are dropped; the transfer codings mark surplus bytes, which lets a clean connection return to the pool before the last part goes to the caller. Conclusion: an answer is whole or visibly broken in each of these cases.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
@@ -9,6 +9,7 @@
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -28,9 +29,6 @@
   private @Nullable FilterChainContext parkedReader;
   private boolean requestComplete;
   private boolean headReceived;
-  private boolean responseComplete;
-  private boolean readerDone;
-  private boolean reusable;
   private boolean over;
 
   Attempt(Exchange exchange, Decision.Send order, long startedNanos) {
@@ -131,19 +129,20 @@
   }
 
   /** The whole response was read; the connection may serve others when nothing else follows. */
-  void responseEnded(boolean keepAlive) {
-    responseComplete = true;
-    reusable = keepAlive && requestComplete;
+  void responseEnded(HttpResponsePacket head) {
     over = true;
-    settle();
-  }
-
-  /** The read that brought the end of the response was processed to its last byte. */
-  void readingDone() {
-    synchronized (exchange.lock()) {
-      readerDone = true;
-      settle();
+    UpstreamConnection connection = upstream;
+    upstream = null;
+    if (connection == null) {
+      return;
     }
+    boolean reusable = head.getProcessingState().isKeepAlive() && requestComplete;
+    if (!reusable || SurplusAwareEncoding.isMarked(head)) {
+      connection.close();
+      return;
+    }
+    connection.use(null);
+    connection.pool().release(connection);
   }
 
   /** Ends the attempt; its connection is closed, so that nothing late can reach anyone else. */
@@ -161,20 +160,6 @@
     }
   }
 
-  private void settle() {
-    UpstreamConnection connection = upstream;
-    if (connection == null || !responseComplete || (reusable && !readerDone)) {
-      return;
-    }
-    upstream = null;
-    if (!reusable) {
-      connection.close();
-      return;
-    }
-    connection.use(null);
-    connection.pool().release(connection);
-  }
-
   /** Closes the connection when a write fails; the close is what ends the attempt. */
   private final class WriteFailure
       extends EmptyCompletionHandler<WriteResult<HttpContent, SocketAddress>> {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
@@ -14,6 +14,7 @@
 import org.glassfish.grizzly.http.Protocol;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.nio.NIOConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 
 /**
  * Response to one request of a caller. Guarded by the lock of the exchange.
@@ -37,6 +38,7 @@
     this.connection = connection;
     this.request = request;
     packet = request.getResponse();
+    closeAfter = HopHeaders.of(request.getHeaders()).contains("close");
   }
 
   /** Makes this response the last one of its connection. */
@@ -64,8 +66,10 @@
   /** Writes a part of a relayed body. */
   void write(Buffer content, boolean last) {
     HttpContent part = packet.httpContentBuilder().content(content).last(last).build();
-    if (last && isLastOfConnection()) {
-      connection.write(part, new CloseWhenWritten());
+    if (last && packet.isCommitted() && !packet.isChunked() && !content.hasRemaining()) {
+      endWithoutBytes();
+    } else if (last && isLastOfConnection()) {
+      connection.write(part, new CloseWhenWritten<>());
     } else {
       connection.write(part, WRITTEN);
     }
@@ -131,6 +135,17 @@
     return closeAfter || !request.getProcessingState().isKeepAlive();
   }
 
+  /** The codec writes nothing for such a part, so the end is queued behind the parts before it. */
+  private void endWithoutBytes() {
+    if (isLastOfConnection()) {
+      TCPNIOTransport transport = (TCPNIOTransport) connection.getTransport();
+      transport
+          .getAsyncQueueIO()
+          .getWriter()
+          .write(connection, null, Buffers.EMPTY_BUFFER, new CloseWhenWritten<>());
+    }
+  }
+
   private boolean mayChunk() {
     return request.getProtocol() == Protocol.HTTP_1_1;
   }
@@ -143,11 +158,11 @@
   }
 
   /** Closes the connection when the last part was handed to the socket. */
-  private final class CloseWhenWritten
-      extends EmptyCompletionHandler<WriteResult<HttpContent, SocketAddress>> {
+  private final class CloseWhenWritten<M>
+      extends EmptyCompletionHandler<WriteResult<M, SocketAddress>> {
 
     @Override
-    public void completed(WriteResult<HttpContent, SocketAddress> result) {
+    public void completed(WriteResult<M, SocketAddress> result) {
       connection.closeSilently();
     }
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -227,7 +227,7 @@
   private boolean relay(Attempt attempt, HttpResponsePacket head, HttpContent content, long now) {
     if (content.isLast()) {
       machine.responseEnd(attempt.number(), now);
-      attempt.responseEnded(head.getProcessingState().isKeepAlive());
+      attempt.responseEnded(head);
       over = true;
       response.write(content.getContent(), true);
       finish();
@@ -243,7 +243,7 @@
       return;
     }
     if (last) {
-      attempt.responseEnded(head.getProcessingState().isKeepAlive());
+      attempt.responseEnded(head);
     } else {
       attempt.abandon();
     }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/StrictClientFilter.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/StrictClientFilter.java
@@ -1,19 +1,51 @@
 package org.chivecross.cli.entry.http;
 
+import java.io.IOException;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.ContentEncoding;
 import org.glassfish.grizzly.http.HttpClientFilter;
+import org.glassfish.grizzly.http.HttpHeader;
+import org.glassfish.grizzly.http.TransferEncoding;
 
 /**
- * Response codec that refuses unsound chunks and leaves content codings alone. Safe for use by many
- * threads.
+ * Response codec that refuses unsound chunks, closes a connection that speaks unasked, marks
+ * surplus bytes and leaves content codings alone. Safe for use by many threads.
  */
 final class StrictClientFilter extends HttpClientFilter {
 
-  StrictClientFilter(int maxHeadBytes) {
+  private final UpstreamRegistry upstreams;
+
+  StrictClientFilter(int maxHeadBytes, UpstreamRegistry upstreams) {
     super(maxHeadBytes);
+    this.upstreams = upstreams;
     StrictChunkedEncoding.install(this, maxHeadBytes);
+    for (TransferEncoding encoding : getTransferEncodings()) {
+      removeTransferEncoding(encoding);
+      addTransferEncoding(new SurplusAwareEncoding(encoding));
+    }
     for (ContentEncoding encoding : getContentEncodings()) {
       removeContentEncoding(encoding);
     }
   }
+
+  @Override
+  public NextAction handleRead(FilterChainContext context) throws IOException {
+    if (upstreams.attemptOn(context.getConnection()).isEmpty()) {
+      context.getConnection().terminateSilently();
+      return context.getStopAction();
+    }
+    return super.handleRead(context);
+  }
+
+  @Override
+  protected boolean onHttpHeaderParsed(
+      HttpHeader header, Buffer buffer, FilterChainContext context) {
+    boolean refused = super.onHttpHeaderParsed(header, buffer, context);
+    if (!header.isExpectContent() && buffer.hasRemaining()) {
+      SurplusAwareEncoding.mark(header);
+    }
+    return refused;
+  }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/StrictServerFilter.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/StrictServerFilter.java
@@ -71,7 +71,12 @@
       ((HttpRequestPacket) parsing).setAttribute(REFUSAL, refusal);
       throw refusal;
     }
-    return super.decodeHttpPacket(context, parsing, input);
+    boolean complete = super.decodeHttpPacket(context, parsing, input);
+    if (complete) {
+      // An offer to upgrade is not taken up, and must not switch off the framing of this request.
+      ((HttpHeader) parsing).getUpgradeDC().recycle();
+    }
+    return complete;
   }
 
   /** Leaves the answer to the exchange, which knows whether anything was sent. */
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/SurplusAwareEncoding.java
@@ -0,0 +1,58 @@
+package org.chivecross.cli.entry.http;
+
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpHeader;
+import org.glassfish.grizzly.http.ParsingResult;
+import org.glassfish.grizzly.http.TransferEncoding;
+
+/**
+ * Marks a message that other bytes follow, so that its connection is not used again. Safe for use
+ * by many threads.
+ */
+record SurplusAwareEncoding(TransferEncoding inner) implements TransferEncoding {
+
+  private static final String SURPLUS = "chivecross.surplus";
+
+  /** Marks that bytes follow the message. */
+  static void mark(HttpHeader header) {
+    header.getAttributes().setAttribute(SURPLUS, Boolean.TRUE);
+  }
+
+  /** Returns whether bytes were read beyond the end of the message. */
+  static boolean isMarked(HttpHeader header) {
+    return header.getAttributes().getAttribute(SURPLUS) != null;
+  }
+
+  @Override
+  public boolean wantDecode(HttpHeader header) {
+    return inner.wantDecode(header);
+  }
+
+  @Override
+  public boolean wantEncode(HttpHeader header) {
+    return inner.wantEncode(header);
+  }
+
+  @Override
+  public void prepareSerialize(FilterChainContext context, HttpHeader header, HttpContent content) {
+    inner.prepareSerialize(context, header, content);
+  }
+
+  @Override
+  public Buffer serializePacket(FilterChainContext context, HttpContent content) {
+    return inner.serializePacket(context, content);
+  }
+
+  @Override
+  public ParsingResult parsePacket(FilterChainContext context, HttpHeader header, Buffer buffer) {
+    ParsingResult result = inner.parsePacket(context, header, buffer);
+    HttpContent content = result.getHttpContent();
+    Buffer rest = result.getRemainderBuffer();
+    if (content != null && content.isLast() && rest != null && rest.hasRemaining()) {
+      mark(header);
+    }
+    return result;
+  }
+}
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
@@ -36,7 +36,7 @@
   private final UpstreamAddresses addresses;
   private final DataPathSettings settings;
   private final TCPNIOConnectorHandler connector;
-  private final UpstreamFilter filter;
+  private final UpstreamRegistry upstreams = new UpstreamRegistry();
   private final Map<InetSocketAddress, UpstreamPool> pools = new ConcurrentHashMap<>();
 
   UpstreamClient(
@@ -44,12 +44,11 @@
     this.transport = transport;
     this.addresses = addresses;
     this.settings = settings;
-    filter = new UpstreamFilter();
     FilterChain chain =
         FilterChainBuilder.stateless()
             .add(new TransportFilter())
-            .add(new StrictClientFilter(settings.maxHeadBytes()))
-            .add(filter)
+            .add(new StrictClientFilter(settings.maxHeadBytes(), upstreams))
+            .add(new UpstreamFilter(upstreams))
             .build();
     connector = TCPNIOConnectorHandler.builder(transport).processor(chain).build();
   }
@@ -121,7 +120,7 @@
     public void completed(Connection connection) {
       UpstreamConnection upstream =
           new UpstreamConnection((NIOConnection) connection, pool, System.nanoTime());
-      filter.attach(upstream);
+      upstreams.add(upstream);
       handler.acquired(upstream);
     }
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamFilter.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamFilter.java
@@ -1,53 +1,39 @@
 package org.chivecross.cli.entry.http;
 
+import java.util.Optional;
 import org.chivecross.model.request.ConnectionFault;
-import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.Grizzly;
-import org.glassfish.grizzly.attributes.Attribute;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpBrokenContent;
 import org.glassfish.grizzly.http.HttpContent;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Gives what targets send to the attempt that uses the connection. Safe for use by many threads.
  */
 final class UpstreamFilter extends BaseFilter {
 
-  private final Attribute<UpstreamConnection> attribute =
-      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("chivecross.upstream");
+  private final UpstreamRegistry upstreams;
 
-  void attach(UpstreamConnection upstream) {
-    attribute.set(upstream.connection(), upstream);
-    upstream.connection().addCloseListener((closeable, type) -> closed(upstream));
-    if (!upstream.isOpen()) {
-      closed(upstream);
-    }
+  UpstreamFilter(UpstreamRegistry upstreams) {
+    this.upstreams = upstreams;
   }
 
   @Override
   public NextAction handleRead(FilterChainContext context) {
     HttpContent content = context.getMessage();
-    UpstreamConnection upstream = attribute.get(context.getConnection());
-    Attempt attempt = upstream == null ? null : upstream.attempt();
-    if (upstream == null || attempt == null) {
+    Optional<Attempt> user = upstreams.attemptOn(context.getConnection());
+    if (user.isEmpty()) {
       context.getConnection().terminateSilently();
       return context.getStopAction();
     }
-    upstream.showedLife(System.nanoTime());
+    upstreams.showedLife(context.getConnection(), System.nanoTime());
+    Attempt attempt = user.get();
     if (content instanceof HttpBrokenContent) {
       attempt.exchange().attemptFailed(attempt, ConnectionFault.MALFORMED);
       return context.getStopAction();
     }
-    boolean last = content.isLast();
-    boolean more = attempt.exchange().responseContent(attempt, content);
-    if (last) {
-      context.addCompletionListener(done -> attempt.readingDone());
-      return context.getStopAction();
-    }
-    if (more || !attempt.parkReader(context)) {
+    if (attempt.exchange().responseContent(attempt, content) || !attempt.parkReader(context)) {
       return context.getStopAction();
     }
     return context.getSuspendAction();
@@ -55,26 +41,9 @@
 
   @Override
   public void exceptionOccurred(FilterChainContext context, Throwable error) {
-    failAttempt(context.getConnection(), ConnectionFault.MALFORMED);
+    upstreams
+        .attemptOn(context.getConnection())
+        .ifPresent(attempt -> attempt.exchange().attemptFailed(attempt, ConnectionFault.MALFORMED));
     context.getConnection().terminateSilently();
   }
-
-  private void closed(UpstreamConnection upstream) {
-    if (!upstream.markClosed()) {
-      return;
-    }
-    upstream.pool().closed(upstream);
-    Attempt attempt = upstream.attempt();
-    if (attempt != null) {
-      attempt.exchange().attemptFailed(attempt, ConnectionFault.CLOSED);
-    }
-  }
-
-  private void failAttempt(@Nullable Connection<?> connection, ConnectionFault fault) {
-    UpstreamConnection upstream = connection == null ? null : attribute.get(connection);
-    Attempt attempt = upstream == null ? null : upstream.attempt();
-    if (attempt != null) {
-      attempt.exchange().attemptFailed(attempt, fault);
-    }
-  }
 }
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamRegistry.java
@@ -0,0 +1,48 @@
+package org.chivecross.cli.entry.http;
+
+import java.util.Optional;
+import org.chivecross.model.request.ConnectionFault;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.attributes.Attribute;
+
+/** Finds what a connection to a target is used for. Safe for use by many threads. */
+final class UpstreamRegistry {
+
+  private final Attribute<UpstreamConnection> attribute =
+      Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("chivecross.upstream");
+
+  /** Adds a connection that was opened; its end is reported to the attempt that uses it. */
+  void add(UpstreamConnection upstream) {
+    attribute.set(upstream.connection(), upstream);
+    upstream.connection().addCloseListener((closeable, type) -> closed(upstream));
+    if (!upstream.isOpen()) {
+      closed(upstream);
+    }
+  }
+
+  /** Returns the attempt that uses a connection, if any. */
+  Optional<Attempt> attemptOn(Connection<?> connection) {
+    UpstreamConnection upstream = attribute.get(connection);
+    return upstream == null ? Optional.empty() : Optional.ofNullable(upstream.attempt());
+  }
+
+  /** Records a sign of life. */
+  void showedLife(Connection<?> connection, long nowNanos) {
+    UpstreamConnection upstream = attribute.get(connection);
+    if (upstream != null) {
+      upstream.showedLife(nowNanos);
+    }
+  }
+
+  private static void closed(UpstreamConnection upstream) {
+    if (!upstream.markClosed()) {
+      return;
+    }
+    upstream.pool().closed(upstream);
+    Attempt attempt = upstream.attempt();
+    if (attempt != null) {
+      attempt.exchange().attemptFailed(attempt, ConnectionFault.CLOSED);
+    }
+  }
+}
