--- a/chivecross-bench/src/main/java/org/chivecross/cli/history/HistoryWriter.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/history/HistoryWriter.java
@@ -6,6 +6,9 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 
@@ -15,26 +18,38 @@
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   private final Optional<BufferedWriter> writer;
+  private final String process;
 
-  private HistoryWriter(Optional<BufferedWriter> writer) {
+  private HistoryWriter(Optional<BufferedWriter> writer, String process) {
     this.writer = writer;
+    this.process = process;
   }
 
-  /** Opens a writer; an empty name gives one that drops all events. */
-  public static HistoryWriter open(String file) throws IOException {
+  /** Opens the writer of a process; an empty file name gives one that drops all events. */
+  public static HistoryWriter open(String file, String process) throws IOException {
     if (file.isEmpty()) {
-      return new HistoryWriter(Optional.empty());
+      return new HistoryWriter(Optional.empty(), process);
     }
-    return new HistoryWriter(Optional.of(Files.newBufferedWriter(Path.of(file))));
+    return new HistoryWriter(Optional.of(Files.newBufferedWriter(Path.of(file))), process);
   }
 
-  /** Writes one event. */
-  public void write(Map<String, ?> event) {
+  /** Returns whether events are kept at all. */
+  public boolean isOpen() {
+    return writer.isPresent();
+  }
+
+  /** Writes one event with its time and the name of the process. */
+  public void write(String event, Map<String, ?> fields) {
     if (writer.isEmpty()) {
       return;
     }
+    Map<String, Object> whole = new LinkedHashMap<>();
+    whole.put("event", event);
+    whole.put("at", ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now()));
+    whole.put("by", process);
+    whole.putAll(fields);
     try {
-      String line = MAPPER.writeValueAsString(event);
+      String line = MAPPER.writeValueAsString(whole);
       synchronized (this) {
         writer.get().write(line);
         writer.get().write('\n');
--- a/chivecross-bench/src/main/java/org/chivecross/cli/load/LoadMain.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/load/LoadMain.java
@@ -35,7 +35,8 @@
       return ProgramLauncher.BAD_SETTING;
     }
     FileSet set = ((Result.Success<FileSet>) files).value();
-    try (HistoryWriter history = HistoryWriter.open(preferences.outputs().history())) {
+    try (HistoryWriter history =
+        HistoryWriter.open(preferences.outputs().history(), "load-" + preferences.seed())) {
       RequestMix mix = RequestMix.of(set, preferences.mix(), preferences.services());
       HttpClient client =
           HttpClient.newBuilder()
--- a/chivecross-bench/src/main/java/org/chivecross/cli/load/LoadOptions.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/load/LoadOptions.java
@@ -33,6 +33,12 @@
   @Option(name = "--seconds", metaVar = "SECONDS", usage = "length of the run")
   private int seconds = 10;
 
+  @Option(
+      name = "--warm-up-seconds",
+      metaVar = "SECONDS",
+      usage = "start of the run whose latencies are left out of the histograms")
+  private int warmUpSeconds = 3;
+
   @Option(name = "--callers", metaVar = "COUNT", usage = "callers, each with its own directory")
   private int callers = 20;
 
@@ -86,6 +92,7 @@
         direct,
         rate,
         seconds,
+        warmUpSeconds,
         callers,
         mix,
         workMicros,
--- a/chivecross-bench/src/main/java/org/chivecross/cli/load/LoadPreferences.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/load/LoadPreferences.java
@@ -11,6 +11,7 @@
  * @param direct whether requests go to the targets themselves
  * @param rate requests started in a second
  * @param seconds length of the run in s
+ * @param warmUpSeconds start of the run whose latencies are left out, in s
  * @param callers number of callers
  * @param mix share of each class in percent, as {@code read=90,write=8,upload=2}
  * @param workMicros mean service time in µs
@@ -27,6 +28,7 @@
     boolean direct,
     double rate,
     int seconds,
+    int warmUpSeconds,
     int callers,
     String mix,
     long workMicros,
--- a/chivecross-bench/src/main/java/org/chivecross/cli/load/RequestKind.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/load/RequestKind.java
@@ -1,6 +1,7 @@
 package org.chivecross.cli.load;
 
 import java.util.List;
+import java.util.Locale;
 import org.chivecross.model.fileset.RequestClass;
 
 /**
@@ -21,4 +22,10 @@
     String method,
     String host,
     String path,
-    List<String> targets) {}
+    List<String> targets) {
+
+  /** Returns the class as history lines name it. */
+  String className() {
+    return requestClass.name().toLowerCase(Locale.ROOT);
+  }
+}
--- a/chivecross-bench/src/main/java/org/chivecross/cli/load/RequestTicket.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/load/RequestTicket.java
@@ -3,11 +3,23 @@
 /**
  * One request to be sent.
  *
- * @param id unique id, the same on every copy
+ * @param id unique id of the operation; each copy that is sent adds its number
  * @param kind kind of the request
  * @param caller number of the caller
  * @param workMicros service time at the target in µs
  * @param intendedNanos monotonic time at which it should start
+ * @param measured whether its latency counts
  */
 record RequestTicket(
-    String id, RequestKind kind, int caller, long workMicros, long intendedNanos) {}
+    String id,
+    RequestKind kind,
+    int caller,
+    long workMicros,
+    long intendedNanos,
+    boolean measured) {
+
+  /** Returns the identity of the copy that is sent as the given attempt, from 0. */
+  String copyId(int attempt) {
+    return id + "." + attempt;
+  }
+}
--- a/chivecross-bench/src/main/java/org/chivecross/cli/standin/upstream/UpstreamStandin.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/standin/upstream/UpstreamStandin.java
@@ -60,7 +60,7 @@
       int noisy = Math.min(preferences.noisyTargets(), ofService.size());
       noise.start(ofService.subList(0, noisy));
     }
-    HistoryWriter history = HistoryWriter.open(preferences.history());
+    HistoryWriter history = HistoryWriter.open(preferences.history(), "upstream");
     UpstreamFilter filter = new UpstreamFilter(targets, history, System::nanoTime);
     TCPNIOTransport transport =
         TCPNIOTransportBuilder.newInstance()
