--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/history/NodeRules.java
@@ -0,0 +1,133 @@
+package org.chivecross.logic.history;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import org.chivecross.model.history.HistoryEvent;
+import org.chivecross.model.history.Violation;
+
+/** Rules about upstreams and entries. Pure functions. */
+final class NodeRules {
+
+  private static final long LEAVING_GRACE_MICROS = TimeUnit.SECONDS.toMicros(2);
+  private static final long IN_FORCE_MICROS = TimeUnit.SECONDS.toMicros(20);
+
+  private NodeRules() {}
+
+  /** An upstream gets no new work 2 s after the first evidence that it leaves. */
+  static List<Violation> leaving(History history) {
+    Map<String, Long> leavingSince = new HashMap<>();
+    List<Violation> violations = new ArrayList<>();
+    for (HistoryEvent event : history.all(HistoryEvent.class)) {
+      if (event instanceof HistoryEvent.Leaving leaving) {
+        leavingSince.putIfAbsent(leaving.upstream(), leaving.at());
+      } else if (event instanceof HistoryEvent.Back back) {
+        leavingSince.remove(back.upstream());
+      } else if (event instanceof HistoryEvent.Run run) {
+        Long since = leavingSince.get(run.upstream());
+        if (since != null && run.at() - since > LEAVING_GRACE_MICROS) {
+          String detail = "ran " + run.request() + " " + (run.at() - since) + " µs after leaving";
+          violations.add(new Violation("leaving", run.upstream(), detail));
+        }
+      }
+    }
+    return violations;
+  }
+
+  /** A planned stop cuts off no request in flight. */
+  static List<Violation> gracefulStop(History history) {
+    List<Violation> violations = new ArrayList<>();
+    for (HistoryEvent.Stop stop : history.all(HistoryEvent.Stop.class)) {
+      if (!stop.planned()) {
+        continue;
+      }
+      Optional<HistoryEvent.Stopped> stopped = stoppedAfter(history, stop);
+      if (stopped.isEmpty()) {
+        violations.add(new Violation("graceful-stop", stop.node(), "never stopped"));
+        continue;
+      }
+      if (stopped.get().inFlight() > 0) {
+        String detail = "cut off " + stopped.get().inFlight() + " requests";
+        violations.add(new Violation("graceful-stop", stop.node(), detail));
+      }
+      addCutOff(history, stop, stopped.get(), violations);
+    }
+    return violations;
+  }
+
+  private static Optional<HistoryEvent.Stopped> stoppedAfter(
+      History history, HistoryEvent.Stop stop) {
+    return history.all(HistoryEvent.Stopped.class).stream()
+        .filter(one -> one.node().equals(stop.node()) && one.at() >= stop.at())
+        .findFirst();
+  }
+
+  private static void addCutOff(
+      History history,
+      HistoryEvent.Stop stop,
+      HistoryEvent.Stopped stopped,
+      List<Violation> violations) {
+    for (HistoryEvent.Broken broken : history.all(HistoryEvent.Broken.class)) {
+      HistoryEvent.Call call = history.calls().get(broken.request());
+      boolean here = call != null && call.entry().equals(stop.node());
+      if (here && isWithin(broken, stop, stopped) && !broken.reason().equals("timeout")) {
+        violations.add(new Violation("graceful-stop", stop.node(), "cut off " + broken.request()));
+      }
+    }
+    for (HistoryEvent.Ran ran : history.all(HistoryEvent.Ran.class)) {
+      boolean here = ran.upstream().equals(stop.node());
+      if (here && isWithin(ran, stop, stopped) && !ran.complete()) {
+        violations.add(new Violation("graceful-stop", stop.node(), "cut off " + ran.request()));
+      }
+    }
+  }
+
+  private static boolean isWithin(
+      HistoryEvent event, HistoryEvent.Stop stop, HistoryEvent.Stopped stopped) {
+    return event.at() >= stop.at() && event.at() <= stopped.at();
+  }
+
+  /** Versions in force never go back, and a published one is in force everywhere in 20 s. */
+  static List<Violation> versionOrder(History history) {
+    Map<String, Long> inForce = new HashMap<>();
+    List<Violation> violations = new ArrayList<>();
+    for (HistoryEvent.Config config : history.all(HistoryEvent.Config.class)) {
+      long before = inForce.getOrDefault(config.entry(), Long.MIN_VALUE);
+      if (config.version() < before) {
+        String detail = "went back from " + before + " to " + config.version();
+        violations.add(new Violation("version-order", config.entry(), detail));
+      }
+      inForce.merge(config.entry(), config.version(), Math::max);
+    }
+    for (HistoryEvent.Published published : history.all(HistoryEvent.Published.class)) {
+      addLate(history, published, violations);
+    }
+    return violations;
+  }
+
+  private static void addLate(
+      History history, HistoryEvent.Published published, List<Violation> violations) {
+    long due = published.at() + IN_FORCE_MICROS;
+    if (history.end() < due) {
+      return;
+    }
+    TreeSet<String> late = new TreeSet<>();
+    history.all(HistoryEvent.Config.class).stream()
+        .filter(config -> config.at() <= published.at())
+        .forEach(config -> late.add(config.entry()));
+    history.all(HistoryEvent.Config.class).stream()
+        .filter(config -> config.at() <= due && config.version() >= published.version())
+        .forEach(config -> late.remove(config.entry()));
+    history.all(HistoryEvent.Stop.class).stream()
+        .filter(stop -> stop.at() <= due)
+        .forEach(stop -> late.remove(stop.node()));
+    for (String entry : late) {
+      String detail = "has no version " + published.version() + " after 20 s";
+      violations.add(new Violation("version-order", entry, detail));
+    }
+  }
+}
