--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/model/peer/EntryMember.java
@@ -0,0 +1,57 @@
+package org.chivecross.model.peer;
+
+/**
+ * A claim about one entry process. Immutable.
+ *
+ * <p>Of two claims about the same incarnation the one with the higher sequence holds, and with
+ * equal sequences the one with the later {@link MemberState}. Only the entry itself raises its
+ * sequence, so it can refute whatever others claim.
+ *
+ * @param incarnation random number that the process drew at its start
+ * @param peerAddress {@code ip:port} for other entries
+ * @param clientAddress {@code ip:port} for callers
+ * @param dataCentre data centre from its settings
+ * @param sequence number that only the entry itself raises
+ * @param state belief about it
+ * @param marks what it says of itself
+ */
+public record EntryMember(
+    long incarnation,
+    String peerAddress,
+    String clientAddress,
+    String dataCentre,
+    long sequence,
+    MemberState state,
+    EntryMarks marks) {
+
+  /** Returns whether this claim replaces {@code other} about the same incarnation. */
+  public boolean overrides(EntryMember other) {
+    if (sequence != other.sequence) {
+      return sequence > other.sequence;
+    }
+    return state.compareTo(other.state) > 0;
+  }
+
+  /** Returns the same claim with another state. */
+  public EntryMember withState(MemberState newState) {
+    return new EntryMember(
+        incarnation, peerAddress, clientAddress, dataCentre, sequence, newState, marks);
+  }
+
+  /** Returns the claim of an entry about itself that refutes all others. */
+  public EntryMember renewed(long newSequence, EntryMarks newMarks) {
+    return new EntryMember(
+        incarnation,
+        peerAddress,
+        clientAddress,
+        dataCentre,
+        newSequence,
+        MemberState.ALIVE,
+        newMarks);
+  }
+
+  /** Returns whether callers may be sent to it. */
+  public boolean isUsable() {
+    return state == MemberState.ALIVE && marks.ready() && !marks.leaving() && !marks.overloaded();
+  }
+}
