Check file sets strictly and report every problem

Cause: data binding stops at the first error of a file and checks nothing across files. Change: one pure check that entries and chivecross-check share. YAML is read through Jackson's tokens into nodes that know their lines; each field has its form and bounds; names, rules and budgets are checked across files; every problem names file, line, field, what was found and what is allowed. Ruled out: data binding with a problem handler, which reports no types or ranges and can't go on after a wrong value. Known limit: Jackson's YAML parser reports no anchor on a plain scalar; since every alias is refused, such an anchor has no effect.

--- a/chivecross-core/src/main/java/org/chivecross/logic/fileset/FileSetParser.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fileset/FileSetParser.java
@@ -1,98 +1,144 @@
 package org.chivecross.logic.fileset;
 
-import com.fasterxml.jackson.annotation.JsonFormat;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.StreamReadFeature;
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.MapperFeature;
-import com.fasterxml.jackson.databind.json.JsonMapper;
-import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
-import org.chivecross.model.failure.Failure;
+import java.util.function.Function;
+import java.util.regex.Pattern;
 import org.chivecross.model.failure.Result;
-import org.chivecross.model.failure.Step;
 import org.chivecross.model.fileset.Deployment;
 import org.chivecross.model.fileset.FileSet;
+import org.chivecross.model.fileset.FileSetProblem;
 import org.chivecross.model.fileset.Rule;
 import org.chivecross.model.fileset.Service;
 import org.chivecross.model.fileset.Tenant;
 
 /**
- * Parses the files of a set. Pure: it gets the contents by file name. Immutable and safe for use by
- * many threads.
+ * Parses and checks the files of a set: the one check that entries and {@code chivecross-check}
+ * share. Pure: it gets the contents by file name. A set is returned whole and checked, or not at
+ * all. Immutable and safe for use by many threads.
  */
 public final class FileSetParser {
 
   /** Name of the file with the settings of the deployment. */
   public static final String DEPLOYMENT_FILE = "deployment.yaml";
 
-  private final JsonMapper mapper;
+  /** Most files of a set. */
+  public static final int MAX_FILES = 4_096;
+
+  /** Largest set, in characters over all files. */
+  public static final int MAX_SET_CHARACTERS = 16_000_000;
+
+  private static final Pattern FILE_NAME =
+      Pattern.compile(
+          "deployment\\.yaml|(?:tenants|services|rules)/[a-z0-9][a-z0-9-]{0,62}\\.yaml");
+  private static final String FILE_NAMES =
+      "deployment.yaml, tenants/NAME.yaml, services/NAME.yaml, rules/NAME.yaml; NAME of a-z, 0-9"
+          + " and -";
+  private static final CrossFileCheck NAMES = new NameCheck();
+  private static final CrossFileCheck RULES = new RuleCheck();
+  private static final CrossFileCheck BUDGETS = new BudgetCheck();
+
+  private final YamlTreeReader trees = new YamlTreeReader();
 
   /** Creates a parser. */
-  public FileSetParser() {
-    mapper =
-        JsonMapper.builder(
-                YAMLFactory.builder().enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build())
-            .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
-            .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
-            .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
-            .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
-            .build();
-    mapper
-        .configOverride(RuleFile.class)
-        .setFormat(JsonFormat.Value.forShape(JsonFormat.Shape.OBJECT));
-  }
+  public FileSetParser() {}
 
   /**
-   * Content of a file of rules.
+   * Parses and checks all files.
    *
-   * @param rules rules in the file
+   * @param contents content of each file by its path within the set
+   * @return the set, or a failure for each problem found
    */
-  record RuleFile(List<Rule> rules) {}
-
-  /** Parses all files; every failure found is returned, not only the first. */
   public Result<FileSet> parse(Map<String, String> contents) {
-    List<Failure> failures = new ArrayList<>();
-    Optional<Deployment> deployment = Optional.empty();
-    List<Tenant> tenants = new ArrayList<>();
-    List<Service> services = new ArrayList<>();
-    List<Rule> rules = new ArrayList<>();
-    for (Map.Entry<String, String> file : new TreeMap<>(contents).entrySet()) {
-      String name = file.getKey();
-      if (name.equals(DEPLOYMENT_FILE)) {
-        deployment = read(name, file.getValue(), Deployment.class, failures);
-      } else if (name.startsWith("tenants/")) {
-        read(name, file.getValue(), Tenant.class, failures).ifPresent(tenants::add);
-      } else if (name.startsWith("services/")) {
-        read(name, file.getValue(), Service.class, failures).ifPresent(services::add);
-      } else if (name.startsWith("rules/")) {
-        read(name, file.getValue(), RuleFile.class, failures)
-            .ifPresent(ruleFile -> rules.addAll(ruleFile.rules()));
-      } else {
-        failures.add(new Failure(Step.FILE_SET, name, "unexpected file"));
-      }
+    ProblemLog problems = new ProblemLog();
+    Optional<FileSet> set = parse(contents, problems);
+    if (set.isPresent()) {
+      return Result.success(set.get());
+    }
+    return new Result.Failed<>(
+        problems.problems().stream().map(FileSetProblem::toFailure).toList());
+  }
+
+  /** Returns every problem of the files, in order of files; empty when the set is valid. */
+  public List<FileSetProblem> check(Map<String, String> contents) {
+    ProblemLog problems = new ProblemLog();
+    parse(contents, problems);
+    return problems.problems();
+  }
+
+  private Optional<FileSet> parse(Map<String, String> contents, ProblemLog problems) {
+    if (isTooLarge(contents, problems)) {
+      return Optional.empty();
     }
-    if (deployment.isEmpty() && failures.isEmpty()) {
-      failures.add(new Failure(Step.FILE_SET, DEPLOYMENT_FILE, "file is missing"));
+    ParsedFileSet set = read(new TreeMap<>(contents), problems);
+    if (!problems.hasUnreadableFile()) {
+      NAMES.check(set, problems);
+      RULES.check(set, problems);
     }
-    if (!failures.isEmpty()) {
-      return new Result.Failed<>(failures);
+    if (problems.isEmpty()) {
+      BUDGETS.check(set, problems);
     }
-    return Result.success(new FileSet(deployment.orElseThrow(), tenants, services, rules));
+    return problems.isEmpty() ? Optional.of(set.toFileSet()) : Optional.empty();
   }
 
-  private <T> Optional<T> read(String name, String content, Class<T> type, List<Failure> failures) {
-    try {
-      return Optional.of(mapper.readValue(content, type));
-    } catch (JsonProcessingException e) {
-      int line = e.getLocation() == null ? 0 : e.getLocation().getLineNr();
-      failures.add(
-          new Failure(Step.FILE_SET, name, "line " + line + ": " + e.getOriginalMessage()));
+  private static boolean isTooLarge(Map<String, String> contents, ProblemLog problems) {
+    long characters = contents.values().stream().mapToLong(String::length).sum();
+    if (contents.size() <= MAX_FILES && characters <= MAX_SET_CHARACTERS) {
+      return false;
+    }
+    problems.addUnreadable(
+        DEPLOYMENT_FILE,
+        0,
+        contents.size() + " files of " + characters + " characters",
+        "at most " + MAX_FILES + " files and " + MAX_SET_CHARACTERS + " characters");
+    return true;
+  }
+
+  private ParsedFileSet read(Map<String, String> contents, ProblemLog problems) {
+    Optional<ParsedFile<Deployment>> deployment = Optional.empty();
+    List<ParsedFile<Tenant>> tenants = new ArrayList<>();
+    List<ParsedFile<Service>> services = new ArrayList<>();
+    List<ParsedFile<List<Rule>>> rules = new ArrayList<>();
+    if (!contents.containsKey(DEPLOYMENT_FILE)) {
+      problems.addUnreadable(DEPLOYMENT_FILE, 0, "no such file", "one file of this name");
+    }
+    if (contents.keySet().stream().noneMatch(file -> file.startsWith("services/"))) {
+      problems.addUnreadable("services", 0, "no file", "at least one file");
+    }
+    for (Map.Entry<String, String> entry : contents.entrySet()) {
+      String file = entry.getKey();
+      String content = entry.getValue();
+      if (!FILE_NAME.matcher(file).matches()) {
+        problems.add(Quoting.shorten(file), 0, "", "an unexpected file", FILE_NAMES);
+      } else if (file.equals(DEPLOYMENT_FILE)) {
+        deployment = read(file, content, RecordReaders::deployment, problems);
+      } else if (file.startsWith("tenants/")) {
+        read(file, content, RecordReaders::tenant, problems).ifPresent(tenants::add);
+      } else if (file.startsWith("services/")) {
+        read(file, content, RecordReaders::service, problems).ifPresent(services::add);
+      } else {
+        read(file, content, RecordReaders::ruleFile, problems).ifPresent(rules::add);
+      }
+    }
+    return new ParsedFileSet(deployment, tenants, services, rules);
+  }
+
+  private <T> Optional<ParsedFile<T>> read(
+      String file, String content, Function<FieldReader, T> reader, ProblemLog problems) {
+    Optional<YamlNode> root = trees.read(file, content, problems);
+    if (root.isEmpty()) {
+      return Optional.empty();
+    }
+    if (!(root.get() instanceof YamlNode.Mapping mapping)) {
+      problems.addUnreadable(file, root.get().line(), root.get().describe(), "a mapping of fields");
       return Optional.empty();
     }
+    FieldReader fields = new FieldReader(file, mapping, "", problems);
+    T value = reader.apply(fields);
+    fields.finish();
+    return Optional.of(new ParsedFile<>(file, value, FieldPath.lines(mapping)));
   }
 }
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fileset/NameCheck.java
@@ -0,0 +1,163 @@
+package org.chivecross.logic.fileset;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.chivecross.model.fileset.DataCentreLink;
+import org.chivecross.model.fileset.Deployment;
+import org.chivecross.model.fileset.Rule;
+import org.chivecross.model.fileset.Service;
+import org.chivecross.model.fileset.TargetGroup;
+import org.chivecross.model.fileset.Tenant;
+
+/** Every name is given once and every use of a name resolves. Stateless. */
+final class NameCheck implements CrossFileCheck {
+
+  @Override
+  public void check(ParsedFileSet set, ProblemLog problems) {
+    unique(set.tenants(), Tenant::name, "tenant", problems);
+    unique(set.services(), Service::name, "service", problems);
+    set.deployment().ifPresent(file -> dataCentres(file, problems));
+    owners(set, problems);
+    ruleServices(set, problems);
+    set.deployment().ifPresent(file -> groupDataCentres(set, file.value(), problems));
+    addresses(set, problems);
+  }
+
+  private static <T> void unique(
+      List<ParsedFile<T>> files, Function<T, String> name, String kind, ProblemLog problems) {
+    Map<String, String> firstFile = new HashMap<>();
+    for (ParsedFile<T> file : files) {
+      String value = name.apply(file.value());
+      String first = value.isEmpty() ? null : firstFile.putIfAbsent(value, file.file());
+      if (first != null) {
+        problems.add(
+            file.file(),
+            file.line("name"),
+            "name",
+            kind + " " + value + " again",
+            "each " + kind + " once (first in " + first + ")");
+      }
+    }
+  }
+
+  private static void dataCentres(ParsedFile<Deployment> file, ProblemLog problems) {
+    List<String> names = file.value().dataCentres();
+    Set<String> known = new HashSet<>();
+    for (int i = 0; i < names.size(); i++) {
+      if (!names.get(i).isEmpty() && !known.add(names.get(i))) {
+        String field = FieldPath.item("dataCentres", i);
+        problems.add(
+            file.file(), file.line(field), field, names.get(i) + " again", "each data centre once");
+      }
+    }
+    Set<Set<String>> linked = new HashSet<>();
+    List<DataCentreLink> links = file.value().links();
+    for (int i = 0; i < links.size(); i++) {
+      DataCentreLink link = links.get(i);
+      String field = FieldPath.item("links", i);
+      resolve(file, FieldPath.field(field, "from"), link.from(), known, problems);
+      resolve(file, FieldPath.field(field, "to"), link.to(), known, problems);
+      if (link.from().isEmpty() || link.to().isEmpty()) {
+        continue;
+      }
+      if (link.from().equals(link.to()) || !linked.add(Set.of(link.from(), link.to()))) {
+        problems.add(
+            file.file(),
+            file.line(field),
+            field,
+            "a link from " + link.from() + " to " + link.to(),
+            "one link for each pair of data centres");
+      }
+    }
+  }
+
+  private static void owners(ParsedFileSet set, ProblemLog problems) {
+    Set<String> tenants =
+        set.tenants().stream().map(file -> file.value().name()).collect(Collectors.toSet());
+    for (ParsedFile<Service> file : set.services()) {
+      resolve(file, "owner", file.value().owner(), tenants, problems);
+    }
+  }
+
+  private static void ruleServices(ParsedFileSet set, ProblemLog problems) {
+    Map<String, Service> services = new HashMap<>();
+    set.services().forEach(file -> services.put(file.value().name(), file.value()));
+    for (ParsedFile<List<Rule>> file : set.rules()) {
+      for (int i = 0; i < file.value().size(); i++) {
+        Rule rule = file.value().get(i);
+        String item = FieldPath.item("rules", i);
+        resolve(
+            file, FieldPath.field(item, "service"), rule.service(), services.keySet(), problems);
+        Service service = services.get(rule.service());
+        if (service != null && !service.classes().containsKey(rule.requestClass())) {
+          String field = FieldPath.field(item, "requestClass");
+          problems.add(
+              file.file(),
+              file.line(field),
+              field,
+              ClassNames.of(rule.requestClass()),
+              "a class of service " + rule.service() + ": " + ClassNames.of(service));
+        }
+      }
+    }
+  }
+
+  private static void groupDataCentres(
+      ParsedFileSet set, Deployment deployment, ProblemLog problems) {
+    Set<String> known = new HashSet<>(deployment.dataCentres());
+    for (ParsedFile<Service> file : set.services()) {
+      List<TargetGroup> groups = file.value().targets();
+      for (int i = 0; i < groups.size(); i++) {
+        String field = FieldPath.field(FieldPath.item("targets", i), "dataCentre");
+        resolve(file, field, groups.get(i).dataCentre(), known, problems);
+      }
+    }
+  }
+
+  private static void addresses(ParsedFileSet set, ProblemLog problems) {
+    Map<String, String> firstUse = new HashMap<>();
+    for (ParsedFile<Service> file : set.services()) {
+      List<TargetGroup> groups = file.value().targets();
+      for (int i = 0; i < groups.size(); i++) {
+        String list = FieldPath.field(FieldPath.item("targets", i), "addresses");
+        List<String> addresses = groups.get(i).addresses();
+        for (int j = 0; j < addresses.size(); j++) {
+          String field = FieldPath.item(list, j);
+          String first =
+              addresses.get(j).isEmpty()
+                  ? null
+                  : firstUse.putIfAbsent(addresses.get(j), file.file() + " " + field);
+          if (first != null) {
+            problems.add(
+                file.file(),
+                file.line(field),
+                field,
+                addresses.get(j) + " again",
+                "each address once (first at " + first + ")");
+          }
+        }
+      }
+    }
+  }
+
+  private static void resolve(
+      ParsedFile<?> file, String field, String name, Set<String> known, ProblemLog problems) {
+    if (name.isEmpty() || known.contains(name)) {
+      return;
+    }
+    Set<String> named = new TreeSet<>(known);
+    named.remove("");
+    problems.add(
+        file.file(),
+        file.line(field),
+        field,
+        '"' + name + '"',
+        named.isEmpty() ? "a name that the set defines; it defines none" : Quoting.list(named));
+  }
+}
