Model slotted targets in virtual time and weigh reports by their age

Cause: two random choices by local in-flight see 1/20 of the load and keep feeding a slowed target. Change: a model of entries and FIFO-slot targets drives the real engine; a score blends the newest report of a target with the mean of its service as it ages, plus what this entry sent since.

Seam: UpstreamObserver.attemptCancelled (default method) tells an attempt that the entry gave up from one that the target failed.

--- /dev/null
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/experiment/ClusterModel.java
@@ -0,0 +1,206 @@
+package org.chivecross.cli.experiment;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.chivecross.logic.balance.TargetSelector;
+import org.chivecross.logic.engine.BalancerEngine;
+import org.chivecross.logic.engine.EnginePreferences;
+import org.chivecross.model.fileset.FileSet;
+
+/**
+ * Entries and slotted targets of one deployment in virtual time. Each run depends on its scenario,
+ * policy and seed alone. Not thread-safe.
+ */
+final class ClusterModel {
+
+  static final long MILLI = 1_000_000;
+  static final long SECOND = 1_000 * MILLI;
+
+  private static final double MEAN_WORK_NANOS = 5.0 * MILLI;
+  private static final double FIXED_WORK_FRACTION = 0.5;
+  private static final long TICK_NANOS = 5 * MILLI;
+  private static final long WARM_UP_NANOS = 2 * SECOND;
+  private static final long LOCAL_ROUND_TRIP_NANOS = 100_000;
+  private static final double NOISE_SPEED = 0.1;
+  private static final int TARGETS_FOR_EACH_NOISE = 8;
+  private static final long NOISE_MIN_NANOS = 50 * MILLI;
+  private static final long NOISE_SPAN_NANOS = 450 * MILLI;
+  private static final double NOISE_GAP_NANOS = 500.0 * MILLI;
+
+  private final Scenario scenario;
+  private final PolicyCase policy;
+  private final EventQueue events = new EventQueue();
+  private final RandomGenerator arrivals;
+  private final RandomGenerator noise;
+  private final RandomGenerator network;
+  private final Map<String, SlottedTarget> targets = new HashMap<>();
+  private final Map<String, String> targetDataCentres = new HashMap<>();
+  private final List<ModelEntry> entries = new ArrayList<>();
+  private final RunResult result;
+
+  ClusterModel(Scenario scenario, PolicyCase policy, long seed) {
+    this.scenario = scenario;
+    this.policy = policy;
+    arrivals = random(seed);
+    noise = random(seed + 1_000);
+    network = random(seed + 2_000);
+    result = new RunResult(scenario.serviceTargets().size());
+    for (int s = 0; s < scenario.serviceTargets().size(); s++) {
+      for (int t = 0; t < scenario.serviceTargets().get(s); t++) {
+        String address = FileSets.address(s, t);
+        targets.put(
+            address,
+            new SlottedTarget(events, scenario.slots(), scenario.reportDelayMillis() * MILLI));
+        targetDataCentres.put(address, FileSets.dataCentre(t));
+      }
+    }
+    FileSet set = FileSets.of(scenario, policy.hedgeFraction());
+    for (int e = 0; e < scenario.entries(); e++) {
+      String dataCentre = FileSets.dataCentre(e);
+      EnginePreferences preferences = new EnginePreferences("entry-" + e, dataCentre, 256, 16);
+      BalancerEngine engine =
+          new BalancerEngine(preferences, random(seed * 100 + e), policy.factory());
+      engine.apply(set, 0);
+      entries.add(new ModelEntry(this, dataCentre, engine));
+    }
+  }
+
+  /** Runs the scenario and returns what callers saw after the warm-up. */
+  RunResult run() {
+    for (int s = 0; s < scenario.serviceTargets().size(); s++) {
+      scheduleArrival(s);
+      startNoise(s);
+    }
+    scheduleTicks();
+    events.runUntil(WARM_UP_NANOS + scenario.seconds() * SECOND);
+    return result;
+  }
+
+  EventQueue events() {
+    return events;
+  }
+
+  long now() {
+    return events.now();
+  }
+
+  SlottedTarget target(String address) {
+    return Objects.requireNonNull(targets.get(address), address);
+  }
+
+  long oneWayNanos(String entryDataCentre, String address, RandomGenerator random) {
+    long roundTrip = LOCAL_ROUND_TRIP_NANOS;
+    if (!entryDataCentre.equals(targetDataCentres.get(address))) {
+      roundTrip += scenario.linkMicros() * 1_000L;
+    }
+    return roundTrip / 2;
+  }
+
+  /** Returns the target with the shortest true queue when the policy is omniscient. */
+  int omniscientTarget(int service, int excluded, BalancerEngine engine) {
+    if (!policy.omniscient()) {
+      return TargetSelector.NONE;
+    }
+    int best = TargetSelector.NONE;
+    int bestLoad = Integer.MAX_VALUE;
+    int count = scenario.serviceTargets().get(service);
+    int start = network.nextInt(count);
+    for (int i = 0; i < count; i++) {
+      String address = FileSets.address(service, (start + i) % count);
+      int load = target(address).trueLoad();
+      int row = engine.targetRow(address);
+      if (load < bestLoad && row != excluded) {
+        best = row;
+        bestLoad = load;
+      }
+    }
+    return best;
+  }
+
+  void sent() {
+    result.countSent();
+  }
+
+  void hedged() {
+    result.countHedged();
+  }
+
+  void refused(int service) {
+    result.countRefused();
+  }
+
+  void served(int service, long startNanos) {
+    if (startNanos >= WARM_UP_NANOS) {
+      result.recordServed(service, now() - startNanos);
+    }
+  }
+
+  void failed(int service, long startNanos) {
+    if (startNanos >= WARM_UP_NANOS) {
+      result.countFailed();
+    }
+  }
+
+  private void scheduleArrival(int service) {
+    int slots = scenario.serviceTargets().get(service) * scenario.slots();
+    double gap = MEAN_WORK_NANOS / (slots * scenario.load());
+    events.after((long) exponential(arrivals, gap), () -> arrive(service));
+  }
+
+  private void arrive(int service) {
+    scheduleArrival(service);
+    double work =
+        MEAN_WORK_NANOS * FIXED_WORK_FRACTION
+            + exponential(arrivals, MEAN_WORK_NANOS * (1 - FIXED_WORK_FRACTION));
+    ModelEntry entry = entries.get(arrivals.nextInt(entries.size()));
+    result.countArrived();
+    entry.arrive(service, work, network);
+  }
+
+  private void startNoise(int service) {
+    if (!scenario.noisy()) {
+      return;
+    }
+    int count = scenario.serviceTargets().get(service);
+    for (int n = 0; n < Math.max(1, count / TARGETS_FOR_EACH_NOISE); n++) {
+      events.after((long) exponential(noise, NOISE_GAP_NANOS), () -> slowOne(service));
+    }
+  }
+
+  private void slowOne(int service) {
+    int count = scenario.serviceTargets().get(service);
+    SlottedTarget target = target(FileSets.address(service, noise.nextInt(count)));
+    long duration = NOISE_MIN_NANOS + (long) (noise.nextDouble() * NOISE_SPAN_NANOS);
+    target.setSpeed(NOISE_SPEED);
+    events.after(
+        duration,
+        () -> {
+          target.setSpeed(1);
+          events.after((long) exponential(noise, NOISE_GAP_NANOS), () -> slowOne(service));
+        });
+  }
+
+  private void scheduleTicks() {
+    events.after(
+        TICK_NANOS,
+        () -> {
+          for (ModelEntry entry : entries) {
+            entry.engine().tick(now());
+          }
+          scheduleTicks();
+        });
+  }
+
+  private static double exponential(RandomGenerator random, double mean) {
+    return -mean * Math.log(1 - random.nextDouble());
+  }
+
+  private static RandomGenerator random(long seed) {
+    return RandomGeneratorFactory.of("SplittableRandom").create(seed);
+  }
+}
--- /dev/null
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/experiment/DecisionExperiment.java
@@ -0,0 +1,107 @@
+package org.chivecross.cli.experiment;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.chivecross.logic.balance.LowestScorePolicy;
+import org.chivecross.logic.balance.RandomPolicy;
+import org.chivecross.logic.balance.ReportedLoadScore;
+import org.chivecross.logic.balance.RoundRobinPolicy;
+import org.chivecross.logic.balance.TwoChoicesPolicy;
+
+/** Compares policies in virtual time and prints a Markdown table. Arguments: seconds and seeds. */
+public final class DecisionExperiment {
+
+  private DecisionExperiment() {}
+
+  /** Runs all scenarios. */
+  public static void main(String[] args) {
+    int seconds = args.length > 0 ? Integer.parseInt(args[0]) : 10;
+    int seeds = args.length > 1 ? Integer.parseInt(args[1]) : 5;
+    List<String> only = args.length > 2 ? Arrays.asList(args[2].split(",")) : List.of();
+    for (Scenario base : List.of(Scenario.pulpwood(), Scenario.screenworks())) {
+      for (boolean noisy : new boolean[] {false, true}) {
+        for (double load : new double[] {0.5, 0.8}) {
+          Scenario scenario = base.withLoad(load).withSeconds(seconds);
+          print(noisy ? scenario.withNoise() : scenario, seeds, only);
+        }
+      }
+    }
+  }
+
+  static List<PolicyCase> policies() {
+    return List.of(
+        new PolicyCase("omniscient", (t, v, r) -> new RandomPolicy(r), true, 0),
+        new PolicyCase("random", (t, v, r) -> new RandomPolicy(r), false, 0),
+        new PolicyCase("round robin", (t, v, r) -> new RoundRobinPolicy(t, r), false, 0),
+        new PolicyCase(
+            "local least",
+            (t, v, r) ->
+                new LowestScorePolicy(
+                    (c, i, now) -> (double) t.inFlight(c.row(i)) / c.slots(i), r, 64),
+            false,
+            0),
+        new PolicyCase("two choices", (t, v, r) -> new TwoChoicesPolicy(t, r), false, 0),
+        reported("r1", 1, 1e9, 0),
+        reported("r2", 2, 1e9, 0),
+        reported("r4", 4, 1e9, 0),
+        reported("r8", 8, 1e9, 0),
+        reported("r2o2", 2, 2, 1),
+        reported("r2o3", 2, 3, 1),
+        reported("r4o2", 4, 2, 1),
+        reported("r4o3", 4, 3, 1));
+  }
+
+  private static PolicyCase reported(String name, double age, double overdue, double penalty) {
+    return new PolicyCase(
+        name,
+        (t, v, r) ->
+            new LowestScorePolicy(new ReportedLoadScore(t, v, age, overdue, penalty), r, 64),
+        false,
+        0);
+  }
+
+  private static void print(Scenario scenario, int seeds, List<String> only) {
+    System.out.printf(
+        "%n%s, %.0f %%, %s, %d seeds x %d s%n",
+        scenario.name(),
+        scenario.load() * 100,
+        scenario.noisy() ? "noisy" : "steady",
+        seeds,
+        scenario.seconds());
+    System.out.println(
+        "| policy | p50 ms | p99 ms | p99 by seed | p99.9 ms | failed | refused | sends |");
+    System.out.println("|---|---|---|---|---|---|---|---|");
+    for (PolicyCase policy : policies()) {
+      if (!only.isEmpty() && !only.contains(policy.name())) {
+        continue;
+      }
+      List<RunResult> results = new ArrayList<>();
+      for (int seed = 1; seed <= seeds; seed++) {
+        results.add(new ClusterModel(scenario, policy, seed).run());
+      }
+      printRow(policy.name(), results);
+    }
+  }
+
+  private static void printRow(String name, List<RunResult> results) {
+    RunResult sum = results.get(0).copy();
+    StringBuilder perSeed = new StringBuilder();
+    for (int i = 0; i < results.size(); i++) {
+      perSeed.append(i == 0 ? "" : " ").append(String.format("%.1f", results.get(i).millis(99)));
+      if (i > 0) {
+        sum.add(results.get(i));
+      }
+    }
+    System.out.printf(
+        "| %s | %.1f | %.1f | %s | %.1f | %d | %d | %.3f |%n",
+        name,
+        sum.millis(50),
+        sum.millis(99),
+        perSeed,
+        sum.millis(99.9),
+        sum.failedCount(),
+        sum.refusedCount(),
+        (double) sum.sent() / sum.arrived());
+  }
+}
--- /dev/null
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/experiment/FileSets.java
@@ -0,0 +1,63 @@
+package org.chivecross.cli.experiment;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.chivecross.model.fileset.ClassPolicy;
+import org.chivecross.model.fileset.DataCentreLink;
+import org.chivecross.model.fileset.Deployment;
+import org.chivecross.model.fileset.FileSet;
+import org.chivecross.model.fileset.Limits;
+import org.chivecross.model.fileset.RequestClass;
+import org.chivecross.model.fileset.Service;
+import org.chivecross.model.fileset.TargetGroup;
+import org.chivecross.model.fileset.Tenant;
+
+/** File sets of the experiments. */
+final class FileSets {
+
+  static final List<String> DATA_CENTRES = List.of("dc-1", "dc-2", "dc-3");
+
+  private static final Limits WIDE = new Limits(1_000_000, 10_000_000, 1_000_000);
+
+  private FileSets() {}
+
+  /** Returns the address of a target by service and number. */
+  static String address(int service, int target) {
+    return "10." + service + "." + (target / 200) + "." + (1 + target % 200) + ":8080";
+  }
+
+  /** Returns the data centre of the n-th target or entry. */
+  static String dataCentre(int number) {
+    return DATA_CENTRES.get(number % DATA_CENTRES.size());
+  }
+
+  static FileSet of(Scenario scenario, double hedgeFraction) {
+    List<Service> services = new ArrayList<>();
+    for (int s = 0; s < scenario.serviceTargets().size(); s++) {
+      services.add(service(s, scenario, hedgeFraction));
+    }
+    List<DataCentreLink> links = new ArrayList<>();
+    for (String from : DATA_CENTRES) {
+      for (String to : DATA_CENTRES) {
+        if (!from.equals(to)) {
+          links.add(new DataCentreLink(from, to, scenario.linkMicros()));
+        }
+      }
+    }
+    Deployment deployment =
+        new Deployment(scenario.name(), scenario.entries(), 5000, 60_000, DATA_CENTRES, links);
+    return new FileSet(deployment, List.of(new Tenant("team", 1, WIDE)), services, List.of());
+  }
+
+  private static Service service(int number, Scenario scenario, double hedgeFraction) {
+    List<TargetGroup> groups = new ArrayList<>();
+    for (int t = 0; t < scenario.serviceTargets().get(number); t++) {
+      groups.add(
+          new TargetGroup(dataCentre(t), scenario.slots(), 300, List.of(address(number, t))));
+    }
+    ClassPolicy read = new ClassPolicy(2000, 0.1, hedgeFraction);
+    return new Service(
+        "service-" + number, "team", 0.02, 6, 16, WIDE, Map.of(RequestClass.READ, read), groups);
+  }
+}
--- /dev/null
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/experiment/NoKeys.java
@@ -0,0 +1,27 @@
+package org.chivecross.cli.experiment;
+
+import org.chivecross.logic.key.KeyClaim;
+import org.chivecross.logic.key.KeyRegistry;
+import org.chivecross.model.request.Outcome;
+
+/** Registry for runs without idempotency keys. Stateless. */
+final class NoKeys implements KeyRegistry {
+
+  @Override
+  public KeyClaim claim(String key, long nowNanos) {
+    return new KeyClaim.Run();
+  }
+
+  @Override
+  public void finish(String key, int status, Outcome outcome, long nowNanos) {}
+
+  @Override
+  public KeyClaim query(String key, long nowNanos) {
+    return new KeyClaim.Run();
+  }
+
+  @Override
+  public KeyClaim cancel(String key, long nowNanos) {
+    return new KeyClaim.Fenced();
+  }
+}
--- /dev/null
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/experiment/SlottedTarget.java
@@ -0,0 +1,191 @@
+package org.chivecross.cli.experiment;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.chivecross.model.request.LoadReport;
+
+/**
+ * A target with a fixed number of slots and a FIFO queue, in virtual time. Its speed may change
+ * while it serves. Not thread-safe.
+ */
+final class SlottedTarget {
+
+  private static final long SAMPLE_NANOS = 5_000_000;
+
+  private final EventQueue events;
+  private final int slots;
+  private final ArrayDeque<Work> queue = new ArrayDeque<>();
+  private final List<Work> inService = new ArrayList<>();
+  private final ArrayDeque<LoadReport> history = new ArrayDeque<>();
+  private final int historyLength;
+  private double speed = 1;
+  private boolean failing;
+  private boolean lying;
+  private boolean leaving;
+  private int inTransit;
+  private long busyNanos;
+  private int queueLimit = Integer.MAX_VALUE;
+
+  /** One request at a target. */
+  static final class Work {
+    private double remainingNanos;
+    private long sinceNanos;
+    private int version;
+    private final Consumer<Answer> onAnswer;
+
+    Work(double nanos, Consumer<Answer> onAnswer) {
+      this.remainingNanos = nanos;
+      this.onAnswer = onAnswer;
+    }
+  }
+
+  /**
+   * What comes back.
+   *
+   * @param succeeded whether the request was served
+   * @param notRun whether the target shed it before it ran
+   * @param leaving whether the target says that it is leaving
+   * @param report its load report
+   */
+  record Answer(boolean succeeded, boolean notRun, boolean leaving, LoadReport report) {}
+
+  /**
+   * Creates an idle target.
+   *
+   * @param reportDelayNanos age that its reports have when they are sent
+   */
+  SlottedTarget(EventQueue events, int slots, long reportDelayNanos) {
+    this.events = events;
+    this.slots = slots;
+    historyLength = (int) (reportDelayNanos / SAMPLE_NANOS);
+    if (historyLength > 0) {
+      sample();
+    }
+  }
+
+  int slots() {
+    return slots;
+  }
+
+  /** Requests on their way to it, in service and queued: what an omniscient balancer would see. */
+  int trueLoad() {
+    return inTransit + inService.size() + queue.size();
+  }
+
+  void announce() {
+    inTransit++;
+  }
+
+  long busyNanos() {
+    return busyNanos;
+  }
+
+  void setFailing(boolean fails) {
+    failing = fails;
+  }
+
+  void setLying(boolean lies) {
+    lying = lies;
+  }
+
+  void setLeaving(boolean leaves) {
+    leaving = leaves;
+  }
+
+  void setQueueLimit(int limit) {
+    queueLimit = limit;
+  }
+
+  void arrive(Work work) {
+    inTransit--;
+    if (failing) {
+      work.onAnswer.accept(new Answer(false, false, leaving, report()));
+      return;
+    }
+    if (inService.size() < slots) {
+      start(work);
+      return;
+    }
+    if (queue.size() >= queueLimit) {
+      work.onAnswer.accept(new Answer(false, true, leaving, report()));
+      return;
+    }
+    queue.add(work);
+  }
+
+  /** Drops a request that its sender gave up. */
+  void cancel(Work work) {
+    work.version++;
+    if (!queue.remove(work) && inService.remove(work)) {
+      startNext();
+    }
+  }
+
+  void setSpeed(double newSpeed) {
+    for (Work work : inService) {
+      advance(work);
+    }
+    speed = newSpeed;
+    for (Work work : inService) {
+      scheduleEnd(work);
+    }
+  }
+
+  private void start(Work work) {
+    inService.add(work);
+    work.sinceNanos = events.now();
+    scheduleEnd(work);
+  }
+
+  private void scheduleEnd(Work work) {
+    work.version++;
+    int version = work.version;
+    events.after(
+        (long) (work.remainingNanos / speed),
+        () -> {
+          if (work.version == version) {
+            end(work);
+          }
+        });
+  }
+
+  private void advance(Work work) {
+    long now = events.now();
+    work.remainingNanos = Math.max(0, work.remainingNanos - (now - work.sinceNanos) * speed);
+    work.sinceNanos = now;
+  }
+
+  private void end(Work work) {
+    busyNanos += events.now() - work.sinceNanos;
+    inService.remove(work);
+    startNext();
+    work.onAnswer.accept(new Answer(true, false, leaving, report()));
+  }
+
+  private void startNext() {
+    if (!queue.isEmpty()) {
+      start(queue.remove());
+    }
+  }
+
+  private LoadReport report() {
+    if (lying) {
+      return new LoadReport(0, 0, slots);
+    }
+    return historyLength > 0 ? history.peekFirst() : load();
+  }
+
+  private LoadReport load() {
+    return new LoadReport(inService.size(), queue.size(), slots);
+  }
+
+  private void sample() {
+    history.addLast(load());
+    if (history.size() > historyLength) {
+      history.removeFirst();
+    }
+    events.after(SAMPLE_NANOS, this::sample);
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/balance/TargetPolicyFactory.java
@@ -0,0 +1,12 @@
+package org.chivecross.logic.balance;
+
+import org.chivecross.model.table.ServiceTable;
+import org.chivecross.model.table.TargetTable;
+
+/** Creates a policy over the live counters of an engine. */
+@FunctionalInterface
+public interface TargetPolicyFactory {
+
+  /** Creates a policy. */
+  TargetPolicy create(TargetTable targets, ServiceTable services, SharedRandom random);
+}
--- a/chivecross-core/src/main/java/org/chivecross/logic/balance/UpstreamObserver.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/balance/UpstreamObserver.java
@@ -22,6 +22,18 @@
    */
   void attemptEnded(int target, long latencyNanos, boolean succeeded, long nowNanos);
 
+  /**
+   * The entry gave an attempt up, since its caller left or another attempt answered first. This is
+   * called in place of {@link #attemptEnded} and is no failure of the target.
+   *
+   * @param target row of the target
+   * @param elapsedNanos time since the start of the attempt
+   * @param nowNanos monotonic time
+   */
+  default void attemptCancelled(int target, long elapsedNanos, long nowNanos) {
+    attemptEnded(target, elapsedNanos, true, nowNanos);
+  }
+
   /** An attempt lost its connection; {@link #attemptEnded} is called as well. */
   void connectionFailed(int target, ConnectionFault fault, long nowNanos);
 
--- a/chivecross-core/src/main/java/org/chivecross/logic/engine/BalancerEngine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/engine/BalancerEngine.java
@@ -7,8 +7,10 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.chivecross.logic.balance.Candidates;
+import org.chivecross.logic.balance.LoadSystem;
 import org.chivecross.logic.balance.SharedRandom;
 import org.chivecross.logic.balance.TargetPolicy;
+import org.chivecross.logic.balance.TargetPolicyFactory;
 import org.chivecross.logic.balance.TargetSelector;
 import org.chivecross.logic.balance.TwoChoicesPolicy;
 import org.chivecross.logic.balance.UpstreamObserver;
@@ -44,11 +46,23 @@
   private final BudgetedRetryControl retries;
   private final TargetPolicy policy;
   private final FileSetApplier applier;
+  private final LoadSystem loads;
   private volatile Topology topology = Topology.EMPTY;
   private volatile Candidates[] candidates = new Candidates[0];
 
-  /** Creates an engine without any service; its random numbers depend on {@code random} alone. */
+  /** Creates an engine with the default choice of targets. */
   public BalancerEngine(EnginePreferences preferences, RandomGenerator random) {
+    this(preferences, random, (table, names, numbers) -> new TwoChoicesPolicy(table, numbers));
+  }
+
+  /**
+   * Creates an engine without any service.
+   *
+   * @param random seeds all random numbers of the engine
+   * @param policyFactory creates the choice of targets
+   */
+  public BalancerEngine(
+      EnginePreferences preferences, RandomGenerator random, TargetPolicyFactory policyFactory) {
     this.preferences = preferences;
     targets = new TargetTable(preferences.targetCapacity());
     services = new ServiceTable(preferences.serviceCapacity());
@@ -57,7 +71,8 @@
     retries =
         new BudgetedRetryControl(
             preferences.serviceCapacity(), new SharedRandom(random.nextLong()));
-    policy = new TwoChoicesPolicy(targets, new SharedRandom(random.nextLong()));
+    policy = policyFactory.create(targets, services, new SharedRandom(random.nextLong()));
+    loads = new LoadSystem(targets, services);
     applier = new FileSetApplier(targets, services, tenants);
   }
 
@@ -77,13 +92,14 @@
   /** Runs all systems over the tables and publishes new views. */
   public void tick(long nowNanos) {
     applier.releaseUnused(nowNanos);
+    loads.tick(candidates, nowNanos);
   }
 
   /** Returns the policies that the request path asks. */
   public RequestPolicies policies(KeyRegistry keys) {
     RequestRouter router = this::route;
     TargetSelector selector = this::select;
-    UpstreamObserver observer = new TableObserver(targets);
+    UpstreamObserver observer = new TableObserver(targets, services);
     return new RequestPolicies(router, admission, selector, observer, retries, keys);
   }
 
--- a/chivecross-core/src/main/java/org/chivecross/model/table/ServiceTable.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/table/ServiceTable.java
@@ -18,11 +18,15 @@
  */
 public final class ServiceTable {
 
+  private static final int LATENCY_SAMPLES = 64;
+
   private final RowHandles handles;
   private final Map<String, Integer> rows = new HashMap<>();
   private final String[] names;
   private final AtomicIntegerArray inFlight;
   private final AtomicLongArray rateNanos;
+  private final AtomicLongArray latencyNanos;
+  private final AtomicLongArray meanLoadBits;
 
   /** Creates a table for at most {@code capacity} names. */
   public ServiceTable(int capacity) {
@@ -30,6 +34,8 @@
     names = new String[capacity];
     inFlight = new AtomicIntegerArray(capacity);
     rateNanos = new AtomicLongArray(capacity);
+    latencyNanos = new AtomicLongArray(capacity);
+    meanLoadBits = new AtomicLongArray(capacity);
   }
 
   /** Returns the row of a name, or empty when it has none. */
@@ -56,6 +62,8 @@
     names[row] = name;
     inFlight.set(row, 0);
     rateNanos.set(row, TargetTable.NEVER);
+    latencyNanos.set(row, 0);
+    setMeanLoad(row, 0);
     return row;
   }
 
@@ -97,6 +105,30 @@
     return false;
   }
 
+  /**
+   * Takes the latency of an attempt into the moving mean. Of two threads at once, one may be lost,
+   * which a mean can bear.
+   */
+  public void recordLatency(int row, long nanos) {
+    long mean = latencyNanos.get(row);
+    latencyNanos.set(row, mean == 0 ? nanos : mean + (nanos - mean) / LATENCY_SAMPLES);
+  }
+
+  /** Returns the moving mean of the latency of attempts in ns; 0 before the first one. */
+  public long latencyNanos(int row) {
+    return latencyNanos.get(row);
+  }
+
+  /** Sets the mean load of a target of the service, in requests for each slot. */
+  public void setMeanLoad(int row, double load) {
+    meanLoadBits.set(row, Double.doubleToRawLongBits(load));
+  }
+
+  /** Returns the mean load of a target of the service, in requests for each slot. */
+  public double meanLoad(int row) {
+    return Double.longBitsToDouble(meanLoadBits.get(row));
+  }
+
   /** Counts a request out. */
   public void leave(int row) {
     inFlight.decrementAndGet(row);
--- a/chivecross-core/src/main/java/org/chivecross/model/table/TargetTable.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/table/TargetTable.java
@@ -37,6 +37,8 @@
   private final AtomicIntegerArray inFlight;
   private final AtomicLongArray reports;
   private final AtomicLongArray reportNanos;
+  private final AtomicIntegerArray startsSinceReport;
+  private final AtomicLongArray progressNanos;
   private final AtomicLongArray successes;
   private final AtomicLongArray failures;
 
@@ -51,6 +53,8 @@
     inFlight = new AtomicIntegerArray(capacity);
     reports = new AtomicLongArray(capacity);
     reportNanos = new AtomicLongArray(capacity);
+    startsSinceReport = new AtomicIntegerArray(capacity);
+    progressNanos = new AtomicLongArray(capacity);
     successes = new AtomicLongArray(capacity);
     failures = new AtomicLongArray(capacity);
   }
@@ -137,22 +141,45 @@
   }
 
   /** Counts an attempt that starts. */
-  public void start(int row) {
-    inFlight.incrementAndGet(row);
+  public void start(int row, long nowNanos) {
+    if (inFlight.getAndIncrement(row) == 0) {
+      progressNanos.set(row, nowNanos);
+    }
+    startsSinceReport.incrementAndGet(row);
   }
 
   /** Counts an attempt that ended. */
-  public void end(int row, boolean succeeded) {
+  public void end(int row, boolean succeeded, long nowNanos) {
     inFlight.decrementAndGet(row);
+    progressNanos.set(row, nowNanos);
     (succeeded ? successes : failures).incrementAndGet(row);
   }
 
+  /** Counts an attempt that was given up. */
+  public void cancel(int row) {
+    inFlight.decrementAndGet(row);
+  }
+
   /** Keeps the newest report of a target. */
   public void report(int row, LoadReport report, long nowNanos) {
     reports.set(row, pack(report));
+    startsSinceReport.set(row, 0);
     reportNanos.set(row, nowNanos);
   }
 
+  /** Returns the attempts that started after the newest report came. */
+  public int startsSinceReport(int row) {
+    return startsSinceReport.get(row);
+  }
+
+  /**
+   * Returns when the target last showed progress: an attempt ended, or one started while none was
+   * in flight.
+   */
+  public long progressNanos(int row) {
+    return progressNanos.get(row);
+  }
+
   /** Returns when the newest report came, or {@link #NEVER}. */
   public long reportNanos(int row) {
     return reportNanos.get(row);
@@ -182,6 +209,8 @@
     inFlight.set(row, 0);
     reports.set(row, 0);
     reportNanos.set(row, NEVER);
+    startsSinceReport.set(row, 0);
+    progressNanos.set(row, 0);
     successes.set(row, 0);
     failures.set(row, 0);
   }
