Add chivecross-check with packing, and bounds for flags

Cause: operators need the check of an entry offline, and a wrong flag must be answered with one line that states what is allowed.

--- a/chivecross-check/src/main/java/org/chivecross/cli/check/CheckMain.java
+++ b/chivecross-check/src/main/java/org/chivecross/cli/check/CheckMain.java
@@ -14,6 +14,8 @@
         new ProgramLauncher("chivecross-check", System.getenv(), System.out, System.err);
     System.exit(
         launcher.launch(
-            new CheckOptions(), List.of(arguments), options -> ProgramLauncher.SUCCESS));
+            new CheckOptions(),
+            List.of(arguments),
+            options -> new CheckRun(options.toPreferences(), System.out, System.err).run()));
   }
 }
--- /dev/null
+++ b/chivecross-check/src/main/java/org/chivecross/cli/check/CheckReport.java
@@ -0,0 +1,21 @@
+package org.chivecross.cli.check;
+
+import java.util.List;
+import java.util.Map;
+import org.chivecross.model.fileset.FileSetProblem;
+
+/**
+ * Result of one check. Immutable.
+ *
+ * @param valid whether the set is valid
+ * @param files number of files
+ * @param problems every problem found, in order of files
+ * @param packed size in bytes of each value written, by its path; empty when none was asked for
+ */
+record CheckReport(
+    boolean valid, int files, List<FileSetProblem> problems, Map<String, Integer> packed) {
+  CheckReport {
+    problems = List.copyOf(problems);
+    packed = Map.copyOf(packed);
+  }
+}
--- a/chivecross-core/src/main/java/org/chivecross/logic/fileset/FileSetParser.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fileset/FileSetParser.java
@@ -1,5 +1,8 @@
 package org.chivecross.logic.fileset;
 
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +17,7 @@
 import org.chivecross.model.fileset.Rule;
 import org.chivecross.model.fileset.Service;
 import org.chivecross.model.fileset.Tenant;
+import org.chivecross.model.manifest.Manifest;
 
 /**
  * Parses and checks the files of a set: the one check that entries and {@code chivecross-check}
@@ -26,7 +30,7 @@
   public static final String DEPLOYMENT_FILE = "deployment.yaml";
 
   /** Most files of a set. */
-  public static final int MAX_FILES = 4_096;
+  public static final int MAX_FILES = Manifest.MAX_FILES;
 
   /** Largest set, in characters over all files. */
   public static final int MAX_SET_CHARACTERS = 16_000_000;
@@ -39,6 +43,7 @@
           + " and -";
   private static final CrossFileCheck NAMES = new NameCheck();
   private static final CrossFileCheck RULES = new RuleCheck();
+  private static final CrossFileCheck SIZES = new SizeCheck();
   private static final CrossFileCheck BUDGETS = new BudgetCheck();
 
   private final YamlTreeReader trees = new YamlTreeReader();
@@ -55,11 +60,7 @@
   public Result<FileSet> parse(Map<String, String> contents) {
     ProblemLog problems = new ProblemLog();
     Optional<FileSet> set = parse(contents, problems);
-    if (set.isPresent()) {
-      return Result.success(set.get());
-    }
-    return new Result.Failed<>(
-        problems.problems().stream().map(FileSetProblem::toFailure).toList());
+    return set.isPresent() ? Result.success(set.get()) : failed(problems);
   }
 
   /** Returns every problem of the files, in order of files; empty when the set is valid. */
@@ -69,6 +70,45 @@
     return problems.problems();
   }
 
+  /** Parses and checks all files, given as bytes that must be UTF-8. */
+  public Result<FileSet> parseBytes(Map<String, byte[]> contents) {
+    ProblemLog problems = new ProblemLog();
+    Map<String, String> texts = decode(contents, problems);
+    if (problems.isEmpty()) {
+      return parse(texts);
+    }
+    return failed(problems);
+  }
+
+  /** Returns every problem of the files, given as bytes that must be UTF-8. */
+  public List<FileSetProblem> checkBytes(Map<String, byte[]> contents) {
+    ProblemLog problems = new ProblemLog();
+    parse(decode(contents, problems), problems);
+    return problems.problems();
+  }
+
+  private static Map<String, String> decode(Map<String, byte[]> contents, ProblemLog problems) {
+    Map<String, String> texts = new TreeMap<>();
+    for (Map.Entry<String, byte[]> file : new TreeMap<>(contents).entrySet()) {
+      if (file.getValue().length > YamlTreeReader.MAX_FILE_BYTES) {
+        YamlTreeReader.addTooLarge(Quoting.shorten(file.getKey()), problems);
+        continue;
+      }
+      try {
+        ByteBuffer bytes = ByteBuffer.wrap(file.getValue());
+        texts.put(file.getKey(), StandardCharsets.UTF_8.newDecoder().decode(bytes).toString());
+      } catch (CharacterCodingException e) {
+        problems.addUnreadable(Quoting.shorten(file.getKey()), 0, "other bytes", "UTF-8 text");
+      }
+    }
+    return texts;
+  }
+
+  private static Result<FileSet> failed(ProblemLog problems) {
+    return new Result.Failed<>(
+        problems.problems().stream().map(FileSetProblem::toFailure).toList());
+  }
+
   private Optional<FileSet> parse(Map<String, String> contents, ProblemLog problems) {
     if (isTooLarge(contents, problems)) {
       return Optional.empty();
@@ -77,6 +117,7 @@
     if (!problems.hasUnreadableFile()) {
       NAMES.check(set, problems);
       RULES.check(set, problems);
+      SIZES.check(set, problems);
     }
     if (problems.isEmpty()) {
       BUDGETS.check(set, problems);
--- a/chivecross-core/src/main/java/org/chivecross/logic/fileset/YamlTreeReader.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fileset/YamlTreeReader.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.chivecross.logic.fileset.YamlNode.ScalarKind;
+import org.chivecross.model.manifest.Manifest;
 import org.yaml.snakeyaml.LoaderOptions;
 import org.yaml.snakeyaml.error.MarkedYAMLException;
 
@@ -22,7 +23,7 @@
 final class YamlTreeReader {
 
   /** Largest file, in bytes of UTF-8; the configuration service holds no larger values. */
-  static final int MAX_FILE_BYTES = 1_000_000;
+  static final int MAX_FILE_BYTES = Manifest.MAX_VALUE_BYTES;
 
   private static final int MAX_DEPTH = 16;
 
@@ -39,8 +40,7 @@
   Optional<YamlNode> read(String file, String content, ProblemLog problems) {
     if (content.length() > MAX_FILE_BYTES
         || content.getBytes(StandardCharsets.UTF_8).length > MAX_FILE_BYTES) {
-      problems.addUnreadable(
-          file, 0, "a file over the limit", "at most " + MAX_FILE_BYTES + " bytes");
+      addTooLarge(file, problems);
       return Optional.empty();
     }
     try (YAMLParser parser = factory.createParser(content)) {
@@ -60,6 +60,11 @@
     }
   }
 
+  static void addTooLarge(String file, ProblemLog problems) {
+    problems.addUnreadable(
+        file, 0, "a file over the limit", "at most " + MAX_FILE_BYTES + " bytes");
+  }
+
   private static void addSyntaxProblem(String file, IOException error, ProblemLog problems) {
     if (error.getCause() instanceof MarkedYAMLException marked && marked.getProblemMark() != null) {
       problems.addUnreadable(
--- a/chivecross-core/src/main/java/org/chivecross/logic/settings/SettingsParser.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/settings/SettingsParser.java
@@ -1,9 +1,11 @@
 package org.chivecross.logic.settings;
 
+import java.lang.reflect.AnnotatedElement;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import org.chivecross.model.failure.Failure;
 import org.chivecross.model.failure.Result;
 import org.chivecross.model.failure.Step;
@@ -62,7 +64,11 @@
         all.add(flag);
       }
     }
-    all.addAll(arguments);
+    all.addAll(withSeparateValues(arguments));
+    Optional<String> problem = SettingCheck.firstProblem(parser, all);
+    if (problem.isPresent()) {
+      return Result.failed(Step.SETTINGS, Failure.LOCAL, problem.get());
+    }
     try {
       parser.parseArgument(all);
     } catch (CmdLineException e) {
@@ -71,14 +77,40 @@
     return Result.success(options);
   }
 
+  private static List<String> withSeparateValues(List<String> arguments) {
+    List<String> separate = new ArrayList<>();
+    for (String argument : arguments) {
+      int equals = argument.startsWith("--") ? argument.indexOf('=') : -1;
+      if (equals < 0) {
+        separate.add(argument);
+        continue;
+      }
+      separate.add(argument.substring(0, equals));
+      separate.add(argument.substring(equals + 1));
+    }
+    return separate;
+  }
+
   /** Returns the help text: each flag with its variable, meaning, unit and default. */
   public String help(Object options) {
-    StringBuilder text = new StringBuilder("usage: " + program + " [flags]\n\n");
-    for (OptionHandler<?> handler : new CmdLineParser(options).getOptions()) {
+    CmdLineParser parser = new CmdLineParser(options);
+    StringBuilder text = new StringBuilder("usage: " + program + " [flags]");
+    for (OptionHandler<?> argument : parser.getArguments()) {
+      text.append(' ').append(argument.option.metaVar());
+    }
+    text.append("\n\n");
+    for (OptionHandler<?> argument : parser.getArguments()) {
+      text.append("  ").append(argument.option.metaVar()).append("\n      ");
+      text.append(argument.option.usage()).append('\n');
+    }
+    for (OptionHandler<?> handler : parser.getOptions()) {
       String flag = handler.option.toString();
       String meta = isSwitch(handler) ? "" : " " + handler.getMetaVariable(null);
       text.append(String.format("  %-" + HELP_COLUMN + "s %s%n", flag + meta, variableName(flag)));
       text.append("      ").append(handler.option.usage());
+      if (isBounded(handler)) {
+        text.append("; ").append(SettingCheck.allowed(handler));
+      }
       String given = isSwitch(handler) ? null : handler.printDefaultValue();
       if (given != null) {
         text.append(" (default ").append(given).append(')');
@@ -103,6 +135,12 @@
     return false;
   }
 
+  private static boolean isBounded(OptionHandler<?> handler) {
+    AnnotatedElement field = handler.setter.asAnnotatedElement();
+    return field.isAnnotationPresent(AllowedRange.class)
+        || field.isAnnotationPresent(AllowedForm.class);
+  }
+
   private static boolean isSwitch(OptionHandler<?> handler) {
     return handler.option instanceof NamedOptionDef && handler.setter.getType() == boolean.class;
   }
