--- a/chivecross-bench/src/main/java/org/chivecross/cli/history/HistoryWriter.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/history/HistoryWriter.java
@@ -1,6 +1,5 @@
 package org.chivecross.cli.history;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.BufferedWriter;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -8,14 +7,15 @@
 import java.nio.file.Path;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiFunction;
+import org.chivecross.logic.history.HistoryCodec;
+import org.chivecross.model.history.HistoryEvent;
 
 /** Writes history events as JSON lines. Thread-safe: one lock around the file. */
 public final class HistoryWriter implements AutoCloseable {
 
-  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final HistoryCodec CODEC = new HistoryCodec();
 
   private final Optional<BufferedWriter> writer;
   private final String process;
@@ -33,23 +33,17 @@
     return new HistoryWriter(Optional.of(Files.newBufferedWriter(Path.of(file))), process);
   }
 
-  /** Returns whether events are kept at all. */
-  public boolean isOpen() {
-    return writer.isPresent();
-  }
-
-  /** Writes one event with its time and the name of the process. */
-  public void write(String event, Map<String, ?> fields) {
+  /**
+   * Writes one event, made from the time in µs since the epoch and the name of the process. Nothing
+   * is made when no file is open.
+   */
+  public void write(BiFunction<Long, String, HistoryEvent> event) {
     if (writer.isEmpty()) {
       return;
     }
-    Map<String, Object> whole = new LinkedHashMap<>();
-    whole.put("event", event);
-    whole.put("at", ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now()));
-    whole.put("by", process);
-    whole.putAll(fields);
+    long at = ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
+    String line = CODEC.write(event.apply(at, process));
     try {
-      String line = MAPPER.writeValueAsString(whole);
       synchronized (this) {
         writer.get().write(line);
         writer.get().write('\n');
--- a/chivecross-bench/src/main/java/org/chivecross/cli/standin/upstream/Exchange.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/standin/upstream/Exchange.java
@@ -2,6 +2,7 @@
 
 import org.chivecross.cli.history.BodyDigest;
 import org.chivecross.cli.history.StandinHeaders;
+import org.chivecross.model.fileset.RequestClass;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 
@@ -56,8 +57,12 @@
     return textHeader(StandinHeaders.REQUEST_ID);
   }
 
-  String requestClass() {
-    return textHeader(StandinHeaders.REQUEST_CLASS);
+  RequestClass requestClass() {
+    return switch (textHeader(StandinHeaders.REQUEST_CLASS)) {
+      case "write" -> RequestClass.WRITE;
+      case "upload" -> RequestClass.UPLOAD;
+      default -> RequestClass.READ;
+    };
   }
 
   String idempotencyKey() {
--- a/chivecross-bench/src/main/java/org/chivecross/cli/standin/upstream/UpstreamFilter.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/standin/upstream/UpstreamFilter.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -11,6 +10,7 @@
 import org.chivecross.cli.history.BodyPattern;
 import org.chivecross.cli.history.HistoryWriter;
 import org.chivecross.cli.history.StandinHeaders;
+import org.chivecross.model.history.HistoryEvent;
 import org.chivecross.model.request.LoadReport;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -133,33 +133,37 @@
   }
 
   private void recordRun(Exchange exchange) {
-    if (!history.isOpen() || exchange.requestId().isEmpty()) {
+    if (exchange.requestId().isEmpty()) {
       return;
     }
-    Map<String, Object> line = new LinkedHashMap<>();
-    line.put("request", exchange.requestId());
-    line.put("class", exchange.requestClass());
-    if (!exchange.idempotencyKey().isEmpty()) {
-      line.put("key", exchange.idempotencyKey());
-    }
-    line.put("upstream", exchange.target().address());
-    line.put("digest", exchange.receivedDigest());
-    history.write("run", line);
+    history.write(
+        (at, by) ->
+            new HistoryEvent.Run(
+                at,
+                by,
+                exchange.requestId(),
+                exchange.requestClass(),
+                exchange.idempotencyKey(),
+                exchange.target().address(),
+                exchange.receivedDigest()));
   }
 
   private void recordRan(Exchange exchange, int status, long length, boolean complete) {
-    if (!history.isOpen() || exchange.requestId().isEmpty()) {
+    if (exchange.requestId().isEmpty()) {
       return;
     }
-    Map<String, Object> line = new LinkedHashMap<>();
-    line.put("request", exchange.requestId());
-    line.put("upstream", exchange.target().address());
-    line.put("status", status);
-    byte[] body = new BodyPattern(exchange.requestId()).bytes(0, Math.toIntExact(length));
-    line.put("digest", BodyDigest.of(body));
-    line.put("length", length);
-    line.put("complete", complete);
-    history.write("ran", line);
+    BodyPattern pattern = new BodyPattern(exchange.requestId());
+    history.write(
+        (at, by) ->
+            new HistoryEvent.Ran(
+                at,
+                by,
+                exchange.requestId(),
+                exchange.target().address(),
+                status,
+                BodyDigest.of(pattern.bytes(0, Math.toIntExact(length))),
+                length,
+                complete));
   }
 
   private void answer(FilterChainContext context, Exchange exchange, int status, boolean notRun) {
--- a/chivecross-core/src/main/java/org/chivecross/model/history/HistoryEvent.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/history/HistoryEvent.java
@@ -1,5 +1,6 @@
 package org.chivecross.model.history;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
@@ -67,6 +68,7 @@
       implements HistoryEvent {
 
     /** Returns whether an upstream gave the answer. */
+    @JsonIgnore
     public boolean isRelayed() {
       return outcome.isEmpty();
     }
