--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/config/PlatformReads.java
@@ -0,0 +1,119 @@
+package org.chivecross.logic.config;
+
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/**
+ * Decides when this entry reads and watches the manifest on the platform.
+ *
+ * <p>Invariant: at most one watch and one direct read are out, and every call takes a token of the
+ * budget. Not thread-safe; the tick thread owns it.
+ */
+final class PlatformReads {
+
+  private static final long WATCH_GRACE_NANOS = TimeUnit.SECONDS.toNanos(5);
+  private static final long MIN_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+  private static final long MAX_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(15);
+  private static final double JITTER = 0.2;
+
+  private final ConfigPreferences preferences;
+  private final PlatformCalls platform;
+  private final RandomGenerator random;
+  private final CallBudget budget;
+  private boolean started;
+  private boolean reader;
+  private boolean reachable = true;
+  private boolean watching;
+  private boolean reading;
+  private long watchSentNanos;
+  private long readSentNanos;
+  private long nextWatchNanos;
+  private long nextReadNanos;
+  private long backoffNanos = MIN_BACKOFF_NANOS;
+  private long silentWatches;
+
+  PlatformReads(
+      ConfigPreferences preferences,
+      PlatformCalls platform,
+      RandomGenerator random,
+      CallBudget budget) {
+    this.preferences = preferences;
+    this.platform = platform;
+    this.random = random;
+    this.budget = budget;
+  }
+
+  /**
+   * Makes the calls that are due.
+   *
+   * @param isReader whether this entry is to watch
+   * @param revision highest revision held
+   */
+  void tick(boolean isReader, long revision, long nowNanos) {
+    if (!started) {
+      started = true;
+      nextReadNanos = nowNanos + random.nextLong(MIN_BACKOFF_NANOS);
+      nextWatchNanos = nextReadNanos + MIN_BACKOFF_NANOS;
+    }
+    reader = isReader;
+    long watchLimit = TimeUnit.MILLISECONDS.toNanos(preferences.watchMillis()) + WATCH_GRACE_NANOS;
+    if (watching && nowNanos - watchSentNanos > watchLimit) {
+      silentWatches++;
+      failed(true, nowNanos);
+    }
+    if (reading && nowNanos - readSentNanos > WATCH_GRACE_NANOS) {
+      failed(false, nowNanos);
+    }
+    if (reader && !watching && nowNanos >= nextWatchNanos && budget.tryTake(nowNanos)) {
+      watching = true;
+      watchSentNanos = nowNanos;
+      platform.watchManifest(revision, preferences.watchMillis());
+    }
+    if (!reading && nowNanos >= nextReadNanos && budget.tryTake(nowNanos)) {
+      reading = true;
+      readSentNanos = nowNanos;
+      nextReadNanos = nowNanos + jittered(preferences.directReadNanos());
+      platform.readManifest();
+    }
+  }
+
+  /** A read or a watch was answered. */
+  void answered(boolean watch, long nowNanos) {
+    reachable = true;
+    backoffNanos = MIN_BACKOFF_NANOS;
+    if (watch) {
+      watching = false;
+      nextWatchNanos = nowNanos + jittered(MIN_BACKOFF_NANOS / 2);
+    } else {
+      reading = false;
+    }
+  }
+
+  /** A read or a watch failed. */
+  void failed(boolean watch, long nowNanos) {
+    if (!watch) {
+      reading = false;
+      reachable = false;
+      return;
+    }
+    watching = false;
+    nextWatchNanos = nowNanos + jittered(backoffNanos);
+    backoffNanos = Math.min(MAX_BACKOFF_NANOS, 2 * backoffNanos);
+  }
+
+  boolean isReader() {
+    return reader;
+  }
+
+  boolean isReachable() {
+    return reachable;
+  }
+
+  long silentWatches() {
+    return silentWatches;
+  }
+
+  private long jittered(long nanos) {
+    return (long) (nanos * (1 - JITTER + 2 * JITTER * random.nextDouble()));
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/directory/DirectoryAnswer.java
@@ -0,0 +1,15 @@
+package org.chivecross.logic.directory;
+
+import java.util.List;
+
+/**
+ * Answer to a caller that asked which entries it may use. Immutable.
+ *
+ * @param addresses {@code ip:port} of the entries in order of preference
+ * @param lifetimeMillis time for which the caller may keep the answer, in ms
+ */
+public record DirectoryAnswer(List<String> addresses, long lifetimeMillis) {
+  public DirectoryAnswer {
+    addresses = List.copyOf(addresses);
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/membership/MemberView.java
@@ -0,0 +1,31 @@
+package org.chivecross.logic.membership;
+
+import java.util.List;
+import java.util.Optional;
+import org.chivecross.model.peer.EntryMember;
+
+/**
+ * What one entry believes about all entries. Immutable and safe for use by many threads.
+ *
+ * @param self this entry
+ * @param others all other entries, dead ones included
+ * @param fresh false after a pause of this process, until a peer has answered
+ */
+public record MemberView(EntryMember self, List<EntryMember> others, boolean fresh) {
+  public MemberView {
+    others = List.copyOf(others);
+  }
+
+  /** Returns the entry with an incarnation, dead or not. */
+  public Optional<EntryMember> find(long incarnation) {
+    if (self.incarnation() == incarnation) {
+      return Optional.of(self);
+    }
+    for (EntryMember other : others) {
+      if (other.incarnation() == incarnation) {
+        return Optional.of(other);
+      }
+    }
+    return Optional.empty();
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/peer/PeerOutbox.java
@@ -0,0 +1,15 @@
+package org.chivecross.logic.peer;
+
+import org.chivecross.model.peer.PeerMessage;
+
+/** Takes messages to other entries. Delivery is not promised and order not kept. */
+@FunctionalInterface
+public interface PeerOutbox {
+
+  /**
+   * Sends a message.
+   *
+   * @param peerAddress {@code ip:port} of the receiver
+   */
+  void send(String peerAddress, PeerMessage message);
+}
--- a/chivecross-core/src/main/java/org/chivecross/model/peer/EntryTable.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/peer/EntryTable.java
@@ -156,12 +156,17 @@
   }
 
   private long hash(int row) {
-    if (states[row] == MemberState.DEAD) {
+    return hash(member(row));
+  }
+
+  /** Returns the part of {@link #digest()} that one claim adds; 0 for a dead entry. */
+  public static long hash(EntryMember claim) {
+    if (claim.state() == MemberState.DEAD) {
       return 0;
     }
-    long hash = incarnations[row] * HASH_MULTIPLIER;
-    hash = (hash ^ (hash >>> HASH_SHIFT) ^ sequences[row]) * HASH_MULTIPLIER;
-    hash = (hash ^ (hash >>> HASH_SHIFT) ^ states[row].ordinal()) * HASH_MULTIPLIER;
+    long hash = claim.incarnation() * HASH_MULTIPLIER;
+    hash = (hash ^ (hash >>> HASH_SHIFT) ^ claim.sequence()) * HASH_MULTIPLIER;
+    hash = (hash ^ (hash >>> HASH_SHIFT) ^ claim.state().rank()) * HASH_MULTIPLIER;
     return hash ^ (hash >>> HASH_SHIFT);
   }
 }
