--- /dev/null
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/simulation/FakeNetwork.java
@@ -0,0 +1,82 @@
+package org.chivecross.cli.simulation;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiPredicate;
+import java.util.random.RandomGenerator;
+import org.chivecross.model.peer.PeerMessage;
+import org.chivecross.model.peer.PeerMessage.Sender;
+
+/**
+ * Carries messages between simulated entries with delay, loss and partitions. Not thread-safe.
+ *
+ * <p>Invariant: a message reaches the process that has the address at the time of arrival, or none.
+ */
+public final class FakeNetwork {
+
+  /** Takes messages in. */
+  @FunctionalInterface
+  public interface Receiver {
+    /** A message arrived. */
+    void receive(Sender sender, PeerMessage message);
+  }
+
+  private static final long BASE_DELAY_NANOS = TimeUnit.MICROSECONDS.toNanos(500);
+  private static final long JITTER_NANOS = TimeUnit.MILLISECONDS.toNanos(4);
+
+  private final VirtualTime time;
+  private final RandomGenerator random;
+  private final Map<String, Receiver> receivers = new HashMap<>();
+  private final Map<String, Long> bytesSent = new HashMap<>();
+  private BiPredicate<String, String> cut = (from, to) -> false;
+  private double loss;
+
+  /** Creates a network without loss and partitions. */
+  public FakeNetwork(VirtualTime time, RandomGenerator random) {
+    this.time = time;
+    this.random = random;
+  }
+
+  /** Gives an address to a process. */
+  public void listen(String address, Receiver receiver) {
+    receivers.put(address, receiver);
+  }
+
+  /** Takes an address from its process. */
+  public void close(String address) {
+    receivers.remove(address);
+  }
+
+  /** Sets which pairs of addresses can't reach each other. */
+  public void cut(BiPredicate<String, String> newCut) {
+    cut = newCut;
+  }
+
+  /** Sets the fraction of messages that are lost. */
+  public void lose(double fraction) {
+    loss = fraction;
+  }
+
+  /** Returns the bytes that an address has sent so far. */
+  public long bytesSent(String address) {
+    return bytesSent.getOrDefault(address, 0L);
+  }
+
+  /** Sends a message. */
+  public void send(Sender sender, String to, PeerMessage message) {
+    bytesSent.merge(sender.peerAddress(), (long) MessageSizes.bytes(message), Long::sum);
+    if (cut.test(sender.peerAddress(), to) || random.nextDouble() < loss) {
+      return;
+    }
+    long delay = BASE_DELAY_NANOS + random.nextLong(JITTER_NANOS);
+    time.after(delay, () -> deliver(sender, to, message));
+  }
+
+  private void deliver(Sender sender, String to, PeerMessage message) {
+    Receiver receiver = receivers.get(to);
+    if (receiver != null) {
+      receiver.receive(sender, message);
+    }
+  }
+}
--- /dev/null
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/simulation/FakePlatform.java
@@ -0,0 +1,160 @@
+package org.chivecross.cli.simulation;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.chivecross.logic.config.PlatformValue;
+import org.chivecross.logic.manifest.ManifestCodec;
+import org.chivecross.model.failure.Result;
+import org.chivecross.model.failure.Step;
+import org.chivecross.model.manifest.Manifest;
+
+/**
+ * A configuration service that can be down, stale or reachable for some. Not thread-safe.
+ *
+ * <p>Invariant: revisions only grow; a stale platform answers with an earlier revision.
+ */
+public final class FakePlatform {
+
+  /** Deployment of all published sets. */
+  public static final String DEPLOYMENT = "simulated";
+
+  private static final String NAME = "platform";
+  private static final long DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(3);
+  private static final int FILES = 3;
+
+  /** A watch that waits. */
+  private record Watch(
+      String reader, long revision, long endNanos, Consumer<Result<PlatformValue>> answer) {}
+
+  private final VirtualTime time;
+  private final ManifestCodec codec = new ManifestCodec();
+  private final List<PlatformValue> manifests = new ArrayList<>();
+  private final Map<String, byte[]> files = new HashMap<>();
+  private final List<Watch> watches = new ArrayList<>();
+  private final TreeMap<Long, Integer> callsBySecond = new TreeMap<>();
+  private Predicate<String> reachable = reader -> true;
+  private int servedIndex = -1;
+  private boolean stale;
+
+  /** Creates a platform that holds nothing. */
+  public FakePlatform(VirtualTime time) {
+    this.time = time;
+  }
+
+  /**
+   * Publishes a set of files that all hold {@code word} and the revision.
+   *
+   * @param complete whether the values of the files are written as well
+   * @return the revision
+   */
+  public long publish(String word, boolean complete) {
+    long revision = manifests.size() + 1L;
+    Map<String, byte[]> contents = new HashMap<>();
+    for (int i = 0; i < FILES; i++) {
+      String text = word + " " + revision;
+      // One file of each set stays as it was, so that its content is not fetched again.
+      String content = i == 0 ? "same 0" : text + " file " + i;
+      contents.put("file" + i, content.getBytes(StandardCharsets.UTF_8));
+    }
+    Manifest manifest = codec.describe(DEPLOYMENT, 0, contents);
+    if (complete) {
+      manifest.files().forEach(file -> files.put(file.key(), contents.get(file.name())));
+    }
+    manifests.add(new PlatformValue(revision, codec.write(manifest)));
+    if (!stale) {
+      servedIndex = manifests.size() - 1;
+      answerWatches();
+    }
+    return revision;
+  }
+
+  /** Makes the platform serve what it serves now, or the latest again. */
+  public void setStale(boolean newStale) {
+    stale = newStale;
+    if (!stale) {
+      servedIndex = manifests.size() - 1;
+      answerWatches();
+    }
+  }
+
+  /** Makes the platform go back to an earlier value and stay there. */
+  public void goBack(int steps) {
+    stale = true;
+    servedIndex = Math.max(Math.min(0, servedIndex), servedIndex - steps);
+  }
+
+  /** Sets which readers reach the platform. */
+  public void setReachable(Predicate<String> newReachable) {
+    reachable = newReachable;
+  }
+
+  /** Returns the calls in each second that had any. */
+  public Map<Long, Integer> callsBySecond() {
+    return callsBySecond;
+  }
+
+  void readManifest(String reader, Consumer<Result<PlatformValue>> answer) {
+    count();
+    time.after(DELAY_NANOS, () -> answer.accept(current(reader)));
+  }
+
+  void watchManifest(
+      String reader, long revision, long waitNanos, Consumer<Result<PlatformValue>> answer) {
+    count();
+    boolean newer = servedIndex >= 0 && manifests.get(servedIndex).revision() > revision;
+    if (newer || !reachable.test(reader)) {
+      time.after(DELAY_NANOS, () -> answer.accept(current(reader)));
+      return;
+    }
+    Watch watch = new Watch(reader, revision, time.now() + waitNanos, answer);
+    watches.add(watch);
+    time.after(
+        waitNanos,
+        () -> {
+          if (watches.remove(watch)) {
+            answer.accept(current(reader));
+          }
+        });
+  }
+
+  void readFile(String reader, String key, Consumer<Result<byte[]>> answer) {
+    count();
+    time.after(DELAY_NANOS, () -> answer.accept(file(reader, key)));
+  }
+
+  private Result<byte[]> file(String reader, String key) {
+    byte[] content = files.get(key);
+    if (!reachable.test(reader) || content == null) {
+      return Result.failed(Step.PLATFORM_READ, NAME, "no value " + key);
+    }
+    return Result.success(content);
+  }
+
+  private Result<PlatformValue> current(String reader) {
+    if (!reachable.test(reader) || servedIndex < 0) {
+      return Result.failed(Step.PLATFORM_READ, NAME, "no answer");
+    }
+    return Result.success(manifests.get(servedIndex));
+  }
+
+  private void answerWatches() {
+    long revision = manifests.get(servedIndex).revision();
+    List<Watch> waiting = new ArrayList<>(watches);
+    for (Watch watch : waiting) {
+      if (watch.revision() < revision && watches.remove(watch)) {
+        time.after(DELAY_NANOS, () -> watch.answer().accept(current(watch.reader())));
+      }
+    }
+  }
+
+  private void count() {
+    callsBySecond.merge(TimeUnit.NANOSECONDS.toSeconds(time.now()), 1, Integer::sum);
+  }
+}
--- /dev/null
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/simulation/SimulatedEntry.java
@@ -0,0 +1,187 @@
+package org.chivecross.cli.simulation;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.chivecross.logic.config.ConfigPreferences;
+import org.chivecross.logic.config.PlatformCalls;
+import org.chivecross.logic.membership.MembershipPreferences;
+import org.chivecross.logic.peer.NodeView;
+import org.chivecross.logic.peer.PeerNode;
+import org.chivecross.logic.peer.PeerNodePreferences;
+import org.chivecross.model.fileset.FileSet;
+import org.chivecross.model.manifest.ConfigVersion;
+import org.chivecross.model.peer.EntryMarks;
+import org.chivecross.model.peer.EntryMember;
+import org.chivecross.model.peer.MemberState;
+import org.chivecross.model.peer.PeerMessage;
+import org.chivecross.model.peer.PeerMessage.Sender;
+
+/**
+ * One process of an entry in virtual time: it ticks, can be paused and ended. Not thread-safe.
+ *
+ * <p>Invariant: a paused process does nothing; what arrives meanwhile waits for it.
+ */
+final class SimulatedEntry {
+
+  /** What is the same for all processes of a run. */
+  record Surroundings(
+      VirtualTime time,
+      FakeNetwork network,
+      FakePlatform platform,
+      SimulatedCheck check,
+      long tickNanos,
+      int entryBound,
+      List<String> contacts) {}
+
+  private final Surroundings around;
+  private final EntryMember self;
+  private final Sender sender;
+  private final PeerNode node;
+  private final List<Runnable> held = new ArrayList<>();
+  private final List<ConfigVersion> history = new ArrayList<>();
+  private boolean running = true;
+  private boolean paused;
+  private int violations;
+
+  SimulatedEntry(Surroundings around, String address, String dataCentre, long seed) {
+    this.around = around;
+    SplittableRandom random = new SplittableRandom(seed);
+    self =
+        new EntryMember(
+            random.nextLong(),
+            address,
+            address,
+            dataCentre,
+            1,
+            MemberState.ALIVE,
+            EntryMarks.STARTING);
+    sender = new Sender(self.incarnation(), address);
+    PeerNodePreferences preferences =
+        new PeerNodePreferences(
+            self,
+            FakePlatform.DEPLOYMENT,
+            around.contacts(),
+            4 * around.entryBound(),
+            MembershipPreferences.standard(),
+            ConfigPreferences.forBound(around.entryBound(), true));
+    node =
+        new PeerNode(
+            preferences,
+            around.check(),
+            (to, message) -> around.network().send(sender, to, message),
+            new SimulatedPlatformCalls(),
+            random,
+            this::inForce);
+    around.network().listen(address, this::receive);
+    around.time().after(random.nextLong(around.tickNanos()), this::tick);
+  }
+
+  /** Platform calls whose answers wait while the process is paused. */
+  private final class SimulatedPlatformCalls implements PlatformCalls {
+    @Override
+    public void readManifest() {
+      around
+          .platform()
+          .readManifest(self.peerAddress(), r -> run(() -> node.manifestRead(false, r, now())));
+    }
+
+    @Override
+    public void watchManifest(long revision, long waitMillis) {
+      around
+          .platform()
+          .watchManifest(
+              self.peerAddress(),
+              revision,
+              TimeUnit.MILLISECONDS.toNanos(waitMillis),
+              r -> run(() -> node.manifestRead(true, r, now())));
+    }
+
+    @Override
+    public void readFile(String key, String digest) {
+      around
+          .platform()
+          .readFile(self.peerAddress(), key, r -> run(() -> node.fileRead(digest, r, now())));
+    }
+  }
+
+  EntryMember self() {
+    return self;
+  }
+
+  NodeView view() {
+    return node.view();
+  }
+
+  PeerNode node() {
+    return node;
+  }
+
+  /** Returns the versions put in force, in order. */
+  List<ConfigVersion> history() {
+    return history;
+  }
+
+  /** Returns how often an older version or a mixed set was put in force. */
+  int violations() {
+    return violations;
+  }
+
+  boolean isRunning() {
+    return running;
+  }
+
+  void pause(long nanos) {
+    if (paused || !running) {
+      return;
+    }
+    paused = true;
+    around.time().after(nanos, this::wake);
+  }
+
+  void kill() {
+    running = false;
+    around.network().close(self.peerAddress());
+  }
+
+  private void wake() {
+    paused = false;
+    List<Runnable> waiting = new ArrayList<>(held);
+    held.clear();
+    waiting.forEach(this::run);
+  }
+
+  private void receive(Sender from, PeerMessage message) {
+    run(() -> node.receive(from, message, now()));
+  }
+
+  private void run(Runnable action) {
+    if (paused) {
+      held.add(action);
+    } else if (running) {
+      action.run();
+    }
+  }
+
+  private void tick() {
+    if (!running) {
+      return;
+    }
+    if (!paused) {
+      node.tick(now());
+    }
+    around.time().after(around.tickNanos(), this::tick);
+  }
+
+  private void inForce(ConfigVersion version, FileSet set) {
+    boolean lower = !history.isEmpty() && !version.isNewerThan(history.get(history.size() - 1));
+    boolean other = !set.deployment().name().equals(Long.toString(version.revision()));
+    violations += lower || other ? 1 : 0;
+    history.add(version);
+  }
+
+  private long now() {
+    return around.time().now();
+  }
+}
--- /dev/null
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/simulation/VirtualTime.java
@@ -0,0 +1,46 @@
+package org.chivecross.cli.simulation;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import java.util.Queue;
+
+/**
+ * Runs actions in the order of their virtual times. Not thread-safe.
+ *
+ * <p>Invariant: actions of the same time run in the order in which they were planned.
+ */
+public final class VirtualTime {
+
+  /** An action and when it runs. */
+  private record Planned(long atNanos, long order, Runnable action) {}
+
+  private final Queue<Planned> planned =
+      new PriorityQueue<>(
+          Comparator.comparingLong(Planned::atNanos).thenComparingLong(Planned::order));
+  private long nowNanos;
+  private long order;
+
+  /** Creates a time that starts at 0. */
+  public VirtualTime() {}
+
+  /** Returns the virtual time, in ns. */
+  public long now() {
+    return nowNanos;
+  }
+
+  /** Plans an action. */
+  public void after(long delayNanos, Runnable action) {
+    order++;
+    planned.add(new Planned(nowNanos + delayNanos, order, action));
+  }
+
+  /** Runs all actions up to a time. */
+  public void runUntil(long untilNanos) {
+    while (!planned.isEmpty() && planned.peek().atNanos() <= untilNanos) {
+      Planned next = planned.remove();
+      nowNanos = next.atNanos();
+      next.action().run();
+    }
+    nowNanos = untilNanos;
+  }
+}
--- a/chivecross-core/src/main/java/org/chivecross/model/peer/EntryTable.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/peer/EntryTable.java
@@ -54,12 +54,14 @@
   /**
    * Takes a claim in when it overrides what is known.
    *
-   * @return whether the table changed; false as well when it is full
+   * <p>A full table forgets the entry that has been dead longest.
+   *
+   * @return whether the table changed; false as well when it is full of entries not known dead
    */
   public boolean merge(EntryMember claim, long nowNanos) {
     int row = rowOf(claim.incarnation());
     if (row == NONE) {
-      long handle = handles.acquire();
+      long handle = acquire();
       if (handle == RowHandles.NONE) {
         return false;
       }
@@ -145,6 +147,24 @@
     return revision;
   }
 
+  private long acquire() {
+    if (handles.liveCount() < handles.capacity()) {
+      return handles.acquire();
+    }
+    int oldest = NONE;
+    for (int row : handles.liveRows()) {
+      boolean older = oldest == NONE || stateSinceNanos[row] < stateSinceNanos[oldest];
+      if (states[row] == MemberState.DEAD && older) {
+        oldest = row;
+      }
+    }
+    if (oldest == NONE) {
+      return RowHandles.NONE;
+    }
+    remove(oldest);
+    return handles.acquire();
+  }
+
   private void write(int row, EntryMember claim) {
     incarnations[row] = claim.incarnation();
     peerAddresses[row] = claim.peerAddress();
