Add the administration API of an entry

Cause: operators must see what an entry does without being able to change it. Change: read-only HTTP on its own address with its own selector and three threads; views behind functional interfaces; bearer token compared by digest in constant time and required beyond loopback; pages of at most 500 rows; bounds on connections, headers and unsent bytes, so that a reader that reads nothing is cut off.

--- a/chivecross-core/src/main/java/org/chivecross/logic/settings/SettingsParser.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/settings/SettingsParser.java
@@ -46,7 +46,7 @@
     for (OptionHandler<?> handler : parser.getOptions()) {
       String flag = handler.option.toString();
       String value = environment.get(variableName(flag));
-      if (value == null || isGiven(flag, arguments)) {
+      if (value == null || handler.option.help() || isGiven(flag, arguments)) {
         continue;
       }
       if (!isSwitch(handler)) {
@@ -106,13 +106,14 @@
     for (OptionHandler<?> handler : parser.getOptions()) {
       String flag = handler.option.toString();
       String meta = isSwitch(handler) ? "" : " " + handler.getMetaVariable(null);
-      text.append(String.format("  %-" + HELP_COLUMN + "s %s%n", flag + meta, variableName(flag)));
+      String variable = handler.option.help() ? "" : variableName(flag);
+      text.append(String.format("  %-" + HELP_COLUMN + "s %s%n", flag + meta, variable));
       text.append("      ").append(handler.option.usage());
       if (isBounded(handler)) {
         text.append("; ").append(SettingCheck.allowed(handler));
       }
       String given = isSwitch(handler) ? null : handler.printDefaultValue();
-      if (given != null) {
+      if (given != null && !given.isEmpty()) {
         text.append(" (default ").append(given).append(')');
       }
       text.append('\n');
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/admin/AdminRequest.java
@@ -0,0 +1,15 @@
+package org.chivecross.cli.entry.admin;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Request to the administration API. Immutable.
+ *
+ * @param method HTTP method
+ * @param path decoded path without query
+ * @param query all values of each query parameter by its name
+ * @param authorization value of the {@code Authorization} header, or ""
+ */
+record AdminRequest(
+    String method, String path, Map<String, List<String>> query, String authorization) {}
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/admin/AdminServer.java
@@ -0,0 +1,92 @@
+package org.chivecross.cli.entry.admin;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.WorkerThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+
+/**
+ * HTTP server of the administration API. It has its own address, selector and threads, and bounds
+ * on connections, headers, unsent bytes and times, so that readers can't hold the data path: an
+ * answer is queued without waiting, and a reader that leaves too much unread is cut off. {@link
+ * #start} and {@link #stop} are called once each, by one thread.
+ */
+public final class AdminServer {
+
+  private static final int SELECTOR_THREADS = 1;
+  private static final int WORKER_THREADS = 3;
+  private static final int QUEUED_REQUESTS = 64;
+  private static final int MAX_CONNECTIONS = 16;
+  private static final int MAX_UNSENT_BYTES = 2 * 1024 * 1024;
+  private static final int MAX_HEADER_BYTES = 8 * 1024;
+  private static final int IDLE_SECONDS = 30;
+  private static final int IO_SECONDS = 5;
+  private static final int STOP_SECONDS = 2;
+
+  private final AdminSettings settings;
+  private final HttpServer server = new HttpServer();
+
+  /** Creates a server that shows the given views. */
+  public AdminServer(AdminSettings settings, AdminViews views) {
+    this.settings = settings;
+    server.addListener(listener(settings.address()));
+    server
+        .getServerConfiguration()
+        .addHttpHandler(new AdminHandler(new AdminRoutes(settings, views)), "/");
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @return the bound address, with the port that the system chose for port 0
+   * @throws IOException if the address can't be bound
+   */
+  public InetSocketAddress start() throws IOException {
+    server.start();
+    int port = server.getListeners().iterator().next().getPort();
+    return new InetSocketAddress(settings.address().getAddress(), port);
+  }
+
+  /** Ends running answers for at most {@value #STOP_SECONDS} s, then closes. */
+  public void stop() {
+    server.shutdown(STOP_SECONDS, TimeUnit.SECONDS);
+  }
+
+  private static NetworkListener listener(InetSocketAddress address) {
+    NetworkListener listener =
+        new NetworkListener("admin", address.getHostString(), address.getPort());
+    listener.setTransport(transport());
+    listener.setMaxHttpHeaderSize(MAX_HEADER_BYTES);
+    listener.setMaxPendingBytes(MAX_UNSENT_BYTES);
+    listener.setMaxFormPostSize(0);
+    listener.setMaxBufferedPostSize(0);
+    listener.setTransactionTimeout(IO_SECONDS);
+    listener.getKeepAlive().setIdleTimeoutInSeconds(IDLE_SECONDS);
+    listener.registerAddOn((network, chain) -> chain.add(1, new ConnectionLimit(MAX_CONNECTIONS)));
+    return listener;
+  }
+
+  private static TCPNIOTransport transport() {
+    TCPNIOTransport transport =
+        TCPNIOTransportBuilder.newInstance()
+            .setName("admin")
+            .setIOStrategy(WorkerThreadIOStrategy.getInstance())
+            .setSelectorRunnersCount(SELECTOR_THREADS)
+            .setWorkerThreadPoolConfig(
+                ThreadPoolConfig.defaultConfig()
+                    .setPoolName("admin-worker")
+                    .setDaemon(true)
+                    .setCorePoolSize(WORKER_THREADS)
+                    .setMaxPoolSize(WORKER_THREADS)
+                    .setQueueLimit(QUEUED_REQUESTS))
+            .build();
+    transport.setReadTimeout(IO_SECONDS, TimeUnit.SECONDS);
+    transport.setWriteTimeout(IO_SECONDS, TimeUnit.SECONDS);
+    return transport;
+  }
+}
