--- a/chivecross-bench/src/main/java/org/chivecross/cli/history/HistoryWriter.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/history/HistoryWriter.java
@@ -1,40 +1,49 @@
 package org.chivecross.cli.history;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.BufferedWriter;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.Map;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
 import java.util.Optional;
+import java.util.function.BiFunction;
+import org.chivecross.logic.history.HistoryCodec;
+import org.chivecross.model.history.HistoryEvent;
 
 /** Writes history events as JSON lines. Thread-safe: one lock around the file. */
 public final class HistoryWriter implements AutoCloseable {
 
-  private static final ObjectMapper MAPPER = new ObjectMapper();
+  private static final HistoryCodec CODEC = new HistoryCodec();
 
   private final Optional<BufferedWriter> writer;
+  private final String process;
 
-  private HistoryWriter(Optional<BufferedWriter> writer) {
+  private HistoryWriter(Optional<BufferedWriter> writer, String process) {
     this.writer = writer;
+    this.process = process;
   }
 
-  /** Opens a writer; an empty name gives one that drops all events. */
-  public static HistoryWriter open(String file) throws IOException {
+  /** Opens the writer of a process; an empty file name gives one that drops all events. */
+  public static HistoryWriter open(String file, String process) throws IOException {
     if (file.isEmpty()) {
-      return new HistoryWriter(Optional.empty());
+      return new HistoryWriter(Optional.empty(), process);
     }
-    return new HistoryWriter(Optional.of(Files.newBufferedWriter(Path.of(file))));
+    return new HistoryWriter(Optional.of(Files.newBufferedWriter(Path.of(file))), process);
   }
 
-  /** Writes one event. */
-  public void write(Map<String, ?> event) {
+  /**
+   * Writes one event, made from the time in µs since the epoch and the name of the process. Nothing
+   * is made when no file is open.
+   */
+  public void write(BiFunction<Long, String, HistoryEvent> event) {
     if (writer.isEmpty()) {
       return;
     }
+    long at = ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now());
+    String line = CODEC.write(event.apply(at, process));
     try {
-      String line = MAPPER.writeValueAsString(event);
       synchronized (this) {
         writer.get().write(line);
         writer.get().write('\n');
--- a/chivecross-bench/src/main/java/org/chivecross/cli/standin/upstream/UpstreamFilter.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/standin/upstream/UpstreamFilter.java
@@ -2,14 +2,15 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
+import org.chivecross.cli.history.BodyDigest;
 import org.chivecross.cli.history.BodyPattern;
 import org.chivecross.cli.history.HistoryWriter;
 import org.chivecross.cli.history.StandinHeaders;
+import org.chivecross.model.history.HistoryEvent;
 import org.chivecross.model.request.LoadReport;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -123,29 +124,46 @@
         new SlottedTarget.Job(
             probe ? PROBE_MICROS : exchange.workMicros(),
             () -> exchange.isWanted(clock.getAsLong()),
-            () -> record("run-start", exchange),
-            () -> {
-              record("run-end", exchange);
-              answer(context, exchange, OK, false);
-            },
+            () -> recordRun(exchange),
+            () -> answer(context, exchange, OK, false),
             () -> answer(context, exchange, SERVICE_UNAVAILABLE, true));
     if (!exchange.target().submit(job)) {
       answer(context, exchange, SERVICE_UNAVAILABLE, true);
     }
   }
 
-  private void record(String event, Exchange exchange) {
+  private void recordRun(Exchange exchange) {
     if (exchange.requestId().isEmpty()) {
       return;
     }
-    Map<String, Object> line = new LinkedHashMap<>();
-    line.put("event", event);
-    line.put("nanos", clock.getAsLong());
-    line.put("request", exchange.requestId());
-    line.put("target", exchange.target().address());
-    line.put("method", exchange.request().getMethod().getMethodString());
-    line.put("bytes", exchange.receivedBytes());
-    history.write(line);
+    history.write(
+        (at, by) ->
+            new HistoryEvent.Run(
+                at,
+                by,
+                exchange.requestId(),
+                exchange.requestClass(),
+                exchange.idempotencyKey(),
+                exchange.target().address(),
+                exchange.receivedDigest()));
+  }
+
+  private void recordRan(Exchange exchange, int status, long length, boolean complete) {
+    if (exchange.requestId().isEmpty()) {
+      return;
+    }
+    BodyPattern pattern = new BodyPattern(exchange.requestId());
+    history.write(
+        (at, by) ->
+            new HistoryEvent.Ran(
+                at,
+                by,
+                exchange.requestId(),
+                exchange.target().address(),
+                status,
+                BodyDigest.of(pattern.bytes(0, Math.toIntExact(length))),
+                length,
+                complete));
   }
 
   private void answer(FilterChainContext context, Exchange exchange, int status, boolean notRun) {
@@ -160,7 +178,6 @@
             .formatted(load.inService(), load.queued(), load.slots()));
     response.setHeader(StandinHeaders.TARGET, exchange.target().address());
     response.setHeader(StandinHeaders.RECEIVED_BYTES, Long.toString(exchange.receivedBytes()));
-    response.setHeader(StandinHeaders.RECEIVED_CHECKSUM, exchange.receivedChecksum());
     if (behaviour.leaving()) {
       response.setHeader("Chivecross-Leaving", "1");
     }
@@ -174,6 +191,9 @@
     boolean broken = behaviour.brokenBody() && length > 1;
     current.remove(connection);
     BodyPattern pattern = new BodyPattern(exchange.requestId());
+    if (!notRun) {
+      recordRan(exchange, status, length, !broken);
+    }
     Runnable whenDone =
         () -> {
           if (broken) {
