--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
@@ -23,18 +23,18 @@
 
   private final Exchange exchange;
   private final Decision.Send order;
-  private final long startedNanos;
   private @Nullable UpstreamConnection upstream;
   private @Nullable HttpRequestPacket packet;
   private @Nullable FilterChainContext parkedReader;
   private boolean requestComplete;
   private boolean headReceived;
+  private boolean suspect;
+  private long sentNanos;
   private boolean over;
 
-  Attempt(Exchange exchange, Decision.Send order, long startedNanos) {
+  Attempt(Exchange exchange, Decision.Send order) {
     this.exchange = exchange;
     this.order = order;
-    this.startedNanos = startedNanos;
   }
 
   Exchange exchange() {
@@ -53,8 +53,18 @@
     return order;
   }
 
-  long startedNanos() {
-    return startedNanos;
+  /** Returns the monotonic time at which the head was written; 0 before that. */
+  long sentNanos() {
+    return sentNanos;
+  }
+
+  /** Returns true once, when no byte of a response came for {@code silenceNanos}. */
+  boolean becomesSuspect(long silenceNanos, long nowNanos) {
+    if (suspect || over || headReceived || packet == null || nowNanos - sentNanos < silenceNanos) {
+      return false;
+    }
+    suspect = true;
+    return true;
   }
 
   boolean isOver() {
@@ -75,9 +85,10 @@
   }
 
   /** Binds the connection on which the request will be sent. */
-  void bind(UpstreamConnection connection, HttpRequestPacket head) {
+  void bind(UpstreamConnection connection, HttpRequestPacket head, long nowNanos) {
     upstream = connection;
     packet = head;
+    sentNanos = nowNanos;
     connection.use(this);
   }
 
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/BodyFlow.java
@@ -0,0 +1,120 @@
+package org.chivecross.cli.entry.http;
+
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.memory.MemoryManager;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Moves the body of a request from the caller's connection to attempts.
+ *
+ * <p>A body that fits is kept whole and can be sent to several attempts. A longer one is streamed
+ * to a single attempt, and the caller's connection is not read while that attempt's connection is
+ * congested. Guarded by the lock of the exchange, except {@link #resume}, which takes it.
+ */
+final class BodyFlow {
+
+  private final Object lock;
+  private final RequestBody body;
+  private final MemoryManager<?> memory;
+  private @Nullable Attempt sink;
+  private @Nullable FilterChainContext parkedReader;
+  private boolean discarding;
+
+  BodyFlow(Object lock, RequestBody body, MemoryManager<?> memory) {
+    this.lock = lock;
+    this.body = body;
+    this.memory = memory;
+  }
+
+  long receivedBytes() {
+    return body.receivedBytes();
+  }
+
+  boolean isComplete() {
+    return body.isComplete();
+  }
+
+  /** Returns whether the body is whole or too long to keep. */
+  boolean isReadyToSend() {
+    return body.isReadyToSend();
+  }
+
+  /** Takes a part that arrived; returns whether more may be read now. */
+  boolean receive(Buffer content, boolean last) {
+    if (body.retain(content, last)) {
+      return body.isComplete() || !body.isReadyToSend();
+    }
+    Attempt target = sink;
+    if (target == null || discarding) {
+      return true;
+    }
+    target.write(content, last);
+    return last || target.canWrite(this::resume);
+  }
+
+  /** Returns whether this body can be sent to another attempt. */
+  boolean isReplayable() {
+    return !body.isStreaming();
+  }
+
+  /**
+   * Sends what was received to an attempt.
+   *
+   * @return whether the body can no longer be sent to another attempt
+   */
+  boolean sendTo(Attempt attempt) {
+    Buffer content = body.retainedContent(memory);
+    boolean whole = body.isComplete();
+    if (!whole) {
+      body.startStreaming();
+      sink = attempt;
+    }
+    attempt.write(content, whole);
+    if (!whole && attempt.canWrite(this::resume)) {
+      resume();
+    }
+    return !whole;
+  }
+
+  /** Returns a copy of a body that is complete and was kept. */
+  byte[] wholeBytes() {
+    Buffer content = body.retainedContent(memory);
+    byte[] bytes = new byte[content.remaining()];
+    content.get(bytes);
+    return bytes;
+  }
+
+  /** Suspends a reader while its bytes can't go on; returns whether it was suspended. */
+  boolean park(FilterChainContext context) {
+    if (discarding || !isCongested()) {
+      return false;
+    }
+    context.suspend();
+    parkedReader = context;
+    return true;
+  }
+
+  /** Drops the rest of the body and lets a suspended reader go on. */
+  void discard() {
+    discarding = true;
+    resume();
+  }
+
+  /** Lets a suspended reader go on. */
+  void resume() {
+    FilterChainContext reader;
+    synchronized (lock) {
+      reader = parkedReader;
+      parkedReader = null;
+    }
+    if (reader != null) {
+      reader.resume(reader.getStopAction());
+    }
+  }
+
+  private boolean isCongested() {
+    Attempt target = sink;
+    return target == null ? body.isReadyToSend() : !target.canWrite(this::resume);
+  }
+}
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerRegistry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerRegistry.java
@@ -41,6 +41,16 @@
     return open.size();
   }
 
+  /** Returns whether any connection has a request that is not answered. */
+  boolean hasExchange() {
+    for (CallerConnection caller : open) {
+      if (caller.current() != null) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Closes connections that have been idle too long or send a head too slowly. */
   void closeIdle(long nowNanos) {
     for (CallerConnection caller : open) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
@@ -77,7 +77,7 @@
 
   /** Answers without an upstream. */
   void answer(LocalResponse answer) {
-    byte[] body = answer.bodyBytes();
+    byte[] body = answer.body();
     packet.setStatus(answer.status());
     answer.headers().forEach(packet::setHeader);
     packet.setContentType(answer.contentType());
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import org.chivecross.logic.request.RequestMachines;
+import org.chivecross.logic.key.OwnerCalls;
+import org.chivecross.logic.request.DefaultRequestMachines;
+import org.chivecross.logic.request.RequestPolicies;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
@@ -23,28 +25,43 @@
   private final UpstreamClient client;
   private final InFlight inFlight = new InFlight();
   private final CallerRegistry callers;
+  private volatile boolean leaving;
 
   /**
    * Creates a data path that is not started.
    *
-   * @param machines creates the machine of each request
+   * @param policies what requests ask on their way
+   * @param owners passes requests to the entries that own their keys
    * @param addresses where the targets listen
    * @param localRoutes paths that this entry answers itself
+   * @param observer learns what became of requests
    * @param settings limits and time-outs
    */
   public DataPath(
-      RequestMachines machines,
+      RequestPolicies policies,
+      OwnerCalls owners,
       UpstreamAddresses addresses,
       LocalRoutes localRoutes,
+      ExchangeObserver observer,
       DataPathSettings settings) {
     client = new UpstreamClient(transport("upstream"), addresses, settings);
     callers = new CallerRegistry(settings);
-    ExchangeServices services = new ExchangeServices(machines, client, inFlight, settings);
+    ExchangeServices services =
+        new ExchangeServices(
+            new DefaultRequestMachines(policies),
+            policies.router(),
+            policies.retries(),
+            owners,
+            client,
+            inFlight,
+            observer,
+            () -> leaving,
+            settings);
     callerTransport = transport("caller");
     callerTransport.setProcessor(
         FilterChainBuilder.stateless()
             .add(new TransportFilter())
-            .add(new StrictServerFilter(settings, callers, System::nanoTime))
+            .add(new StrictServerFilter(settings, callers, observer))
             .add(new CallerFilter(callers, services, localRoutes))
             .build());
   }
@@ -77,6 +94,21 @@
     callerTransport.unbindAll();
   }
 
+  /** From now on each connection of a caller ends with its next answer. */
+  public void startLeaving() {
+    leaving = true;
+  }
+
+  /** Returns whether no request is in flight, so that nothing is cut off by a stop. */
+  public boolean isDrained() {
+    return inFlight.count() == 0 && !callers.hasExchange();
+  }
+
+  /** Returns the number of open connections of callers. */
+  public int callerCount() {
+    return callers.count();
+  }
+
   /** Returns the number of requests in flight. */
   public int inFlightCount() {
     return inFlight.count();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -1,16 +1,18 @@
 package org.chivecross.cli.entry.http;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.chivecross.logic.request.RequestMachine;
+import org.chivecross.logic.routing.Route;
 import org.chivecross.model.failure.Failure;
 import org.chivecross.model.failure.Step;
+import org.chivecross.model.fileset.RequestClass;
+import org.chivecross.model.peer.KeyCall;
 import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.Decision;
 import org.chivecross.model.request.Outcome;
+import org.chivecross.model.request.RequestHead;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.HttpContent;
@@ -33,16 +35,15 @@
   private final HttpRequestPacket request;
   private final CallerResponse response;
   private final RequestMachine machine;
-  private final RequestBody body = new RequestBody();
-  private final List<Attempt> attempts = new ArrayList<>(1);
-  private final long arrivedNanos;
+  private final BodyFlow body;
+  private final ExchangeClock clock;
+  private final AttemptList attempts = new AttemptList();
   private volatile long wakeNanos = Long.MAX_VALUE;
   private @Nullable Attempt relayed;
-  private @Nullable Attempt bodySink;
-  private @Nullable FilterChainContext parkedBody;
   private boolean started;
   private boolean callerCongested;
   private boolean over;
+  private Optional<Route> route = Optional.empty();
 
   Exchange(
       ExchangeServices services,
@@ -54,7 +55,13 @@
     this.request = request;
     response = new CallerResponse(caller.connection(), request);
     machine = services.machines().create();
-    arrivedNanos = nowNanos;
+    clock = new ExchangeClock(nowNanos);
+    boolean keyed = RequestHeads.idempotencyKey(request).isPresent();
+    int retained = keyed ? KeyCall.MAX_BODY_BYTES : RequestBody.RETAINED_BYTES;
+    body = new BodyFlow(lock, new RequestBody(retained), caller.connection().getMemoryManager());
+    if (services.leaving().getAsBoolean()) {
+      response.closeAfterwards();
+    }
   }
 
   Object lock() {
@@ -86,34 +93,19 @@
         refuse(413, "body is larger than " + services.settings().maxBodyBytes() + " bytes");
         return true;
       }
-      boolean last = content.isLast();
-      if (!body.retain(buffer, last)) {
-        Attempt sink = bodySink;
-        if (sink == null) {
-          return true;
-        }
-        sink.write(buffer, last);
-        return last || sink.canWrite(this::resumeBody);
-      }
+      boolean more = body.receive(buffer, content.isLast());
       if (!started && body.isReadyToSend()) {
         started = true;
         start();
       }
-      return over || body.isComplete() || !body.isReadyToSend() || body.isStreaming();
+      return over || more;
     }
   }
 
   @Override
   public boolean parkReader(FilterChainContext context) {
     synchronized (lock) {
-      Attempt sink = bodySink;
-      boolean congested = sink == null ? !body.isStreaming() : !sink.canWrite(this::resumeBody);
-      if (over || !congested) {
-        return false;
-      }
-      context.suspend();
-      parkedBody = context;
-      return true;
+      return !over && body.park(context);
     }
   }
 
@@ -133,6 +125,7 @@
         return;
       }
       carryOut(machine.timer(nowNanos), nowNanos);
+      route.ifPresent(known -> attempts.closeSuspects(services, known, nowNanos));
     }
   }
 
@@ -150,7 +143,7 @@
       if (started) {
         machine.cancelled(System.nanoTime());
       }
-      finish();
+      finish(0, attempts.isAnySent() ? Outcome.UNKNOWN : Outcome.NOT_RUN);
     }
   }
 
@@ -172,6 +165,7 @@
             machine.responseHead(attempt.number(), ResponseHeads.toDecisionHead(head), now);
         carryOut(decision, now);
         if (!over && relayed == attempt) {
+          clock.headRead(attempt.sentNanos(), now);
           if (!body.isComplete()) {
             response.closeAfterwards();
           }
@@ -197,9 +191,12 @@
 
   private void start() {
     long now = System.nanoTime();
-    long elapsed = TimeUnit.NANOSECONDS.toMillis(now - arrivedNanos);
+    clock.ready(now);
+    long elapsed = TimeUnit.NANOSECONDS.toMillis(now - clock.arrivedNanos());
+    RequestHead head = RequestHeads.toDecisionHead(request, elapsed);
+    route = services.router().route(head.method(), head.host(), head.path());
     services.inFlight().add(this);
-    carryOut(machine.arrived(RequestHeads.toDecisionHead(request, elapsed), now), now);
+    carryOut(machine.arrived(head, now), now);
   }
 
   /** Answers without the machine; says that nothing ran only if no attempt was ever sent. */
@@ -209,18 +206,17 @@
         return;
       }
       if (relayed != null) {
-        response.abort();
-        finish();
+        abort();
         return;
       }
-      boolean sent = attempts.stream().anyMatch(Attempt::isSent);
+      Outcome outcome = attempts.isAnySent() ? Outcome.UNKNOWN : Outcome.NOT_RUN;
       if (started) {
         machine.cancelled(System.nanoTime());
       }
       response.closeAfterwards();
       String peer = RequestHeads.callerAddress(caller.connection());
       Failure failure = new Failure(Step.ACCEPT, peer, detail);
-      answer(status, sent ? Outcome.UNKNOWN : Outcome.NOT_RUN, failure, OptionalLong.empty());
+      answer(ProblemAnswers.of(status, outcome, failure, OptionalLong.empty()), outcome);
     }
   }
 
@@ -230,7 +226,7 @@
       attempt.responseEnded(head);
       over = true;
       response.write(content.getContent(), true);
-      finish();
+      finish(head.getStatus(), Outcome.ANSWERED);
       return true;
     }
     response.write(content.getContent(), false);
@@ -251,9 +247,6 @@
 
   private void failed(Attempt attempt, ConnectionFault fault, long now) {
     attempt.abandon();
-    if (fault == ConnectionFault.SILENT) {
-      services.client().closeSuspects(attempt.target(), now);
-    }
     carryOut(machine.connectionFailed(attempt.number(), fault, now), now);
   }
 
@@ -264,15 +257,13 @@
     if (decision instanceof Decision.Send send) {
       send(send, now);
     } else if (decision instanceof Decision.Relay relay) {
-      chooseRelayed(relay.attempt());
+      relayed = attempts.keepOnly(relay.attempt());
     } else if (decision instanceof Decision.Answer answer) {
-      answer(answer.status(), answer.outcome(), answer.failure(), answer.retryAfterMillis());
+      answer(problem(answer), answer.outcome());
     } else if (decision instanceof Decision.Abort) {
-      over = true;
-      response.abort();
-      finish();
+      abort();
     } else if (decision instanceof Decision.Finish) {
-      finish();
+      finish(0, Outcome.UNKNOWN);
     } else if (decision instanceof Decision.PassToOwner pass) {
       passToOwner(pass.ownerIncarnation());
     }
@@ -280,7 +271,8 @@
   }
 
   private void send(Decision.Send send, long now) {
-    Attempt attempt = new Attempt(this, send, now);
+    clock.attemptDecided(now);
+    Attempt attempt = new Attempt(this, send);
     attempts.add(attempt);
     services.client().acquire(send.target(), send.kind(), now, new SendWhenAcquired(attempt));
   }
@@ -291,7 +283,7 @@
       connection.pool().release(connection);
       return;
     }
-    if (!machine.sending(attempt.number(), now)) {
+    if (!body.isReplayable() || !machine.sending(attempt.number(), now)) {
       connection.pool().release(connection);
       attempt.abandon();
       carryOut(machine.timer(now), now);
@@ -299,76 +291,85 @@
     }
     long remaining = TimeUnit.NANOSECONDS.toMillis(attempt.order().deadlineNanos() - now);
     attempt.bind(
-        connection, RequestHeads.toUpstream(request, caller.connection(), Math.max(1, remaining)));
-    Buffer content = body.retainedContent(caller.connection().getMemoryManager());
-    boolean whole = body.isComplete() && !body.isStreaming();
-    if (!whole) {
-      body.startStreaming();
-      bodySink = attempt;
+        connection,
+        RequestHeads.toUpstream(request, caller.connection(), Math.max(1, remaining)),
+        now);
+    if (body.sendTo(attempt) || isUploadWithBody()) {
       machine.bodySent(now);
     }
-    attempt.write(content, whole);
-    if (!whole && attempt.canWrite(this::resumeBody)) {
-      resumeBody();
-    }
     wakeNanos = machine.nextTimerNanos();
   }
 
-  private void chooseRelayed(int number) {
-    for (Attempt attempt : attempts) {
-      if (attempt.number() == number) {
-        relayed = attempt;
-      } else {
-        attempt.abandon();
-      }
-    }
+  private boolean isUploadWithBody() {
+    return body.receivedBytes() > 0
+        && route.isPresent()
+        && route.get().requestClass() == RequestClass.UPLOAD;
   }
 
-  private void answer(int status, Outcome outcome, Failure failure, OptionalLong retryAfterMillis) {
+  private LocalResponse problem(Decision.Answer answer) {
+    Failure failure = services.client().withAddress(answer.failure());
+    return ProblemAnswers.of(answer.status(), answer.outcome(), failure, answer.retryAfterMillis());
+  }
+
+  private void answer(LocalResponse answer, Outcome outcome) {
     if (!body.isComplete()) {
       response.closeAfterwards();
     }
     over = true;
-    response.answer(ProblemAnswers.of(status, outcome, failure, retryAfterMillis));
-    finish();
+    response.answer(answer);
+    finish(answer.status(), outcome);
+  }
+
+  private void abort() {
+    over = true;
+    response.abort();
+    finish(0, Outcome.UNKNOWN);
+  }
+
+  private void passToOwner(long incarnation) {
+    String owner = "entry " + Long.toHexString(incarnation);
+    String key = RequestHeads.idempotencyKey(request).orElse("");
+    if (!body.isComplete()) {
+      Failure failure = new Failure(Step.KEY_LOOKUP, owner, "body is too long to be passed");
+      answer(
+          ProblemAnswers.of(413, Outcome.NOT_RUN, failure, OptionalLong.empty()), Outcome.NOT_RUN);
+      return;
+    }
+    long now = System.nanoTime();
+    long remaining = RequestHeads.remainingMillis(request, route, clock.arrivedNanos(), now);
+    services
+        .owners()
+        .call(
+            incarnation,
+            OwnerPass.toCall(request, key, body.wholeBytes()),
+            remaining,
+            result -> ownerAnswered(OwnerPass.toAnswer(result, owner)));
   }
 
-  private void passToOwner(long owner) {
-    Failure failure =
-        new Failure(Step.KEY_LOOKUP, Long.toHexString(owner), "the owner can't be reached");
-    answer(503, Outcome.UNKNOWN, failure, OptionalLong.empty());
+  private void ownerAnswered(LocalResponse answer) {
+    synchronized (lock) {
+      if (!over) {
+        String told = answer.headers().get("Chivecross-Outcome");
+        answer(answer, told == null ? Outcome.ANSWERED : Outcome.UNKNOWN);
+      }
+    }
   }
 
-  private void finish() {
+  private void finish(int status, Outcome outcome) {
     over = true;
     wakeNanos = Long.MAX_VALUE;
     services.inFlight().remove(this);
-    for (Attempt attempt : attempts) {
-      attempt.abandon();
-    }
+    attempts.abandonAll();
     callerCongested = false;
-    FilterChainContext reader = parkedBody;
-    parkedBody = null;
-    FilterChainContext next = caller.end(System.nanoTime());
-    if (reader != null) {
-      reader.resume(reader.getStopAction());
-    }
+    long now = System.nanoTime();
+    services.observer().ended(clock.summary(route, status, outcome, attempts.size(), now));
+    FilterChainContext next = caller.end(now);
+    body.discard();
     if (next != null) {
       next.resume();
     }
   }
 
-  private void resumeBody() {
-    FilterChainContext reader;
-    synchronized (lock) {
-      reader = parkedBody;
-      parkedBody = null;
-    }
-    if (reader != null) {
-      reader.resume(reader.getStopAction());
-    }
-  }
-
   private void callerWritable() {
     FilterChainContext reader;
     synchronized (lock) {
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ExchangeClock.java
@@ -0,0 +1,56 @@
+package org.chivecross.cli.entry.http;
+
+import java.util.Optional;
+import org.chivecross.logic.routing.Route;
+import org.chivecross.model.request.Outcome;
+
+/** Times of one exchange, in monotonic nanoseconds. Guarded by the lock of the exchange. */
+final class ExchangeClock {
+
+  private final long arrivedNanos;
+  private long readyNanos;
+  private long firstSendNanos;
+  private long sentNanos;
+  private long headNanos;
+
+  ExchangeClock(long arrivedNanos) {
+    this.arrivedNanos = arrivedNanos;
+    readyNanos = arrivedNanos;
+  }
+
+  long arrivedNanos() {
+    return arrivedNanos;
+  }
+
+  /** Head and body are there as far as needed; the decisions begin. */
+  void ready(long nowNanos) {
+    readyNanos = nowNanos;
+  }
+
+  /** An attempt was decided. */
+  void attemptDecided(long nowNanos) {
+    if (firstSendNanos == 0) {
+      firstSendNanos = nowNanos;
+    }
+  }
+
+  /** The head of the answer that is relayed was read. */
+  void headRead(long attemptSentNanos, long nowNanos) {
+    sentNanos = attemptSentNanos;
+    headNanos = nowNanos;
+  }
+
+  ExchangeSummary summary(
+      Optional<Route> route, int status, Outcome outcome, int attempts, long nowNanos) {
+    long upstream = headNanos - sentNanos;
+    return new ExchangeSummary(
+        route,
+        status,
+        outcome,
+        attempts,
+        nowNanos - arrivedNanos,
+        firstSendNanos == 0 ? 0 : firstSendNanos - readyNanos,
+        upstream,
+        headNanos == 0 ? 0 : headNanos - readyNanos - upstream);
+  }
+}
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ExchangeObserver.java
@@ -0,0 +1,14 @@
+package org.chivecross.cli.entry.http;
+
+/** Learns what became of requests. Implementations are safe for use by many threads. */
+public interface ExchangeObserver {
+
+  /** A request is over. */
+  void ended(ExchangeSummary summary);
+
+  /** A connection to a target was found silent; {@code closed} idle neighbours were closed too. */
+  void foundSilent(int closed);
+
+  /** A request head was refused. */
+  void headRefused(int status);
+}
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/HopHeaders.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/HopHeaders.java
@@ -12,7 +12,8 @@
   /** Prefix of the headers between callers, entries and upstreams. */
   static final String OWN_PREFIX = "chivecross-";
 
-  private static final Set<String> HOP_BY_HOP =
+  /** Lower-case names that are never forwarded. */
+  static final Set<String> HOP_BY_HOP =
       Set.of(
           "connection",
           "keep-alive",
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
@@ -47,7 +47,7 @@
   public void bodyBroken() {
     response.closeAfterwards();
     answer(
-        new LocalResponse(400, Map.of(), "application/json", "{\"error\":\"malformed body\"}\n"));
+        LocalResponse.text(400, Map.of(), "application/json", "{\"error\":\"malformed body\"}\n"));
   }
 
   @Override
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalRoutes.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalRoutes.java
@@ -27,6 +27,6 @@
   private static void notFound(
       LocalRequest request, java.util.function.Consumer<LocalResponse> responder) {
     responder.accept(
-        new LocalResponse(404, Map.of(), "application/json", "{\"error\":\"no such path\"}\n"));
+        LocalResponse.text(404, Map.of(), "application/json", "{\"error\":\"no such path\"}\n"));
   }
 }
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/OwnerPass.java
@@ -0,0 +1,72 @@
+package org.chivecross.cli.entry.http;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.chivecross.model.failure.Failure;
+import org.chivecross.model.failure.Result;
+import org.chivecross.model.failure.Step;
+import org.chivecross.model.peer.HeaderField;
+import org.chivecross.model.peer.KeyAnswer;
+import org.chivecross.model.peer.KeyCall;
+import org.chivecross.model.peer.KeyOperation;
+import org.chivecross.model.request.Outcome;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.util.MimeHeaders;
+
+/** Translates requests and answers that go to the owner of an idempotency key. Stateless. */
+final class OwnerPass {
+
+  private static final int UNAVAILABLE = 503;
+  private static final long RETRY_AFTER_MILLIS = 1_000;
+
+  private OwnerPass() {}
+
+  /** Builds the call that runs a request at the owner of its key. */
+  static KeyCall toCall(HttpRequestPacket request, String key, byte[] body) {
+    MimeHeaders headers = request.getHeaders();
+    Set<String> hop = HopHeaders.of(headers);
+    List<HeaderField> fields = new ArrayList<>();
+    for (int i = 0; i < headers.size(); i++) {
+      String name = headers.getName(i).toString();
+      if (!hop.contains(name)) {
+        fields.add(new HeaderField(name, headers.getValue(i).toString()));
+      }
+    }
+    String query = request.getQueryString();
+    String target = request.getRequestURI() + (query == null ? "" : "?" + query);
+    return new KeyCall(
+        KeyOperation.RUN, key, request.getMethodDC().toString(), target, fields, body);
+  }
+
+  /**
+   * Returns the answer for the caller. An owner that can't be reached may have run an earlier copy
+   * of the request, so nothing is known then.
+   */
+  static LocalResponse toAnswer(Result<KeyAnswer> result, String owner) {
+    if (result instanceof Result.Success<KeyAnswer> success) {
+      return relayed(success.value());
+    }
+    Failure cause = ((Result.Failed<KeyAnswer>) result).failures().get(0);
+    Failure failure = new Failure(Step.KEY_LOOKUP, owner, cause.toString());
+    return ProblemAnswers.of(
+        UNAVAILABLE, Outcome.UNKNOWN, failure, OptionalLong.of(RETRY_AFTER_MILLIS));
+  }
+
+  private static LocalResponse relayed(KeyAnswer answer) {
+    Map<String, String> headers = new LinkedHashMap<>();
+    String contentType = "application/octet-stream";
+    for (HeaderField field : answer.headers()) {
+      String name = field.name().toLowerCase(java.util.Locale.ROOT);
+      if (name.equals("content-type")) {
+        contentType = field.value();
+      } else if (!HopHeaders.HOP_BY_HOP.contains(name)) {
+        headers.merge(field.name(), field.value(), (one, other) -> one + ", " + other);
+      }
+    }
+    return new LocalResponse(answer.status(), headers, contentType, answer.body());
+  }
+}
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ProblemAnswers.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ProblemAnswers.java
@@ -41,7 +41,7 @@
       body.append(",\"retryAfterMs\":").append(millis);
     }
     body.append("}\n");
-    return new LocalResponse(status, headers, "application/problem+json", body.toString());
+    return LocalResponse.text(status, headers, "application/problem+json", body.toString());
   }
 
   private static String escape(String text) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestBody.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestBody.java
@@ -9,20 +9,27 @@
 /**
  * Body of a request on its way.
  *
- * <p>Up to {@link #RETAINED_BYTES} are kept, so that a small body can be sent again. A longer body
- * is streamed to one attempt and never kept whole. Guarded by the lock of the exchange.
+ * <p>Up to a limit, usually {@link #RETAINED_BYTES}, bytes are kept, so that a small body can be
+ * sent again. A longer body is streamed to one attempt and never kept whole. Guarded by the lock of
+ * the exchange.
  */
 final class RequestBody {
 
-  /** Most bytes of a body that are kept, and so the most that can be sent again. */
+  /** Bytes of a body that are kept, and so the most that can be sent again. */
   static final int RETAINED_BYTES = 64 * 1024;
 
+  private final int limit;
   private final List<Buffer> retained = new ArrayList<>(1);
   private int retainedBytes;
   private long receivedBytes;
   private boolean complete;
   private boolean streaming;
 
+  /** Creates an empty body of which at most about {@code limit} bytes are kept. */
+  RequestBody(int limit) {
+    this.limit = limit;
+  }
+
   /** Adds what the caller sent; returns false when it must be streamed instead of kept. */
   boolean retain(Buffer content, boolean last) {
     receivedBytes += content.remaining();
@@ -40,7 +47,7 @@
 
   /** Returns whether enough is known to start: the body is whole or too long to keep. */
   boolean isReadyToSend() {
-    return complete || retainedBytes >= RETAINED_BYTES;
+    return complete || retainedBytes >= limit;
   }
 
   boolean isComplete() {
@@ -55,10 +62,6 @@
     return receivedBytes;
   }
 
-  boolean isEmpty() {
-    return receivedBytes == 0;
-  }
-
   /** Returns what was kept, as one buffer that the reader may consume. */
   Buffer retainedContent(MemoryManager<?> memory) {
     if (retained.isEmpty()) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestHeads.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestHeads.java
@@ -4,6 +4,8 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.chivecross.logic.routing.Route;
 import org.chivecross.model.request.RequestHead;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.HttpRequestPacket;
@@ -36,10 +38,24 @@
         request.getRequestURI(),
         deadline,
         depth,
-        Optional.ofNullable(headers.getHeader(IDEMPOTENCY_KEY)),
+        idempotencyKey(request),
         hasBody(request));
   }
 
+  /** Returns the idempotency key of a request. */
+  static Optional<String> idempotencyKey(HttpRequestPacket request) {
+    return Optional.ofNullable(request.getHeaders().getHeader(IDEMPOTENCY_KEY));
+  }
+
+  /** Returns the time left of a request, in ms, from its own deadline or that of its route. */
+  static long remainingMillis(
+      HttpRequestPacket request, Optional<Route> route, long arrivedNanos, long nowNanos) {
+    long whole =
+        parseLong(request.getHeaders().getHeader(DEADLINE))
+            .orElse(route.map(Route::deadlineMillis).orElse(0L));
+    return Math.max(0, whole - TimeUnit.NANOSECONDS.toMillis(nowNanos - arrivedNanos));
+  }
+
   /** Returns whether a body follows the head. */
   static boolean hasBody(HttpRequestPacket request) {
     return request.isChunked() || request.getContentLength() > 0;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/StrictServerFilter.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/StrictServerFilter.java
@@ -1,7 +1,6 @@
 package org.chivecross.cli.entry.http;
 
 import java.util.OptionalLong;
-import java.util.function.LongSupplier;
 import org.chivecross.model.failure.Failure;
 import org.chivecross.model.failure.Step;
 import org.chivecross.model.request.Outcome;
@@ -29,9 +28,9 @@
 
   private final RequestHeadGuard guard;
   private final CallerRegistry callers;
-  private final LongSupplier clock;
+  private final ExchangeObserver observer;
 
-  StrictServerFilter(DataPathSettings settings, CallerRegistry callers, LongSupplier clock) {
+  StrictServerFilter(DataPathSettings settings, CallerRegistry callers, ExchangeObserver observer) {
     super(
         true,
         2 * settings.maxHeadBytes(),
@@ -41,7 +40,7 @@
         2 * settings.maxHeaders(),
         2 * settings.maxHeaders());
     this.callers = callers;
-    this.clock = clock;
+    this.observer = observer;
     guard = new RequestHeadGuard(settings);
     StrictChunkedEncoding.install(this, settings.maxHeadBytes());
     setAllowPayloadForUndefinedHttpMethods(true);
@@ -65,7 +64,7 @@
     }
     try {
       if (!guard.check(bytes, from, from + input.remaining())) {
-        callers.of(context.getConnection()).ifPresent(c -> c.headIncomplete(clock.getAsLong()));
+        callers.of(context.getConnection()).ifPresent(c -> c.headIncomplete(System.nanoTime()));
       }
     } catch (HeadRefusal refusal) {
       ((HttpRequestPacket) parsing).setAttribute(REFUSAL, refusal);
@@ -91,11 +90,12 @@
     HeadRefusal refusal = (HeadRefusal) response.getRequest().getAttribute(REFUSAL);
     int status = refusal == null ? Math.max(BAD_REQUEST, response.getStatus()) : refusal.status();
     String detail = refusal == null ? "malformed request" : String.valueOf(refusal.getMessage());
+    observer.headRefused(status);
     String peer = RequestHeads.callerAddress(response.getRequest().getConnection());
     LocalResponse answer =
         ProblemAnswers.of(
             status, Outcome.NOT_RUN, new Failure(Step.ACCEPT, peer, detail), OptionalLong.empty());
-    byte[] body = answer.bodyBytes();
+    byte[] body = answer.body();
     response.setStatus(status);
     answer.headers().forEach(response::setHeader);
     response.setHeader("Connection", "close");
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.chivecross.model.failure.Failure;
 import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.ConnectionKind;
 import org.glassfish.grizzly.Connection;
@@ -32,6 +33,8 @@
     void failed(ConnectionFault fault);
   }
 
+  private static final String TARGET_PEER = "target ";
+
   private final TCPNIOTransport transport;
   private final UpstreamAddresses addresses;
   private final DataPathSettings settings;
@@ -97,6 +100,20 @@
     all.forEach(pool -> pool.closeIdle(idleNanos, nowNanos));
   }
 
+  /** Returns a failure that names a target by its address instead of its row. */
+  Failure withAddress(Failure failure) {
+    if (!failure.peer().startsWith(TARGET_PEER)) {
+      return failure;
+    }
+    int target = Integer.parseInt(failure.peer().substring(TARGET_PEER.length()));
+    String peer =
+        addresses
+            .address(target)
+            .map(address -> address.getHostString() + ":" + address.getPort())
+            .orElse(failure.peer());
+    return new Failure(failure.step(), peer, failure.detail());
+  }
+
   private UpstreamPool poolOf(InetSocketAddress address) {
     return pools.computeIfAbsent(
         address,
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/metrics/EntryMetrics.java
@@ -0,0 +1,164 @@
+package org.chivecross.cli.entry.metrics;
+
+import io.prometheus.metrics.core.datapoints.CounterDataPoint;
+import io.prometheus.metrics.core.datapoints.DistributionDataPoint;
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.IntFunction;
+import java.util.function.IntSupplier;
+import org.chivecross.cli.entry.http.ExchangeObserver;
+import org.chivecross.cli.entry.http.ExchangeSummary;
+import org.chivecross.logic.routing.Route;
+import org.chivecross.model.request.Outcome;
+
+/** Metrics of the data path, per tenant and class. Safe for use by many threads. */
+public final class EntryMetrics implements ExchangeObserver {
+
+  private static final double SECONDS_PER_NANO = 1e-9;
+  private static final String NO_TENANT = "";
+  private static final String NO_CLASS = "";
+
+  /** Upper bounds of latency buckets, in s: 0.1 ms to 30 s. */
+  private static final double[] LATENCY_BOUNDS = {
+    0.0001, 0.0002, 0.0005, 0.001, 0.002, 0.003, 0.005, 0.0075, 0.01, 0.015, 0.02, 0.03, 0.05,
+    0.075, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30
+  };
+
+  private final PrometheusRegistry registry;
+  private final IntFunction<Optional<String>> tenantOfService;
+  private final Histogram request;
+  private final Histogram upstream;
+  private final Histogram queueWait;
+  private final Histogram added;
+  private final Counter requests;
+  private final Counter attempts;
+  private final Counter silentConnections;
+  private final Counter suspectsClosed;
+  private final Counter refusedHeads;
+  private final Map<Key, Points> points = new ConcurrentHashMap<>();
+
+  /**
+   * Creates the metrics and registers them.
+   *
+   * @param registry registry that is served
+   * @param tenantOfService name of the tenant that owns a service row
+   */
+  public EntryMetrics(PrometheusRegistry registry, IntFunction<Optional<String>> tenantOfService) {
+    this.registry = registry;
+    this.tenantOfService = tenantOfService;
+    request = histogram("chivecross_request_seconds", "From the head to the end of the answer");
+    upstream = histogram("chivecross_upstream_seconds", "From sending to the response head");
+    queueWait = histogram("chivecross_queue_wait_seconds", "From readiness to the first attempt");
+    added = histogram("chivecross_added_seconds", "Time to the response head spent in this entry");
+    requests =
+        counter("chivecross_requests", "Requests that are over", "tenant", "class", "outcome");
+    attempts = counter("chivecross_attempts", "Attempts at targets", "tenant", "class");
+    silentConnections = counter("chivecross_silent_connections", "Connections found silent");
+    suspectsClosed =
+        counter("chivecross_suspects_closed", "Idle connections closed beside a silent one");
+    refusedHeads = counter("chivecross_refused_heads", "Malformed requests", "status");
+  }
+
+  /** Adds a gauge whose value is read when the metrics are written. */
+  public void gauge(String name, String help, IntSupplier value) {
+    GaugeWithCallback.builder()
+        .name(name)
+        .help(help)
+        .callback(callback -> callback.call(value.getAsInt()))
+        .register(registry);
+  }
+
+  @Override
+  public void ended(ExchangeSummary summary) {
+    Points point = points.computeIfAbsent(keyOf(summary.route()), Points::new);
+    point.request.observe(summary.totalNanos() * SECONDS_PER_NANO);
+    point.outcomes[summary.outcome().ordinal()].inc();
+    if (summary.attempts() > 0) {
+      point.attempts.inc(summary.attempts());
+      point.queueWait.observe(summary.queueNanos() * SECONDS_PER_NANO);
+    }
+    if (summary.upstreamNanos() > 0) {
+      point.upstream.observe(summary.upstreamNanos() * SECONDS_PER_NANO);
+      point.added.observe(summary.addedNanos() * SECONDS_PER_NANO);
+    }
+  }
+
+  @Override
+  public void foundSilent(int closed) {
+    silentConnections.inc();
+    suspectsClosed.inc(closed);
+  }
+
+  @Override
+  public void headRefused(int status) {
+    refusedHeads.labelValues(Integer.toString(status)).inc();
+  }
+
+  /**
+   * Writes all metrics in the text form of Prometheus.
+   *
+   * @throws IOException if {@code out} fails
+   */
+  public void write(OutputStream out) throws IOException {
+    new PrometheusTextFormatWriter(true).write(out, registry.scrape());
+  }
+
+  private Key keyOf(Optional<Route> route) {
+    if (route.isEmpty()) {
+      return new Key(NO_TENANT, NO_CLASS);
+    }
+    return new Key(
+        tenantOfService.apply(route.get().service()).orElse(NO_TENANT),
+        route.get().requestClass().name());
+  }
+
+  private Histogram histogram(String name, String help) {
+    return Histogram.builder()
+        .name(name)
+        .help(help)
+        .labelNames("tenant", "class")
+        .classicOnly()
+        .classicUpperBounds(LATENCY_BOUNDS)
+        .register(registry);
+  }
+
+  private Counter counter(String name, String help, String... labels) {
+    return Counter.builder().name(name).help(help).labelNames(labels).register(registry);
+  }
+
+  /** Labels of a group of requests. */
+  private record Key(String tenant, String requestClass) {}
+
+  /** Data points of one group, looked up once. Safe for use by many threads. */
+  private final class Points {
+
+    private final DistributionDataPoint request;
+    private final DistributionDataPoint upstream;
+    private final DistributionDataPoint queueWait;
+    private final DistributionDataPoint added;
+    private final CounterDataPoint attempts;
+    private final CounterDataPoint[] outcomes = new CounterDataPoint[Outcome.values().length];
+
+    Points(Key key) {
+      String requestClass = key.requestClass().toLowerCase(Locale.ROOT);
+      request = EntryMetrics.this.request.labelValues(key.tenant(), requestClass);
+      upstream = EntryMetrics.this.upstream.labelValues(key.tenant(), requestClass);
+      queueWait = EntryMetrics.this.queueWait.labelValues(key.tenant(), requestClass);
+      added = EntryMetrics.this.added.labelValues(key.tenant(), requestClass);
+      attempts = EntryMetrics.this.attempts.labelValues(key.tenant(), requestClass);
+      for (Outcome outcome : Outcome.values()) {
+        outcomes[outcome.ordinal()] =
+            requests.labelValues(key.tenant(), requestClass, outcome.headerValue());
+      }
+    }
+  }
+}
