--- a/chivecross-core/src/main/java/org/chivecross/model/failure/Step.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/failure/Step.java
@@ -16,5 +16,6 @@
   PEER_MESSAGE,
   PLATFORM_READ,
   PROBE,
+  ADMINISTRATION,
   SHUTDOWN
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryPreferences.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryPreferences.java
@@ -1,7 +1,9 @@
 package org.chivecross.cli.entry;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import org.chivecross.cli.entry.admin.AdminSettings;
 import org.chivecross.cli.entry.http.DataPathSettings;
 import org.chivecross.model.failure.Failure;
 import org.chivecross.model.failure.Result;
@@ -13,18 +15,41 @@
  * @param listen address for callers
  * @param files directory of the file set
  * @param dataPath limits and time-outs of the data path
+ * @param admin settings of the administration API
  */
-record EntryPreferences(InetSocketAddress listen, Path files, DataPathSettings dataPath) {
+record EntryPreferences(
+    InetSocketAddress listen, Path files, DataPathSettings dataPath, AdminSettings admin) {
 
   private static final int MAX_PORT = 65535;
+  private static final int DEFAULT_ADMIN_PORT = 8001;
 
   /** Checks the flags. */
   static Result<EntryPreferences> of(EntryOptions options) {
     return parseAddress("--listen", options.listen())
         .flatMap(
             listen ->
-                Result.success(
-                    new EntryPreferences(listen, options.files(), DataPathSettings.defaults())));
+                admin(options, listen)
+                    .flatMap(
+                        admin ->
+                            Result.success(
+                                new EntryPreferences(
+                                    listen, options.files(), DataPathSettings.defaults(), admin))));
+  }
+
+  private static Result<AdminSettings> admin(EntryOptions options, InetSocketAddress listen) {
+    Result<InetSocketAddress> address =
+        options.adminListen().isEmpty()
+            ? Result.success(defaultAdminAddress(listen))
+            : parseAddress("--admin-listen", options.adminListen());
+    return address.flatMap(listenAdmin -> AdminSettings.of(listenAdmin, options.adminToken()));
+  }
+
+  private static InetSocketAddress defaultAdminAddress(InetSocketAddress listen) {
+    int port = listen.getPort() == 0 ? 0 : DEFAULT_ADMIN_PORT;
+    InetAddress host = listen.getAddress();
+    return host != null && host.isLoopbackAddress()
+        ? new InetSocketAddress(host, port)
+        : new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
   }
 
   private static Result<InetSocketAddress> parseAddress(String flag, String text) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
@@ -1,11 +1,17 @@
 package org.chivecross.cli.entry;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
+import org.chivecross.cli.entry.admin.AdminServer;
+import org.chivecross.cli.entry.admin.AdminViews;
+import org.chivecross.cli.entry.admin.ConfigStatus;
+import org.chivecross.cli.entry.admin.ReadinessStatus;
 import org.chivecross.cli.entry.http.DataPath;
 import org.chivecross.cli.entry.http.LocalHandler;
 import org.chivecross.cli.entry.http.LocalResponse;
@@ -13,9 +19,11 @@
 import org.chivecross.logic.engine.BalancerEngine;
 import org.chivecross.logic.engine.EnginePreferences;
 import org.chivecross.logic.fileset.FileSetParser;
+import org.chivecross.logic.key.KeyRegistry;
 import org.chivecross.logic.request.DefaultRequestMachines;
 import org.chivecross.model.failure.Result;
 import org.chivecross.model.fileset.FileSet;
+import org.chivecross.model.manifest.ConfigVersion;
 import org.tinylog.Logger;
 
 /** All parts of one running entry. {@link #start} and {@link #stop} are called once each. */
@@ -29,10 +37,16 @@
   private final BalancerEngine engine;
   private final DataPath dataPath;
   private final EntryTicker ticker;
+  private final AdminServer admin;
   private final CountDownLatch stopped = new CountDownLatch(1);
 
   private EntryProcess(
-      EntryPreferences preferences, BalancerEngine engine, DataPath dataPath, EntryTicker ticker) {
+      EntryPreferences preferences,
+      BalancerEngine engine,
+      DataPath dataPath,
+      EntryTicker ticker,
+      AdminServer admin) {
+    this.admin = admin;
     this.preferences = preferences;
     this.engine = engine;
     this.dataPath = dataPath;
@@ -59,11 +73,13 @@
     ticker.every(IDLE_PERIOD_MILLIS, List.of(dataPath::closeIdle));
     InetSocketAddress address = dataPath.start(preferences.listen());
     Logger.info("serving callers at {}", address);
+    Logger.info("serving the administration API at {}", admin.start());
   }
 
   /** Stops at once. */
   void stop() {
     ticker.stop();
+    admin.stop();
     try {
       dataPath.stop();
     } catch (IOException e) {
@@ -85,15 +101,31 @@
     engine.apply(set, System.nanoTime());
     EngineAddresses addresses = new EngineAddresses(engine);
     addresses.apply(set);
+    NoKeys keys = new NoKeys();
     LocalRoutes routes =
         new LocalRoutes(Map.of("/chivecross/entries", directory(preferences, set)));
     DataPath dataPath =
         new DataPath(
-            new DefaultRequestMachines(engine.policies(new NoKeys())),
+            new DefaultRequestMachines(engine.policies(keys)),
             addresses,
             routes,
             preferences.dataPath());
-    return new EntryProcess(preferences, engine, dataPath, new EntryTicker());
+    AdminServer admin = new AdminServer(preferences.admin(), adminViews(engine, set, keys));
+    return new EntryProcess(preferences, engine, dataPath, new EntryTicker(), admin);
+  }
+
+  private static AdminViews adminViews(BalancerEngine engine, FileSet set, KeyRegistry keys) {
+    ConfigStatus config =
+        new ConfigStatus(
+            set.deployment().name(),
+            ConfigVersion.NONE.toString(),
+            Instant.now().toString(),
+            set.services().size(),
+            engine.targetStatuses(System.nanoTime()).size(),
+            null);
+    PrometheusRegistry metrics = new PrometheusRegistry();
+    return new EntryAdminViews(engine, () -> set, keys, metrics, System::nanoTime)
+        .views(() -> ReadinessStatus.of(List.of()), () -> config, List::of, List::of);
   }
 
   private static LocalHandler directory(EntryPreferences preferences, FileSet set) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/admin/AdminRoutes.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/admin/AdminRoutes.java
@@ -9,8 +9,10 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Supplier;
+import org.chivecross.cli.log.FailureLog;
+import org.chivecross.model.failure.Failure;
 import org.chivecross.model.failure.Result;
-import org.tinylog.Logger;
+import org.chivecross.model.failure.Step;
 
 /**
  * Answers requests to the administration API from views. It changes nothing; an answer is built
@@ -80,7 +82,8 @@
           ? problem(NOT_FOUND, "Not Found", "no such path")
           : route.answer(request);
     } catch (IOException | RuntimeException e) {
-      Logger.error(e, "administration API failed at {}", request.path());
+      FailureLog.error(
+          new Failure(Step.ADMINISTRATION, Failure.LOCAL, "no answer to " + request.path()), e);
       return problem(SERVER_ERROR, "Internal Server Error", "the view could not be read");
     }
   }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/log/JsonLinesWriter.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/log/JsonLinesWriter.java
@@ -21,6 +21,8 @@
  */
 public final class JsonLinesWriter implements Writer {
 
+  private static final int MAX_TRACE = 2_000;
+
   private final JsonFactory json = new JsonFactory();
   private final PrintStream out;
 
@@ -82,6 +84,6 @@
   private static String stackTrace(Throwable error) {
     StringWriter text = new StringWriter();
     error.printStackTrace(new PrintWriter(text));
-    return text.toString();
+    return text.getBuffer().substring(0, Math.min(text.getBuffer().length(), MAX_TRACE));
   }
 }
