--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryMain.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryMain.java
@@ -6,6 +6,7 @@
 import org.chivecross.model.failure.Failure;
 import org.chivecross.model.failure.Result;
 import org.tinylog.Logger;
+import org.tinylog.jul.JulTinylogBridge;
 
 /** Start of {@code chivecross-entry}. */
 public final class EntryMain {
@@ -14,6 +15,7 @@
 
   /** Runs the program and ends the process with its exit code. */
   public static void main(String[] arguments) {
+    JulTinylogBridge.activate();
     ProgramLauncher launcher =
         new ProgramLauncher("chivecross-entry", System.getenv(), System.out, System.err);
     int code = launcher.launch(new EntryOptions(), List.of(arguments), EntryMain::run);
