Carry messages between entries over TCP with mutual TLS

Cause: entries need a transport that survives silent connections and refuses strangers and other deployments. Ruled out: writing the hello after the handshake event, since a message queued before it would then come first.

--- a/chivecross-core/src/main/java/org/chivecross/logic/membership/MemberProbes.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/membership/MemberProbes.java
@@ -122,6 +122,9 @@
   List<Integer> expire(long nowNanos) {
     for (long nonce : probes.turnIndirect(nowNanos, preferences.directTimeoutNanos())) {
       Probe probe = probes.get(nonce);
+      // A connection can go silent while new ones work, so the probe is repeated on a new one.
+      outbox.reset(probe.address());
+      pinger.ping(probe.address(), nonce);
       for (String helper : helpers(probe.subject())) {
         outbox.send(helper, new PeerMessage.IndirectPing(nonce, probe.subject()));
       }
--- a/chivecross-core/src/main/java/org/chivecross/logic/peer/PeerOutbox.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/peer/PeerOutbox.java
@@ -12,4 +12,7 @@
    * @param peerAddress {@code ip:port} of the receiver
    */
   void send(String peerAddress, PeerMessage message);
+
+  /** The connection to a peer gives no answer: the next message must take a new one. */
+  default void reset(String peerAddress) {}
 }
--- a/chivecross-core/src/main/java/org/chivecross/model/peer/KeyOperation.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/peer/KeyOperation.java
@@ -3,9 +3,30 @@
 /** What is asked of the owner of an idempotency key. */
 public enum KeyOperation {
   /** Run the request, or answer with what became of its first run. */
-  RUN,
+  RUN(0),
   /** Tell what became of the key. */
-  QUERY,
+  QUERY(1),
   /** Fence the key, so that a late copy can't run. */
-  CANCEL
+  CANCEL(2);
+
+  private final int number;
+
+  KeyOperation(int number) {
+    this.number = number;
+  }
+
+  /** Returns the number on the wire. */
+  public int number() {
+    return number;
+  }
+
+  /** Returns the operation with a number on the wire. */
+  public static KeyOperation ofNumber(int number) {
+    for (KeyOperation operation : values()) {
+      if (operation.number == number) {
+        return operation;
+      }
+    }
+    throw new IllegalArgumentException("unknown key operation " + number);
+  }
 }
--- /dev/null
+++ b/chivecross-wire/src/main/java/org/chivecross/wire/PeerTransport.java
@@ -0,0 +1,227 @@
+package org.chivecross.wire;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.chivecross.logic.peer.PeerOutbox;
+import org.chivecross.model.failure.Failure;
+import org.chivecross.model.failure.Result;
+import org.chivecross.model.failure.Step;
+import org.chivecross.model.peer.EntryMember;
+import org.chivecross.model.peer.PeerMessage;
+import org.chivecross.wire.generated.Envelope;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * TCP connections to other entries. Safe for use by many threads.
+ *
+ * <p>Invariant: a message takes the connection on which its receiver was heard last, or a new one.
+ * A message that can't be sent at once is dropped and counted, never kept.
+ */
+public final class PeerTransport implements PeerOutbox, AutoCloseable {
+
+  private static final int LENGTH_BYTES = 4;
+  private static final int THREADS = 2;
+  private static final int LOW_WATER_BYTES = 2 << 20;
+  private static final int HIGH_WATER_BYTES = 8 << 20;
+  private static final long CLOSE_MILLIS = 500;
+
+  private final PeerTransportPreferences preferences;
+  private final PeerSecurity security;
+  private final Supplier<EntryMember> self;
+  private final PeerListener listener;
+  private final PeerTraffic traffic;
+  private final MessageReader reader;
+  private final MessageWriter writer;
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
+  private final Map<String, Channel> heard = new ConcurrentHashMap<>();
+  private final Map<String, ChannelFuture> dialled = new ConcurrentHashMap<>();
+  private @Nullable Channel server;
+
+  /**
+   * Creates a transport that does not listen yet.
+   *
+   * @param self what this entry says of itself
+   */
+  public PeerTransport(
+      PeerTransportPreferences preferences,
+      PeerSecurity security,
+      long incarnation,
+      Supplier<EntryMember> self,
+      PeerListener listener,
+      PeerTraffic traffic) {
+    this.preferences = preferences;
+    this.security = security;
+    this.self = self;
+    this.listener = listener;
+    this.traffic = traffic;
+    reader = new MessageReader(preferences.deployment());
+    writer = new MessageWriter(preferences.deployment(), incarnation);
+  }
+
+  /** Starts to listen and returns the port. */
+  public Result<Integer> start() {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(
+                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES))
+            .childHandler(initializer(security::server));
+    ChannelFuture bound = bootstrap.bind(preferences.listen()).awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      return Result.failed(
+          Step.SETTINGS,
+          Failure.LOCAL,
+          "can't listen on " + preferences.listen() + ": " + bound.cause().getMessage());
+    }
+    server = bound.channel();
+    return Result.success(((InetSocketAddress) bound.channel().localAddress()).getPort());
+  }
+
+  @Override
+  public void send(String peerAddress, PeerMessage message) {
+    sendTracked(peerAddress, message, failure -> {});
+  }
+
+  /**
+   * Sends a message and tells when it surely was not sent.
+   *
+   * @param notSent called at most once, when no byte of the message left this process
+   */
+  public void sendTracked(String peerAddress, PeerMessage message, Consumer<Failure> notSent) {
+    Channel channel = heard.get(peerAddress);
+    if (channel != null && channel.isActive()) {
+      write(channel, peerAddress, message, notSent);
+      return;
+    }
+    dial(peerAddress)
+        .addListener(
+            (ChannelFuture dial) -> {
+              if (dial.isSuccess()) {
+                // The hello is written when the channel becomes active, just after this event.
+                dial.channel()
+                    .eventLoop()
+                    .execute(() -> write(dial.channel(), peerAddress, message, notSent));
+              } else {
+                drop(peerAddress, String.valueOf(dial.cause().getMessage()), notSent);
+              }
+            });
+  }
+
+  @Override
+  public void reset(String peerAddress) {
+    Channel silent = heard.remove(peerAddress);
+    if (silent != null) {
+      silent.close();
+    }
+    ChannelFuture dial = dialled.remove(peerAddress);
+    if (dial != null) {
+      dial.channel().close();
+    }
+  }
+
+  @Override
+  public void close() {
+    if (server != null) {
+      server.close().awaitUninterruptibly();
+    }
+    group.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS).awaitUninterruptibly();
+  }
+
+  private void write(
+      Channel channel, String peerAddress, PeerMessage message, Consumer<Failure> notSent) {
+    if (!channel.isWritable()) {
+      drop(peerAddress, "connection takes no more", notSent);
+      return;
+    }
+    traffic.messageSent();
+    Envelope envelope = writer.write(message);
+    channel.writeAndFlush(envelope);
+  }
+
+  private void drop(String peerAddress, String detail, Consumer<Failure> notSent) {
+    traffic.messageDropped();
+    notSent.accept(new Failure(Step.CONNECT, peerAddress, detail));
+  }
+
+  private ChannelFuture dial(String peerAddress) {
+    return dialled.compute(
+        peerAddress,
+        (address, known) -> {
+          boolean usable = known != null && (!known.isDone() || known.channel().isActive());
+          return usable && known != null ? known : connect(address);
+        });
+  }
+
+  private ChannelFuture connect(String peerAddress) {
+    int colon = peerAddress.lastIndexOf(':');
+    String host = peerAddress.substring(0, colon);
+    int port = Integer.parseInt(peerAddress.substring(colon + 1));
+    ChannelFuture dial =
+        new Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(
+                ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) preferences.connectTimeout().toMillis())
+            .option(
+                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES))
+            .handler(initializer(security::client))
+            .connect(host, port);
+    dial.channel().closeFuture().addListener(closed -> dialled.remove(peerAddress, dial));
+    return dial;
+  }
+
+  private ChannelInitializer<SocketChannel> initializer(Supplier<Optional<SslContext>> contexts) {
+    return new ChannelInitializer<>() {
+      @Override
+      protected void initChannel(SocketChannel channel) {
+        Optional<SslContext> context = contexts.get();
+        ChannelPipeline pipeline = channel.pipeline();
+        pipeline.addLast(new TrafficHandler(traffic));
+        context.ifPresent(tls -> pipeline.addLast(tls.newHandler(channel.alloc())));
+        pipeline.addLast(
+            new IdleStateHandler(0, 0, preferences.idleTimeout().toMillis(), TimeUnit.MILLISECONDS),
+            new LengthFieldBasedFrameDecoder(
+                PeerTransportPreferences.MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+            new LengthFieldPrepender(LENGTH_BYTES),
+            new ProtobufDecoder(Envelope.getDefaultInstance()),
+            new ProtobufEncoder(),
+            new PeerChannelHandler(reader, writer, self, listener, heard::put, traffic));
+        channel
+            .closeFuture()
+            .addListener(closed -> heard.values().removeIf(known -> known == channel));
+      }
+    };
+  }
+}
