Measure requests per tenant and class, shed silent connections, pass keys to their owners

Cause: the path had no metrics, no use for SILENT, and answered requests of foreign keys itself. Seam: DataPath takes RequestPolicies, OwnerCalls and an ExchangeObserver. Conclusion: the parts beside the data path can be joined in EntryProcess.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryOptions.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryOptions.java
@@ -1,6 +1,8 @@
 package org.chivecross.cli.entry;
 
 import java.nio.file.Path;
+import org.chivecross.cli.entry.http.DataPathSettings;
+import org.chivecross.logic.settings.AllowedRange;
 import org.chivecross.logic.settings.ProgramOptions;
 import org.kohsuke.args4j.Option;
 
@@ -30,6 +32,58 @@
               + " lists")
   private String adminToken = "";
 
+  @Option(name = "--max-head-bytes", metaVar = "BYTES", usage = "most bytes of a request head")
+  @AllowedRange(min = 1024, max = 1 << 20)
+  private int maxHeadBytes = 16 * 1024;
+
+  @Option(name = "--max-headers", metaVar = "COUNT", usage = "most header lines of a request")
+  @AllowedRange(min = 8, max = 1000)
+  private int maxHeaders = 100;
+
+  @Option(name = "--max-body-bytes", metaVar = "BYTES", usage = "most bytes of a request body")
+  @AllowedRange(min = 0, max = 1L << 50)
+  private long maxBodyBytes = 4L << 30;
+
+  @Option(
+      name = "--header-timeout-ms",
+      metaVar = "MS",
+      usage = "time within which a request head must be complete")
+  @AllowedRange(min = 100, max = 600_000)
+  private int headerTimeoutMillis = 5_000;
+
+  @Option(
+      name = "--idle-timeout-ms",
+      metaVar = "MS",
+      usage = "time after which an idle connection is closed, on both sides")
+  @AllowedRange(min = 100, max = 3_600_000)
+  private int idleTimeoutMillis = 60_000;
+
+  @Option(
+      name = "--connect-timeout-ms",
+      metaVar = "MS",
+      usage = "time within which a connection to a target must be open")
+  @AllowedRange(min = 10, max = 60_000)
+  private int connectTimeoutMillis = 250;
+
+  @Option(
+      name = "--recent-life-ms",
+      metaVar = "MS",
+      usage = "age of the last answer up to which a write may use an idle connection")
+  @AllowedRange(min = 0, max = 60_000)
+  private int recentLifeMillis = 500;
+
+  /** Returns the limits and time-outs of the data path. */
+  DataPathSettings dataPath() {
+    return new DataPathSettings(
+        maxHeadBytes,
+        maxHeaders,
+        maxBodyBytes,
+        headerTimeoutMillis,
+        idleTimeoutMillis,
+        connectTimeoutMillis,
+        recentLifeMillis);
+  }
+
   String listen() {
     return listen;
   }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryPreferences.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryPreferences.java
@@ -33,7 +33,7 @@
                         admin ->
                             Result.success(
                                 new EntryPreferences(
-                                    listen, options.files(), DataPathSettings.defaults(), admin))));
+                                    listen, options.files(), options.dataPath(), admin))));
   }
 
   private static Result<AdminSettings> admin(EntryOptions options, InetSocketAddress listen) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
 import org.chivecross.cli.entry.admin.AdminServer;
 import org.chivecross.cli.entry.admin.AdminViews;
 import org.chivecross.cli.entry.admin.ConfigStatus;
@@ -16,14 +17,17 @@
 import org.chivecross.cli.entry.http.LocalHandler;
 import org.chivecross.cli.entry.http.LocalResponse;
 import org.chivecross.cli.entry.http.LocalRoutes;
+import org.chivecross.cli.entry.metrics.EntryMetrics;
 import org.chivecross.logic.engine.BalancerEngine;
 import org.chivecross.logic.engine.EnginePreferences;
 import org.chivecross.logic.fileset.FileSetParser;
 import org.chivecross.logic.key.KeyRegistry;
-import org.chivecross.logic.request.DefaultRequestMachines;
 import org.chivecross.model.failure.Result;
+import org.chivecross.model.failure.Step;
 import org.chivecross.model.fileset.FileSet;
 import org.chivecross.model.manifest.ConfigVersion;
+import org.chivecross.model.peer.KeyAnswer;
+import org.chivecross.model.peer.KeyCall;
 import org.tinylog.Logger;
 
 /** All parts of one running entry. {@link #start} and {@link #stop} are called once each. */
@@ -104,17 +108,25 @@
     NoKeys keys = new NoKeys();
     LocalRoutes routes =
         new LocalRoutes(Map.of("/chivecross/entries", directory(preferences, set)));
+    PrometheusRegistry registry = new PrometheusRegistry();
+    EntryMetrics metrics = new EntryMetrics(registry, engine::tenantName);
     DataPath dataPath =
         new DataPath(
-            new DefaultRequestMachines(engine.policies(keys)),
+            engine.policies(keys),
+            EntryProcess::refuseOwnerCall,
             addresses,
             routes,
+            metrics,
             preferences.dataPath());
-    AdminServer admin = new AdminServer(preferences.admin(), adminViews(engine, set, keys));
+    metrics.gauge("chivecross_in_flight", "Requests in flight", dataPath::inFlightCount);
+    metrics.gauge("chivecross_callers", "Open connections of callers", dataPath::callerCount);
+    AdminServer admin =
+        new AdminServer(preferences.admin(), adminViews(engine, set, keys, registry));
     return new EntryProcess(preferences, engine, dataPath, new EntryTicker(), admin);
   }
 
-  private static AdminViews adminViews(BalancerEngine engine, FileSet set, KeyRegistry keys) {
+  private static AdminViews adminViews(
+      BalancerEngine engine, FileSet set, KeyRegistry keys, PrometheusRegistry metrics) {
     ConfigStatus config =
         new ConfigStatus(
             set.deployment().name(),
@@ -123,11 +135,16 @@
             set.services().size(),
             engine.targetStatuses(System.nanoTime()).size(),
             null);
-    PrometheusRegistry metrics = new PrometheusRegistry();
     return new EntryAdminViews(engine, () -> set, keys, metrics, System::nanoTime)
         .views(() -> ReadinessStatus.of(List.of()), () -> config, List::of, List::of);
   }
 
+  private static void refuseOwnerCall(
+      long owner, KeyCall call, long remainingMillis, Consumer<Result<KeyAnswer>> done) {
+    done.accept(
+        Result.failed(Step.CONNECT, "entry " + Long.toHexString(owner), "no other entry is known"));
+  }
+
   private static LocalHandler directory(EntryPreferences preferences, FileSet set) {
     InetSocketAddress listen = preferences.listen();
     String body =
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/DataPathFixture.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/DataPathFixture.java
@@ -12,14 +12,19 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import org.chivecross.logic.engine.BalancerEngine;
 import org.chivecross.logic.engine.EnginePreferences;
 import org.chivecross.logic.key.KeyClaim;
 import org.chivecross.logic.key.KeyRegistry;
-import org.chivecross.logic.request.DefaultRequestMachines;
+import org.chivecross.logic.key.OwnerCalls;
+import org.chivecross.model.failure.Result;
 import org.chivecross.model.fileset.ClassPolicy;
 import org.chivecross.model.fileset.Deployment;
 import org.chivecross.model.fileset.FileSet;
@@ -29,6 +34,8 @@
 import org.chivecross.model.fileset.Service;
 import org.chivecross.model.fileset.TargetGroup;
 import org.chivecross.model.fileset.Tenant;
+import org.chivecross.model.peer.KeyAnswer;
+import org.chivecross.model.peer.KeyCall;
 import org.chivecross.model.request.Outcome;
 
 /** A data path on ports that the system chose, with one service whose targets are given. */
@@ -37,6 +44,8 @@
   static final Limits PLENTY = new Limits(10_000, 1_000_000, 10_000);
 
   private final ScheduledExecutorService ticker = Executors.newSingleThreadScheduledExecutor();
+  private final RecordingObserver observer = new RecordingObserver();
+  private final RecordingOwners owners = new RecordingOwners();
   private final DataPath dataPath;
   private final InetSocketAddress address;
 
@@ -59,10 +68,12 @@
         };
     dataPath =
         new DataPath(
-            new DefaultRequestMachines(engine.policies(new NoRecords())),
+            engine.policies(new TestKeys()),
+            owners,
             addresses,
             new LocalRoutes(
                 Map.of("/chivecross/ping", (request, to) -> to.accept(LocalResponse.json("{}")))),
+            observer,
             settings);
     address = dataPath.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     ticker.scheduleWithFixedDelay(
@@ -134,11 +145,78 @@
             new Rule("*", "/upload", Set.of("PUT", "POST"), "slots", RequestClass.UPLOAD)));
   }
 
-  /** Lets every key run. */
-  private static final class NoRecords implements KeyRegistry {
+  RecordingObserver observer() {
+    return observer;
+  }
+
+  RecordingOwners owners() {
+    return owners;
+  }
+
+  /** Keeps what it is told. */
+  static final class RecordingObserver implements ExchangeObserver {
+    private final BlockingQueue<ExchangeSummary> summaries = new LinkedBlockingQueue<>();
+    private final AtomicInteger silent = new AtomicInteger();
+    private final AtomicInteger suspects = new AtomicInteger();
+
+    @Override
+    public void ended(ExchangeSummary summary) {
+      summaries.add(summary);
+    }
+
+    @Override
+    public void foundSilent(int closed) {
+      silent.incrementAndGet();
+      suspects.addAndGet(closed);
+    }
+
+    @Override
+    public void headRefused(int status) {}
+
+    ExchangeSummary nextSummary() throws InterruptedException {
+      ExchangeSummary summary = summaries.poll(10, TimeUnit.SECONDS);
+      if (summary == null) {
+        throw new AssertionError("no request ended");
+      }
+      return summary;
+    }
+
+    int silentCount() {
+      return silent.get();
+    }
+
+    int suspectCount() {
+      return suspects.get();
+    }
+  }
+
+  /** Answers calls to owners of keys with what the test sets. */
+  static final class RecordingOwners implements OwnerCalls {
+    private final BlockingQueue<KeyCall> calls = new LinkedBlockingQueue<>();
+    private volatile Result<KeyAnswer> answer =
+        Result.failed(org.chivecross.model.failure.Step.CONNECT, "entry", "unreachable");
+
+    @Override
+    public void call(
+        long owner, KeyCall call, long remainingMillis, Consumer<Result<KeyAnswer>> done) {
+      calls.add(call);
+      done.accept(answer);
+    }
+
+    void answerWith(KeyAnswer next) {
+      answer = Result.success(next);
+    }
+
+    BlockingQueue<KeyCall> calls() {
+      return calls;
+    }
+  }
+
+  /** Lets every key run but those that start with "foreign". */
+  private static final class TestKeys implements KeyRegistry {
     @Override
     public KeyClaim claim(String key, long nowNanos) {
-      return new KeyClaim.Run();
+      return key.startsWith("foreign") ? new KeyClaim.Foreign(7) : new KeyClaim.Run();
     }
 
     @Override
