--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
@@ -23,6 +23,7 @@
 
   private final Exchange exchange;
   private final Decision.Send order;
+  private final long startedNanos;
   private @Nullable UpstreamConnection upstream;
   private @Nullable HttpRequestPacket packet;
   private @Nullable FilterChainContext parkedReader;
@@ -32,7 +33,8 @@
   private long sentNanos;
   private boolean over;
 
-  Attempt(Exchange exchange, Decision.Send order) {
+  Attempt(Exchange exchange, Decision.Send order, long startedNanos) {
+    this.startedNanos = startedNanos;
     this.exchange = exchange;
     this.order = order;
   }
@@ -58,6 +60,11 @@
     return sentNanos;
   }
 
+  /** Returns when waiting for a connection ends; {@code Long.MAX_VALUE} when it doesn't wait. */
+  long connectTimeout(long timeoutNanos) {
+    return over || packet != null ? Long.MAX_VALUE : startedNanos + timeoutNanos;
+  }
+
   /** Returns true once, when no byte of a response came for {@code silenceNanos}. */
   boolean becomesSuspect(long silenceNanos, long nowNanos) {
     if (suspect || over || headReceived || packet == null || nowNanos - sentNanos < silenceNanos) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/AttemptList.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/AttemptList.java
@@ -41,6 +41,25 @@
     return kept;
   }
 
+  /** Returns an attempt that has waited too long for its connection. */
+  @Nullable Attempt findLateConnect(long timeoutNanos, long nowNanos) {
+    for (Attempt attempt : attempts) {
+      if (attempt.connectTimeout(timeoutNanos) <= nowNanos) {
+        return attempt;
+      }
+    }
+    return null;
+  }
+
+  /** Returns when the next wait for a connection ends, or {@code Long.MAX_VALUE}. */
+  long nextConnectTimeout(long timeoutNanos) {
+    long next = Long.MAX_VALUE;
+    for (Attempt attempt : attempts) {
+      next = Math.min(next, attempt.connectTimeout(timeoutNanos));
+    }
+    return next;
+  }
+
   void abandonAll() {
     for (Attempt attempt : attempts) {
       attempt.abandon();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
@@ -1,5 +1,7 @@
 package org.chivecross.cli.entry.http;
 
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.nio.NIOConnection;
@@ -17,6 +19,7 @@
   private @Nullable FilterChainContext pipelined;
   private volatile long idleSinceNanos;
   private volatile long headSinceNanos;
+  private volatile long lingerSinceNanos;
 
   CallerConnection(NIOConnection connection, long nowNanos) {
     this.connection = connection;
@@ -71,6 +74,25 @@
     }
   }
 
+  /**
+   * Ends the sending side and drops what still arrives. An immediate close would reset the
+   * connection, and the caller could lose the answer that was just sent.
+   */
+  void linger(long nowNanos) {
+    lingerSinceNanos = nowNanos;
+    try {
+      ((SocketChannel) connection.getChannel()).shutdownOutput();
+    } catch (IOException e) {
+      connection.terminateSilently();
+    }
+  }
+
+  /** Returns whether the caller went on sending for longer than {@code lingerNanos}. */
+  boolean isLingeringLongerThan(long lingerNanos, long nowNanos) {
+    long since = lingerSinceNanos;
+    return since != 0 && nowNanos - since > lingerNanos;
+  }
+
   /** Returns whether a head has been incomplete for longer than {@code headNanos}. */
   boolean isHeadLate(long headNanos, long nowNanos) {
     long since = headSinceNanos;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerRegistry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerRegistry.java
@@ -12,6 +12,8 @@
 /** The connections of callers that are open. Safe for use by many threads. */
 final class CallerRegistry {
 
+  private static final long LINGER_NANOS = TimeUnit.SECONDS.toNanos(2);
+
   private final Attribute<CallerConnection> attribute =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("chivecross.caller");
   private final Set<CallerConnection> open = ConcurrentHashMap.newKeySet();
@@ -54,7 +56,9 @@
   /** Closes connections that have been idle too long or send a head too slowly. */
   void closeIdle(long nowNanos) {
     for (CallerConnection caller : open) {
-      if (caller.isIdleLongerThan(idleNanos, nowNanos) || caller.isHeadLate(headNanos, nowNanos)) {
+      if (caller.isIdleLongerThan(idleNanos, nowNanos)
+          || caller.isHeadLate(headNanos, nowNanos)
+          || caller.isLingeringLongerThan(LINGER_NANOS, nowNanos)) {
         caller.connection().closeSilently();
       }
     }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
@@ -29,13 +29,16 @@
   private static final CompletionHandler<WriteResult<HttpResponsePacket, SocketAddress>>
       ACKNOWLEDGED = new EmptyCompletionHandler<>();
 
+  private final CallerConnection caller;
   private final NIOConnection connection;
   private final HttpRequestPacket request;
   private final HttpResponsePacket packet;
   private boolean closeAfter;
+  private boolean lingering;
 
-  CallerResponse(NIOConnection connection, HttpRequestPacket request) {
-    this.connection = connection;
+  CallerResponse(CallerConnection caller, HttpRequestPacket request) {
+    this.caller = caller;
+    connection = caller.connection();
     this.request = request;
     packet = request.getResponse();
     closeAfter = HopHeaders.of(request.getHeaders()).contains("close");
@@ -46,6 +49,12 @@
     closeAfter = true;
   }
 
+  /** Makes this response the last one, although the caller is still sending. */
+  void closeWhileReceiving() {
+    closeAfter = true;
+    lingering = true;
+  }
+
   /** Prepares the head of a relayed response; it goes out with the first part. */
   void relayHead(HttpResponsePacket upstream) {
     packet.setStatus(upstream.getStatus());
@@ -163,7 +172,11 @@
 
     @Override
     public void completed(WriteResult<M, SocketAddress> result) {
-      connection.closeSilently();
+      if (lingering) {
+        caller.linger(System.nanoTime());
+      } else {
+        connection.closeSilently();
+      }
     }
 
     @Override
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPathSettings.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPathSettings.java
@@ -1,5 +1,7 @@
 package org.chivecross.cli.entry.http;
 
+import java.util.concurrent.TimeUnit;
+
 /**
  * Limits and time-outs of the data path. Immutable.
  *
@@ -20,6 +22,11 @@
     int connectTimeoutMillis,
     int recentLifeMillis) {
 
+  /** Returns the time within which a connection to a target must be open, in ns. */
+  long connectTimeoutNanos() {
+    return TimeUnit.MILLISECONDS.toNanos(connectTimeoutMillis);
+  }
+
   /** Returns the settings that hold when no flag is given. */
   public static DataPathSettings defaults() {
     return new DataPathSettings(16 * 1024, 100, 4L << 30, 5_000, 60_000, 250, 500);
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -53,7 +53,7 @@
     this.services = services;
     this.caller = caller;
     this.request = request;
-    response = new CallerResponse(caller.connection(), request);
+    response = new CallerResponse(caller, request);
     machine = services.machines().create();
     clock = new ExchangeClock(nowNanos);
     boolean keyed = RequestHeads.idempotencyKey(request).isPresent();
@@ -124,7 +124,12 @@
       if (over || nowNanos < wakeNanos) {
         return;
       }
-      carryOut(machine.timer(nowNanos), nowNanos);
+      Attempt late = attempts.findLateConnect(services.settings().connectTimeoutNanos(), nowNanos);
+      if (late == null) {
+        carryOut(machine.timer(nowNanos), nowNanos);
+      } else {
+        failed(late, ConnectionFault.CONNECT_TIMEOUT, nowNanos);
+      }
       route.ifPresent(known -> attempts.closeSuspects(services, known, nowNanos));
     }
   }
@@ -167,7 +172,7 @@
         if (!over && relayed == attempt) {
           clock.headRead(attempt.sentNanos(), now);
           if (!body.isComplete()) {
-            response.closeAfterwards();
+            response.closeWhileReceiving();
           }
           response.relayHead(head);
         }
@@ -267,12 +272,21 @@
     } else if (decision instanceof Decision.PassToOwner pass) {
       passToOwner(pass.ownerIncarnation());
     }
-    wakeNanos = over ? Long.MAX_VALUE : machine.nextTimerNanos();
+    rearm();
+  }
+
+  private void rearm() {
+    wakeNanos =
+        over
+            ? Long.MAX_VALUE
+            : Math.min(
+                machine.nextTimerNanos(),
+                attempts.nextConnectTimeout(services.settings().connectTimeoutNanos()));
   }
 
   private void send(Decision.Send send, long now) {
     clock.attemptDecided(now);
-    Attempt attempt = new Attempt(this, send);
+    Attempt attempt = new Attempt(this, send, now);
     attempts.add(attempt);
     services.client().acquire(send.target(), send.kind(), now, new SendWhenAcquired(attempt));
   }
@@ -297,7 +311,7 @@
     if (body.sendTo(attempt) || isUploadWithBody()) {
       machine.bodySent(now);
     }
-    wakeNanos = machine.nextTimerNanos();
+    rearm();
   }
 
   private boolean isUploadWithBody() {
@@ -313,7 +327,7 @@
 
   private void answer(LocalResponse answer, Outcome outcome) {
     if (!body.isComplete()) {
-      response.closeAfterwards();
+      response.closeWhileReceiving();
     }
     over = true;
     response.answer(answer);
@@ -327,23 +341,20 @@
   }
 
   private void passToOwner(long incarnation) {
-    String owner = "entry " + Long.toHexString(incarnation);
-    String key = RequestHeads.idempotencyKey(request).orElse("");
+    long now = System.nanoTime();
+    long remaining = RequestHeads.remainingMillis(request, route, clock.arrivedNanos(), now);
     if (!body.isComplete()) {
-      Failure failure = new Failure(Step.KEY_LOOKUP, owner, "body is too long to be passed");
-      answer(
-          ProblemAnswers.of(413, Outcome.NOT_RUN, failure, OptionalLong.empty()), Outcome.NOT_RUN);
+      answer(OwnerPass.tooLong(incarnation), Outcome.NOT_RUN);
       return;
     }
-    long now = System.nanoTime();
-    long remaining = RequestHeads.remainingMillis(request, route, clock.arrivedNanos(), now);
+    KeyCall call = OwnerPass.toCall(request, body.wholeBytes());
     services
         .owners()
         .call(
             incarnation,
-            OwnerPass.toCall(request, key, body.wholeBytes()),
+            call,
             remaining,
-            result -> ownerAnswered(OwnerPass.toAnswer(result, owner)));
+            result -> ownerAnswered(OwnerPass.toAnswer(result, incarnation)));
   }
 
   private void ownerAnswered(LocalResponse answer) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
@@ -22,7 +22,7 @@
     this.caller = caller;
     this.request = request;
     this.handler = handler;
-    response = new CallerResponse(caller.connection(), request);
+    response = new CallerResponse(caller, request);
   }
 
   @Override
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/OwnerPass.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/OwnerPass.java
@@ -20,13 +20,15 @@
 /** Translates requests and answers that go to the owner of an idempotency key. Stateless. */
 final class OwnerPass {
 
+  private static final int CONTENT_TOO_LARGE = 413;
   private static final int UNAVAILABLE = 503;
   private static final long RETRY_AFTER_MILLIS = 1_000;
 
   private OwnerPass() {}
 
   /** Builds the call that runs a request at the owner of its key. */
-  static KeyCall toCall(HttpRequestPacket request, String key, byte[] body) {
+  static KeyCall toCall(HttpRequestPacket request, byte[] body) {
+    String key = RequestHeads.idempotencyKey(request).orElse("");
     MimeHeaders headers = request.getHeaders();
     Set<String> hop = HopHeaders.of(headers);
     List<HeaderField> fields = new ArrayList<>();
@@ -46,16 +48,27 @@
    * Returns the answer for the caller. An owner that can't be reached may have run an earlier copy
    * of the request, so nothing is known then.
    */
-  static LocalResponse toAnswer(Result<KeyAnswer> result, String owner) {
+  static LocalResponse toAnswer(Result<KeyAnswer> result, long incarnation) {
     if (result instanceof Result.Success<KeyAnswer> success) {
       return relayed(success.value());
     }
     Failure cause = ((Result.Failed<KeyAnswer>) result).failures().get(0);
-    Failure failure = new Failure(Step.KEY_LOOKUP, owner, cause.toString());
+    Failure failure = new Failure(Step.KEY_LOOKUP, peer(incarnation), cause.toString());
     return ProblemAnswers.of(
         UNAVAILABLE, Outcome.UNKNOWN, failure, OptionalLong.of(RETRY_AFTER_MILLIS));
   }
 
+  /** Returns the answer to a request whose body can't be passed; it was not run. */
+  static LocalResponse tooLong(long incarnation) {
+    Failure failure =
+        new Failure(Step.KEY_LOOKUP, peer(incarnation), "body is too long to be passed");
+    return ProblemAnswers.of(CONTENT_TOO_LARGE, Outcome.NOT_RUN, failure, OptionalLong.empty());
+  }
+
+  private static String peer(long incarnation) {
+    return "entry " + Long.toHexString(incarnation);
+  }
+
   private static LocalResponse relayed(KeyAnswer answer) {
     Map<String, String> headers = new LinkedHashMap<>();
     String contentType = "application/octet-stream";
