--- a/chivecross-bench/src/main/java/org/chivecross/cli/experiment/ClusterModel.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/experiment/ClusterModel.java
@@ -62,7 +62,8 @@
     FileSet set = FileSets.of(scenario, policy.hedgeFraction());
     for (int e = 0; e < scenario.entries(); e++) {
       String dataCentre = FileSets.dataCentre(e);
-      EnginePreferences preferences = new EnginePreferences("entry-" + e, dataCentre, 256, 16);
+      EnginePreferences preferences =
+          new EnginePreferences("entry-" + e, dataCentre, 256, 16, 4096);
       BalancerEngine engine =
           new BalancerEngine(preferences, random(seed * 100 + e), policy.factory());
       engine.apply(set, 0);
--- a/chivecross-bench/src/main/java/org/chivecross/cli/experiment/DecisionExperiment.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/experiment/DecisionExperiment.java
@@ -7,6 +7,7 @@
 import org.chivecross.logic.balance.RandomPolicy;
 import org.chivecross.logic.balance.ReportedLoadScore;
 import org.chivecross.logic.balance.RoundRobinPolicy;
+import org.chivecross.logic.balance.ScorePreferences;
 import org.chivecross.logic.balance.TwoChoicesPolicy;
 
 /** Compares policies in virtual time and prints a Markdown table. Arguments: seconds and seeds. */
@@ -19,11 +20,15 @@
     int seconds = args.length > 0 ? Integer.parseInt(args[0]) : 10;
     int seeds = args.length > 1 ? Integer.parseInt(args[1]) : 5;
     List<String> only = args.length > 2 ? Arrays.asList(args[2].split(",")) : List.of();
+    String filter = args.length > 3 ? args[3] : "";
     for (Scenario base : List.of(Scenario.pulpwood(), Scenario.screenworks())) {
       for (boolean noisy : new boolean[] {false, true}) {
         for (double load : new double[] {0.5, 0.8}) {
           Scenario scenario = base.withLoad(load).withSeconds(seconds);
-          print(noisy ? scenario.withNoise() : scenario, seeds, only);
+          scenario = noisy ? scenario.withNoise() : scenario;
+          if (scenario.toString().contains(filter)) {
+            print(scenario, seeds, only);
+          }
         }
       }
     }
@@ -38,27 +43,25 @@
             "local least",
             (t, v, r) ->
                 new LowestScorePolicy(
-                    (c, i, now) -> (double) t.inFlight(c.row(i)) / c.slots(i), r, 64),
+                    (c, i, now) -> (double) t.loads().inFlight(c.row(i)) / c.slots(i), r, 64),
             false,
             0),
         new PolicyCase("two choices", (t, v, r) -> new TwoChoicesPolicy(t, r), false, 0),
-        reported("r1", 1, 1e9, 0),
-        reported("r2", 2, 1e9, 0),
-        reported("r4", 4, 1e9, 0),
-        reported("r8", 8, 1e9, 0),
-        reported("r2o2", 2, 2, 1),
-        reported("r2o3", 2, 3, 1),
-        reported("r4o2", 4, 2, 1),
-        reported("r4o3", 4, 3, 1));
+        reported("default", 0, new ScorePreferences(1, 2, 1, 1, 1)),
+        reported("nodoubt", 0, new ScorePreferences(1, 2, 1, 0, 1)),
+        reported("stall2", 0, new ScorePreferences(1, 2, 2, 1, 1)),
+        reported("stall4", 0, new ScorePreferences(1, 2, 4, 1, 1)),
+        reported("hedged", 0.02, new ScorePreferences(1, 2, 1, 1, 1)),
+        reported("hedged1", 0.01, new ScorePreferences(1, 2, 1, 1, 1)),
+        reported("hedged5", 0.05, new ScorePreferences(1, 2, 1, 1, 1)));
   }
 
-  private static PolicyCase reported(String name, double age, double overdue, double penalty) {
+  private static PolicyCase reported(String name, double hedges, ScorePreferences preferences) {
     return new PolicyCase(
         name,
-        (t, v, r) ->
-            new LowestScorePolicy(new ReportedLoadScore(t, v, age, overdue, penalty), r, 64),
+        (t, v, r) -> new LowestScorePolicy(new ReportedLoadScore(t, v, preferences), r, 64),
         false,
-        0);
+        hedges);
   }
 
   private static void print(Scenario scenario, int seeds, List<String> only) {
--- a/chivecross-bench/src/main/java/org/chivecross/cli/experiment/ModelEntry.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/experiment/ModelEntry.java
@@ -182,7 +182,7 @@
       }
       over = true;
       long now = cluster.now();
-      policies.observer().attemptCancelled(target, now - startNanos, now);
+      policies.observer().attemptAbandoned(target, now - startNanos, now);
       cluster.events().after(oneWayNanos, () -> slotted.cancel(work));
     }
 
--- a/chivecross-core/src/main/java/org/chivecross/logic/balance/Candidates.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/balance/Candidates.java
@@ -7,20 +7,27 @@
 public final class Candidates {
 
   /** No target may take work. */
-  public static final Candidates EMPTY = new Candidates(new int[0], new int[0]);
+  public static final Candidates EMPTY =
+      new Candidates(new int[0], new int[0], new double[0], new long[0]);
 
   private final int[] rows;
   private final int[] slots;
+  private final double[] weights;
+  private final long[] extraNanos;
 
   /**
    * Creates a view.
    *
    * @param rows rows of the targets
    * @param slots requests that each of them serves at once
+   * @param weights share of full work that each of them may take, above 0 and at most 1
+   * @param extraNanos round trip to each of them beyond that within the own data centre, in ns
    */
-  public Candidates(int[] rows, int[] slots) {
+  public Candidates(int[] rows, int[] slots, double[] weights, long[] extraNanos) {
     this.rows = rows.clone();
     this.slots = slots.clone();
+    this.weights = weights.clone();
+    this.extraNanos = extraNanos.clone();
   }
 
   /** Returns the number of targets. */
@@ -37,4 +44,14 @@
   public int slots(int index) {
     return slots[index];
   }
+
+  /** Returns the share of full work that the target at an index may take. */
+  public double weight(int index) {
+    return weights[index];
+  }
+
+  /** Returns the extra round trip to the target at an index, in ns. */
+  public long extraNanos(int index) {
+    return extraNanos[index];
+  }
 }
--- a/chivecross-core/src/main/java/org/chivecross/logic/balance/LoadSystem.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/balance/LoadSystem.java
@@ -1,51 +1,43 @@
 package org.chivecross.logic.balance;
 
 import org.chivecross.model.table.ServiceTable;
+import org.chivecross.model.table.TargetLoads;
 import org.chivecross.model.table.TargetTable;
 
 /**
- * Averages the newest reports of each service. The mean stands in for a report that is too old to
- * say anything about its target. Not thread-safe: runs in the tick.
+ * Averages the fresh reports of each service. The mean stands in for a report that is too old to
+ * say anything about its target, and tells how full the service is. Without fresh reports it falls,
+ * so that a service that shed everything takes work again. Not thread-safe: runs in the tick.
  */
 public final class LoadSystem {
 
   private static final double NEW_WEIGHT = 0.1;
+  private static final double DECAY = 0.98;
+  private static final long FRESH_NANOS = 500_000_000L;
 
-  private final TargetTable targets;
+  private final TargetLoads loads;
   private final ServiceTable services;
 
   /** Creates a system over both tables. */
   public LoadSystem(TargetTable targets, ServiceTable services) {
-    this.targets = targets;
+    loads = targets.loads();
     this.services = services;
   }
 
-  /** Updates the mean load of each service. */
-  public void tick(Candidates[] candidatesByService, long nowNanos) {
-    for (int service = 0; service < candidatesByService.length; service++) {
-      Candidates candidates = candidatesByService[service];
-      if (candidates.size() > 0) {
-        average(service, candidates);
-      }
-    }
-  }
-
-  private void average(int service, Candidates candidates) {
-    double sum = 0;
-    int reported = 0;
+  /** Updates the mean load of a service. */
+  public void tick(int service, Candidates candidates, long nowNanos) {
+    double load = 0;
+    int slots = 0;
     for (int i = 0; i < candidates.size(); i++) {
       int row = candidates.row(i);
-      if (targets.reportNanos(row) == TargetTable.NEVER) {
-        continue;
+      long reported = loads.reportNanos(row);
+      if (reported != TargetTable.NEVER && nowNanos - reported < FRESH_NANOS) {
+        load += loads.reported(row);
+        slots += candidates.slots(i);
       }
-      int load = targets.reportedInService(row) + targets.reportedQueued(row);
-      sum += (double) load / candidates.slots(i);
-      reported++;
-    }
-    if (reported == 0) {
-      return;
     }
     double old = services.meanLoad(service);
-    services.setMeanLoad(service, old + NEW_WEIGHT * (sum / reported - old));
+    double next = slots == 0 ? old * DECAY : old + NEW_WEIGHT * (load / slots - old);
+    services.setMeanLoad(service, next);
   }
 }
--- a/chivecross-core/src/main/java/org/chivecross/logic/balance/LowestScorePolicy.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/balance/LowestScorePolicy.java
@@ -6,6 +6,9 @@
  */
 public final class LowestScorePolicy implements TargetPolicy {
 
+  /** Targets examined for one choice, so that a large service costs no more than a small one. */
+  public static final int MOST_EXAMINED = 32;
+
   private final TargetScore score;
   private final SharedRandom random;
   private final int mostExamined;
--- a/chivecross-core/src/main/java/org/chivecross/logic/balance/ReportedLoadScore.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/balance/ReportedLoadScore.java
@@ -1,60 +1,73 @@
 package org.chivecross.logic.balance;
 
 import org.chivecross.model.table.ServiceTable;
+import org.chivecross.model.table.TargetHealth;
+import org.chivecross.model.table.TargetLoads;
 import org.chivecross.model.table.TargetTable;
 
 /**
- * Estimates the load of a target from its newest report, the age of that report and what this entry
- * sent since. Thread-safe.
+ * Estimates how much work lies before a new request at a target, in requests for each slot.
+ *
+ * <p>The newest report counts fully when it is fresh and gives way to the mean of the service as it
+ * ages; what this entry sent since is added. What the entry sees itself goes before the report: its
+ * own attempts in flight, the latency of the target, a stall, failures. The trip to another data
+ * centre counts as the work that a slot does in that time.
+ *
+ * <p>Thread-safe; allocates nothing.
  */
 public final class ReportedLoadScore implements LowestScorePolicy.TargetScore {
 
+  private static final int MOST_FAILURES = 8;
+  private static final double FAILURE_NANOS = 1e9;
+
   private final TargetTable targets;
   private final ServiceTable services;
-  private final double ageLatencies;
-  private final double overdueLatencies;
-  private final double overduePenalty;
+  private final ScorePreferences preferences;
 
-  /**
-   * Creates a score.
-   *
-   * @param ageLatencies age at which a report has lost most of its weight, in mean latencies
-   * @param overdueLatencies time without progress after which a target counts as stalled, in mean
-   *     latencies
-   * @param overduePenalty load added to a stalled target, in requests for each slot
-   */
+  /** Creates a score over the live columns of both tables. */
   public ReportedLoadScore(
-      TargetTable targets,
-      ServiceTable services,
-      double ageLatencies,
-      double overdueLatencies,
-      double overduePenalty) {
+      TargetTable targets, ServiceTable services, ScorePreferences preferences) {
     this.targets = targets;
     this.services = services;
-    this.ageLatencies = ageLatencies;
-    this.overdueLatencies = overdueLatencies;
-    this.overduePenalty = overduePenalty;
+    this.preferences = preferences;
   }
 
   @Override
   public double score(Candidates candidates, int index, long nowNanos) {
+    TargetLoads loads = targets.loads();
     int row = candidates.row(index);
-    int slots = candidates.slots(index);
     int service = targets.service(row);
+    int inFlight = loads.inFlight(row);
     double latency = Math.max(1, services.latencyNanos(service));
-    double mean = services.meanLoad(service) * slots;
-    int inFlight = targets.inFlight(row);
-    long reported = targets.reportNanos(row);
+    double weight = candidates.weight(index);
+    double mean = services.meanLoad(service) * candidates.slots(index) * weight;
+    long reported = loads.reportNanos(row);
     double load = mean + inFlight;
     if (reported != TargetTable.NEVER) {
-      double weight = Math.exp(-(nowNanos - reported) / (ageLatencies * latency));
-      int last = targets.reportedInService(row) + targets.reportedQueued(row);
-      load = Math.max(inFlight, mean + (last - mean) * weight + targets.startsSinceReport(row));
+      double age = nowNanos - reported;
+      double fresh = Math.exp(-age / (preferences.reportLatencies() * latency));
+      double doubt = loads.doubt(row) * preferences.doubtWeight();
+      double believed = fresh * (1 - doubt);
+      double blended = mean + (loads.reported(row) - mean) * believed;
+      double suspected = mean * doubt * loads.latencyNanos(row) / latency;
+      load = Math.max(inFlight, blended + suspected + loads.startsSinceReport(row));
+    }
+    double score = load / (candidates.slots(index) * weight);
+    score += preferences.tripWeight() * candidates.extraNanos(index) / latency;
+    if (inFlight > 0
+        && nowNanos - loads.progressNanos(row) > preferences.stallLatencies() * latency) {
+      score += preferences.stallLoad();
     }
-    double score = load / slots;
-    if (inFlight > 0 && nowNanos - targets.progressNanos(row) > overdueLatencies * latency) {
-      score += overduePenalty;
+    return score + failureLoad(row, nowNanos);
+  }
+
+  private double failureLoad(int row, long nowNanos) {
+    TargetHealth health = targets.health();
+    int failures = health.failuresInRow(row);
+    if (failures == 0) {
+      return 0;
     }
-    return score;
+    double age = nowNanos - health.lastFailureNanos(row);
+    return Math.min(MOST_FAILURES, failures) * Math.max(0, 1 - age / FAILURE_NANOS);
   }
 }
--- a/chivecross-core/src/main/java/org/chivecross/logic/balance/TwoChoicesPolicy.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/balance/TwoChoicesPolicy.java
@@ -33,8 +33,10 @@
     if (candidates.row(second) == excludedTarget) {
       return candidates.row(first);
     }
-    long firstLoad = (long) targets.inFlight(candidates.row(first)) * candidates.slots(second);
-    long secondLoad = (long) targets.inFlight(candidates.row(second)) * candidates.slots(first);
+    long firstLoad =
+        (long) targets.loads().inFlight(candidates.row(first)) * candidates.slots(second);
+    long secondLoad =
+        (long) targets.loads().inFlight(candidates.row(second)) * candidates.slots(first);
     return candidates.row(secondLoad < firstLoad ? second : first);
   }
 }
--- a/chivecross-core/src/main/java/org/chivecross/logic/balance/UpstreamObserver.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/balance/UpstreamObserver.java
@@ -23,15 +23,15 @@
   void attemptEnded(int target, long latencyNanos, boolean succeeded, long nowNanos);
 
   /**
-   * The entry gave an attempt up, since its caller left or another attempt answered first. This is
-   * called in place of {@link #attemptEnded} and is no failure of the target.
+   * An attempt ended without the target's doing: another attempt won, or the caller went away. Each
+   * started attempt is ended or abandoned once.
    *
    * @param target row of the target
-   * @param elapsedNanos time since the start of the attempt
+   * @param waitedNanos time from the start of the attempt
    * @param nowNanos monotonic time
    */
-  default void attemptCancelled(int target, long elapsedNanos, long nowNanos) {
-    attemptEnded(target, elapsedNanos, true, nowNanos);
+  default void attemptAbandoned(int target, long waitedNanos, long nowNanos) {
+    attemptEnded(target, waitedNanos, false, nowNanos);
   }
 
   /** An attempt lost its connection; {@link #attemptEnded} is called as well. */
--- a/chivecross-core/src/main/java/org/chivecross/logic/engine/BalancerEngine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/engine/BalancerEngine.java
@@ -1,28 +1,34 @@
 package org.chivecross.logic.engine;
 
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import org.chivecross.logic.balance.CandidateSystem;
 import org.chivecross.logic.balance.Candidates;
 import org.chivecross.logic.balance.LoadSystem;
+import org.chivecross.logic.balance.LowestScorePolicy;
+import org.chivecross.logic.balance.ReportedLoadScore;
+import org.chivecross.logic.balance.ScorePreferences;
 import org.chivecross.logic.balance.SharedRandom;
 import org.chivecross.logic.balance.TargetPolicy;
 import org.chivecross.logic.balance.TargetPolicyFactory;
 import org.chivecross.logic.balance.TargetSelector;
-import org.chivecross.logic.balance.TwoChoicesPolicy;
-import org.chivecross.logic.balance.UpstreamObserver;
 import org.chivecross.logic.key.KeyRegistry;
+import org.chivecross.logic.leaving.LeavingSystem;
 import org.chivecross.logic.limit.SharedAdmission;
+import org.chivecross.logic.outlier.OutlierSystem;
+import org.chivecross.logic.probe.Probe;
+import org.chivecross.logic.probe.ProbeCost;
+import org.chivecross.logic.probe.ProbeSystem;
 import org.chivecross.logic.request.RequestPolicies;
 import org.chivecross.logic.retry.BudgetedRetryControl;
-import org.chivecross.logic.routing.RequestRouter;
+import org.chivecross.logic.retry.LatencySystem;
 import org.chivecross.logic.routing.Route;
 import org.chivecross.model.fileset.FileSet;
 import org.chivecross.model.fileset.RequestClass;
 import org.chivecross.model.request.LoadReport;
+import org.chivecross.model.table.LatencyTable;
 import org.chivecross.model.table.ServiceTable;
 import org.chivecross.model.table.TargetTable;
 
@@ -30,29 +36,38 @@
  * The balancing decisions of one entry: tables, the systems that run over them each tick, and the
  * policies that the request path asks.
  *
- * <p>Thread safety: {@link #apply} and {@link #tick} are called by one thread at a time, the tick
- * about every 5 ms. Everything that {@link #policies} returns and all read-only views are safe for
- * use by many threads; the request path takes no locks.
+ * <p>Thread safety: {@link #apply}, {@link #tick}, {@link #takeProbes} and {@link #probeEnded} are
+ * called by one thread at a time, the tick about every 5 ms. Everything that {@link #policies}
+ * returns and all read-only views are safe for use by many threads; the request path takes no
+ * locks.
  */
 public final class BalancerEngine {
 
-  private static final long NANOS_PER_MILLI = 1_000_000;
-
   private final EnginePreferences preferences;
   private final TargetTable targets;
   private final ServiceTable services;
   private final ServiceTable tenants;
+  private final LatencyTable latencies;
+  private final LatencySystem latencySystem;
   private final SharedAdmission admission;
   private final BudgetedRetryControl retries;
   private final TargetPolicy policy;
-  private final FileSetApplier applier;
+  private final LeavingSystem leaving;
+  private final OutlierSystem outliers;
+  private final CandidateSystem candidateSystem;
   private final LoadSystem loads;
+  private final ProbePlanner probes;
+  private final FileSetApplier applier;
+  private final EngineReport report;
+  private final RowCollector targetRows;
+  private final RowCollector serviceRows;
+  private final RowCollector tenantRows;
   private volatile Topology topology = Topology.EMPTY;
-  private volatile Candidates[] candidates = new Candidates[0];
+  private volatile Candidates[] candidates;
 
   /** Creates an engine with the default choice of targets. */
   public BalancerEngine(EnginePreferences preferences, RandomGenerator random) {
-    this(preferences, random, (table, names, numbers) -> new TwoChoicesPolicy(table, numbers));
+    this(preferences, random, BalancerEngine::defaultPolicy);
   }
 
   /**
@@ -64,16 +79,41 @@
   public BalancerEngine(
       EnginePreferences preferences, RandomGenerator random, TargetPolicyFactory policyFactory) {
     this.preferences = preferences;
+    int capacity = preferences.serviceCapacity();
     targets = new TargetTable(preferences.targetCapacity());
-    services = new ServiceTable(preferences.serviceCapacity());
-    tenants = new ServiceTable(preferences.serviceCapacity());
-    admission = new SharedAdmission(services, tenants);
+    services = new ServiceTable(capacity);
+    tenants = new ServiceTable(capacity);
+    latencies = new LatencyTable(capacity);
+    latencySystem = new LatencySystem(latencies, capacity);
+    admission =
+        new SharedAdmission(
+            services, tenants, new SharedRandom(random.nextLong()), preferences.concurrency());
     retries =
         new BudgetedRetryControl(
-            preferences.serviceCapacity(), new SharedRandom(random.nextLong()));
+            capacity, new SharedRandom(random.nextLong()), latencySystem, targets::service);
     policy = policyFactory.create(targets, services, new SharedRandom(random.nextLong()));
+    leaving = new LeavingSystem(targets.leaving(), targets.health());
+    outliers = new OutlierSystem(targets.health());
+    candidateSystem = new CandidateSystem(targets);
     loads = new LoadSystem(targets, services);
-    applier = new FileSetApplier(targets, services, tenants);
+    ProbeSystem probeSystem = new ProbeSystem(preferences.targetCapacity());
+    probes = new ProbePlanner(targets, services, probeSystem);
+    applier = new FileSetApplier(preferences.dataCentre(), targets, services, tenants, probeSystem);
+    report = new EngineReport(targets, services, candidateSystem);
+    targetRows = new RowCollector(targets.loads()::inFlight, targets::release);
+    serviceRows = new RowCollector(services::inFlight, services::release);
+    tenantRows = new RowCollector(tenants::inFlight, tenants::release);
+    candidates = new Candidates[capacity];
+    Arrays.fill(candidates, Candidates.EMPTY);
+  }
+
+  /** Creates the policy that an engine uses unless another one is given. */
+  public static TargetPolicy defaultPolicy(
+      TargetTable targets, ServiceTable services, SharedRandom random) {
+    return new LowestScorePolicy(
+        new ReportedLoadScore(targets, services, ScorePreferences.DEFAULT),
+        random,
+        LowestScorePolicy.MOST_EXAMINED);
   }
 
   /**
@@ -85,22 +125,83 @@
     Topology next = applier.apply(set, nowNanos);
     admission.apply(next.limits());
     retries.apply(next.classPolicies());
-    candidates = candidatesOf(next);
+    targetRows.mark(targets.liveRows(), next.targetRows().values(), nowNanos);
+    serviceRows.mark(
+        services.liveRows(), next.plans().stream().map(ServicePlan::row).toList(), nowNanos);
+    tenantRows.mark(
+        tenants.liveRows(),
+        set.tenants().stream().map(t -> tenants.acquire(t.name())).toList(),
+        nowNanos);
+    Candidates[] all = new Candidates[candidates.length];
+    Arrays.fill(all, Candidates.EMPTY);
+    update(next, all, nowNanos);
+    candidates = all;
     topology = next;
+    probes.start(nowNanos);
   }
 
   /** Runs all systems over the tables and publishes new views. */
   public void tick(long nowNanos) {
-    applier.releaseUnused(nowNanos);
-    loads.tick(candidates, nowNanos);
+    Topology current = topology;
+    for (ServicePlan plan : current.plans()) {
+      outliers.tick(plan.targets(), nowNanos);
+    }
+    Candidates[] next = candidates.clone();
+    if (update(current, next, nowNanos)) {
+      candidates = next;
+    }
+    for (ServicePlan plan : current.plans()) {
+      loads.tick(plan.row(), next[plan.row()], nowNanos);
+    }
+    latencySystem.tick(current.rows(), current.hedgeFractions());
+    targetRows.collect(nowNanos);
+    serviceRows.collect(nowNanos);
+    tenantRows.collect(nowNanos);
   }
 
   /** Returns the policies that the request path asks. */
   public RequestPolicies policies(KeyRegistry keys) {
-    RequestRouter router = this::route;
-    TargetSelector selector = this::select;
-    UpstreamObserver observer = new TableObserver(targets, services);
-    return new RequestPolicies(router, admission, selector, observer, retries, keys);
+    return new RequestPolicies(
+        this::route,
+        admission,
+        this::select,
+        new TableObserver(targets, services, latencies, leaving),
+        retries,
+        keys);
+  }
+
+  /** Returns the probes to send now; each is ended by {@link #probeEnded}. */
+  public List<Probe> takeProbes(long nowNanos) {
+    return probes.take(topology, nowNanos);
+  }
+
+  /**
+   * A probe ended.
+   *
+   * @param target row of the target
+   * @param answer its health report; empty when none came in time
+   * @param startNanos time at which the probe was sent
+   * @param bytes bytes sent and received
+   */
+  public void probeEnded(
+      int target, Optional<HealthReport> answer, long startNanos, long bytes, long nowNanos) {
+    boolean inTime = probes.end(target, bytes, nowNanos);
+    if (!inTime || answer.isEmpty()) {
+      return;
+    }
+    HealthReport health = answer.get();
+    leaving.healthReported(target, health.leaving(), startNanos);
+    health.load().ifPresent((LoadReport load) -> targets.loads().report(target, load, nowNanos));
+  }
+
+  /** Returns what measuring has cost so far, beside its budget. */
+  public ProbeCost probeCost(long nowNanos) {
+    return probes.cost(topology, nowNanos);
+  }
+
+  /** Returns where evidence that targets are leaving goes. */
+  public LeavingSystem leaving() {
+    return leaving;
   }
 
   /** Returns {@code ip:port} of a target. */
@@ -125,7 +226,7 @@
 
   /** Returns the name of the tenant that owns a service, or empty when the row has no service. */
   public Optional<String> tenantName(int serviceRow) {
-    return topology.tenantName(serviceRow);
+    return topology.plan(serviceRow).map(ServicePlan::tenant);
   }
 
   /** Returns the name of the entry that this engine decides for. */
@@ -133,65 +234,26 @@
     return preferences.entryId();
   }
 
-  /** Returns each target with every reason for its weight, by row. */
+  /** Returns each target with every reason for its weight. */
   public List<TargetStatus> targetStatuses(long nowNanos) {
-    List<TargetStatus> statuses = new ArrayList<>();
-    for (Map.Entry<String, Integer> target : topology.targetRows().entrySet()) {
-      statuses.add(status(target.getKey(), target.getValue(), nowNanos));
-    }
-    return statuses;
+    return report.targets(topology, nowNanos);
   }
 
   /** Returns each service of the file set in force. */
   public List<ServiceStatus> serviceStatuses() {
-    List<ServiceStatus> statuses = new ArrayList<>();
-    Topology current = topology;
-    Candidates[] usable = candidates;
-    for (Map.Entry<String, Integer> service : current.serviceRows().entrySet()) {
-      int row = service.getValue();
-      statuses.add(
-          new ServiceStatus(
-              row,
-              service.getKey(),
-              current.tenantName(row).orElse(""),
-              services.inFlight(row),
-              current.targetsOf(row).length,
-              usable[row].size()));
-    }
-    return statuses;
+    return report.services(topology, candidates);
   }
 
-  private Candidates[] candidatesOf(Topology next) {
-    Candidates[] all = new Candidates[services.capacity()];
-    Arrays.fill(all, Candidates.EMPTY);
-    for (int service : next.serviceRows().values()) {
-      int[] rows = next.targetsOf(service);
-      int[] slots = new int[rows.length];
-      for (int i = 0; i < rows.length; i++) {
-        slots[i] = targets.slots(rows[i]);
-      }
-      all[service] = new Candidates(rows, slots);
+  private boolean update(Topology current, Candidates[] views, long nowNanos) {
+    boolean changed = false;
+    for (ServicePlan plan : current.plans()) {
+      Candidates old = views[plan.row()];
+      Candidates next =
+          candidateSystem.candidates(plan.targets(), plan.extraNanos(), old, nowNanos);
+      changed |= next != old;
+      views[plan.row()] = next;
     }
-    return all;
-  }
-
-  private TargetStatus status(String address, int row, long nowNanos) {
-    long reported = targets.reportNanos(row);
-    long ageMillis =
-        reported == TargetTable.NEVER ? -1 : Math.max(0, nowNanos - reported) / NANOS_PER_MILLI;
-    return new TargetStatus(
-        row,
-        address,
-        services.name(targets.service(row)),
-        targets.dataCentre(row),
-        targets.inFlight(row),
-        new LoadReport(
-            targets.reportedInService(row), targets.reportedQueued(row), targets.slots(row)),
-        ageMillis,
-        targets.successes(row),
-        targets.failures(row),
-        1.0,
-        List.of());
+    return changed;
   }
 
   private Optional<Route> route(String method, String host, String path) {
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/engine/EngineReport.java
@@ -0,0 +1,101 @@
+package org.chivecross.logic.engine;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.chivecross.logic.balance.CandidateSystem;
+import org.chivecross.logic.balance.Candidates;
+import org.chivecross.model.request.LoadReport;
+import org.chivecross.model.table.LeavingEvidence;
+import org.chivecross.model.table.ServiceTable;
+import org.chivecross.model.table.TargetTable;
+
+/** Read-only views of the tables for the administration API. Safe for use by many threads. */
+final class EngineReport {
+
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private final TargetTable targets;
+  private final ServiceTable services;
+  private final CandidateSystem candidateSystem;
+
+  EngineReport(TargetTable targets, ServiceTable services, CandidateSystem candidateSystem) {
+    this.targets = targets;
+    this.services = services;
+    this.candidateSystem = candidateSystem;
+  }
+
+  List<TargetStatus> targets(Topology topology, long nowNanos) {
+    List<TargetStatus> statuses = new ArrayList<>();
+    for (ServicePlan plan : topology.plans()) {
+      for (int row : plan.targets()) {
+        statuses.add(status(plan, row, nowNanos));
+      }
+    }
+    return statuses;
+  }
+
+  List<ServiceStatus> services(Topology topology, Candidates[] usable) {
+    List<ServiceStatus> statuses = new ArrayList<>();
+    for (ServicePlan plan : topology.plans()) {
+      statuses.add(
+          new ServiceStatus(
+              plan.row(),
+              plan.name(),
+              plan.tenant(),
+              services.inFlight(plan.row()),
+              plan.targets().length,
+              usable[plan.row()].size(),
+              services.meanLoad(plan.row()),
+              services.latencyNanos(plan.row()) / NANOS_PER_MILLI));
+    }
+    return statuses;
+  }
+
+  private TargetStatus status(ServicePlan plan, int row, long nowNanos) {
+    long reported = targets.loads().reportNanos(row);
+    LoadReport load =
+        new LoadReport(
+            targets.loads().reportedInService(row),
+            targets.loads().reportedQueued(row),
+            targets.slots(row));
+    return new TargetStatus(
+        row,
+        targets.address(row),
+        plan.name(),
+        targets.dataCentre(row),
+        targets.loads().inFlight(row),
+        load,
+        reported == TargetTable.NEVER ? -1 : ageMillis(reported, nowNanos),
+        targets.health().successes(row),
+        targets.health().failures(row),
+        candidateSystem.weight(row, nowNanos),
+        reasons(row, nowNanos));
+  }
+
+  private List<String> reasons(int row, long nowNanos) {
+    List<String> reasons = new ArrayList<>();
+    for (LeavingEvidence kind : LeavingEvidence.values()) {
+      if (targets.leaving().stands(row, kind)) {
+        String name = kind.name().toLowerCase(Locale.ROOT).replace('_', ' ');
+        long age = ageMillis(targets.leaving().markedNanos(row, kind), nowNanos);
+        reasons.add("leaving: " + name + ", seen " + age + " ms ago");
+      }
+    }
+    long until = targets.health().ejectedUntilNanos(row);
+    if (until != TargetTable.NEVER) {
+      reasons.add("ejected: failures in a row, for " + -ageMillis(until, nowNanos) + " ms more");
+    } else if (targets.health().failuresInRow(row) > 0) {
+      reasons.add(targets.health().failuresInRow(row) + " failures in a row");
+    }
+    long since = targets.health().servingSinceNanos(row);
+    if (since != TargetTable.NEVER && nowNanos - since < CandidateSystem.RAMP_NANOS) {
+      reasons.add("ramping up: serving since " + ageMillis(since, nowNanos) + " ms");
+    }
+    return reasons;
+  }
+
+  private static long ageMillis(long nanos, long nowNanos) {
+    return (nowNanos - nanos) / NANOS_PER_MILLI;
+  }
+}
--- a/chivecross-core/src/main/java/org/chivecross/logic/engine/FileSetApplier.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/engine/FileSetApplier.java
@@ -2,15 +2,18 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.Objects;
+import java.util.Optional;
 import org.chivecross.logic.limit.AdmissionView;
 import org.chivecross.logic.limit.LimitShare;
+import org.chivecross.logic.probe.ProbeBudget;
+import org.chivecross.logic.probe.ProbeSystem;
 import org.chivecross.logic.retry.BudgetedRetryControl;
 import org.chivecross.logic.routing.RuleRouter;
 import org.chivecross.model.fileset.ClassPolicy;
+import org.chivecross.model.fileset.DataCentreLink;
 import org.chivecross.model.fileset.FileSet;
 import org.chivecross.model.fileset.RequestClass;
 import org.chivecross.model.fileset.Service;
@@ -22,27 +25,31 @@
 
 /**
  * Resolves the names of a file set to rows of the tables. Rows of names that stay are kept with
- * their live columns; others are released once they are idle and {@link #RELEASE_DELAY_NANOS} have
- * passed, so that a request that still holds the row never meets another target under it.
+ * their live columns. A target that joins a service which already runs starts with a small weight.
  *
  * <p>Not thread-safe: the engine calls it from one thread at a time.
  */
 final class FileSetApplier {
 
-  /** Time for which a row that left the file set is kept, in ns. */
-  static final long RELEASE_DELAY_NANOS = 60_000_000_000L;
+  private static final long NANOS_PER_MICRO = 1_000;
 
+  private final String dataCentre;
   private final TargetTable targets;
   private final ServiceTable services;
   private final ServiceTable tenants;
-  private final Map<Integer, Long> unusedTargets = new HashMap<>();
-  private final Map<Integer, Long> unusedServices = new HashMap<>();
-  private final Map<Integer, Long> unusedTenants = new HashMap<>();
+  private final ProbeSystem probes;
 
-  FileSetApplier(TargetTable targets, ServiceTable services, ServiceTable tenants) {
+  FileSetApplier(
+      String dataCentre,
+      TargetTable targets,
+      ServiceTable services,
+      ServiceTable tenants,
+      ProbeSystem probes) {
+    this.dataCentre = dataCentre;
     this.targets = targets;
     this.services = services;
     this.tenants = tenants;
+    this.probes = probes;
   }
 
   /**
@@ -52,118 +59,108 @@
    */
   Topology apply(FileSet set, long nowNanos) {
     Map<String, Integer> targetRows = new HashMap<>();
-    Map<String, Integer> serviceRows = new HashMap<>();
-    Map<String, Integer> tenantRows = new HashMap<>();
-    int capacity = services.capacity();
-    int[][] targetsByService = new int[capacity][0];
-    @Nullable String[] tenantByService = new String[capacity];
-    @Nullable ClassPolicy[] policies = new ClassPolicy[capacity * RequestClass.values().length];
+    List<ServicePlan> plans = new ArrayList<>();
+    @Nullable ClassPolicy[] policies =
+        new ClassPolicy[services.capacity() * RequestClass.values().length];
+    for (Tenant tenant : set.tenants()) {
+      tenants.acquire(tenant.name());
+    }
     for (Service service : set.services()) {
-      int row = services.acquire(service.name());
-      serviceRows.put(service.name(), row);
-      tenantByService[row] = service.owner();
-      targetsByService[row] = applyTargets(service, row, targetRows);
+      ServicePlan plan = plan(service, set, targetRows, nowNanos);
+      plans.add(plan);
       for (Map.Entry<RequestClass, ClassPolicy> policy : service.classes().entrySet()) {
-        policies[BudgetedRetryControl.cell(row, policy.getKey())] = policy.getValue();
+        policies[BudgetedRetryControl.cell(plan.row(), policy.getKey())] = policy.getValue();
       }
     }
-    for (Tenant tenant : set.tenants()) {
-      tenantRows.put(tenant.name(), tenants.acquire(tenant.name()));
-    }
-    markUnused(unusedTargets, targets.liveRows(), targetRows, nowNanos);
-    markUnused(unusedServices, services.liveRows(), serviceRows, nowNanos);
-    markUnused(unusedTenants, tenants.liveRows(), tenantRows, nowNanos);
-    return new Topology(
-        new RuleRouter(set, serviceRows::get),
-        targetRows,
-        serviceRows,
-        targetsByService,
-        tenantByService,
-        policies,
-        limits(set, serviceRows, tenantRows, capacity));
-  }
-
-  /** Releases rows that left the file set long enough ago and have nothing in flight. */
-  void releaseUnused(long nowNanos) {
-    unusedTargets
-        .entrySet()
-        .removeIf(
-            unused -> {
-              int row = unused.getKey();
-              if (!isExpired(unused.getValue(), nowNanos) || targets.inFlight(row) > 0) {
-                return false;
-              }
-              targets.release(row);
-              return true;
-            });
-    releaseUnused(unusedServices, services, nowNanos);
-    releaseUnused(unusedTenants, tenants, nowNanos);
+    Map<String, Integer> serviceRows = new HashMap<>();
+    plans.forEach(plan -> serviceRows.put(plan.name(), plan.row()));
+    RuleRouter router =
+        new RuleRouter(set, name -> Objects.requireNonNull(serviceRows.get(name), name));
+    return new Topology(router, targetRows, plans, policies, limits(set));
   }
 
-  private int[] applyTargets(Service service, int serviceRow, Map<String, Integer> targetRows) {
+  private ServicePlan plan(
+      Service service, FileSet set, Map<String, Integer> targetRows, long nowNanos) {
+    boolean running = services.contains(service.name());
+    int row = services.acquire(service.name());
+    int entryBound = Math.max(1, set.deployment().entryBound());
     List<Integer> rows = new ArrayList<>();
+    List<Long> extras = new ArrayList<>();
+    List<Long> intervals = new ArrayList<>();
     for (TargetGroup group : service.targets()) {
+      long extra = extraNanos(set, group.dataCentre());
+      long interval =
+          ProbeBudget.intervalNanos(
+              service.probeBudget(), service.probeMillis(), group.slots(), entryBound);
       for (String address : group.addresses()) {
-        int row = targets.acquire(address);
-        targets.describe(row, serviceRow, group.dataCentre(), group.slots(), group.connections());
-        targetRows.put(address, row);
-        rows.add(row);
+        boolean fresh = !targets.contains(address);
+        int target = targets.acquire(address);
+        targets.describe(target, row, group.dataCentre(), group.slots(), group.connections());
+        probes.describe(target, interval, fresh, nowNanos);
+        if (fresh && running) {
+          targets.health().startServing(target, nowNanos);
+        }
+        targetRows.put(address, target);
+        rows.add(target);
+        extras.add(extra);
+        intervals.add(interval);
       }
     }
-    return rows.stream().mapToInt(Integer::intValue).toArray();
+    ClassPolicy read = service.classes().get(RequestClass.READ);
+    return new ServicePlan(
+        row,
+        service.name(),
+        service.owner(),
+        rows.stream().mapToInt(Integer::intValue).toArray(),
+        extras.stream().mapToLong(Long::longValue).toArray(),
+        intervals.stream().mapToLong(Long::longValue).toArray(),
+        read == null ? 0 : read.hedgeFraction(),
+        service.probeMillis());
   }
 
-  private static AdmissionView limits(
-      FileSet set,
-      Map<String, Integer> serviceRows,
-      Map<String, Integer> tenantRows,
-      int capacity) {
-    int entries = set.deployment().entryBound();
-    Map<String, LimitShare> tenantShares = new HashMap<>();
-    for (Tenant tenant : set.tenants()) {
-      tenantShares.put(tenant.name(), LimitShare.of(tenant.limits(), entries));
+  private long extraNanos(FileSet set, String other) {
+    if (other.equals(dataCentre)) {
+      return 0;
     }
-    AdmissionView.@Nullable ServiceLimits[] limits = new AdmissionView.ServiceLimits[capacity];
-    for (Service service : set.services()) {
-      LimitShare tenantShare = tenantShares.get(service.owner());
-      Integer tenantRow = tenantRows.get(service.owner());
-      Integer serviceRow = serviceRows.get(service.name());
-      if (tenantShare == null || tenantRow == null || serviceRow == null) {
-        throw new IllegalArgumentException("service " + service.name() + " has no owner");
+    for (DataCentreLink link : set.deployment().links()) {
+      boolean there = link.from().equals(dataCentre) && link.to().equals(other);
+      boolean back = link.from().equals(other) && link.to().equals(dataCentre);
+      if (there || back) {
+        return link.roundTripMicros() * NANOS_PER_MICRO;
       }
-      LimitShare own = LimitShare.of(service.limits(), entries);
-      limits[serviceRow] = new AdmissionView.ServiceLimits(own, tenantShare, tenantRow);
     }
-    return new AdmissionView(limits);
+    return 0;
   }
 
-  private static void markUnused(
-      Map<Integer, Long> unused, int[] liveRows, Map<String, Integer> used, long nowNanos) {
-    Set<Integer> usedRows = new HashSet<>(used.values());
-    for (int row : liveRows) {
-      if (usedRows.contains(row)) {
-        unused.remove(row);
-      } else {
-        unused.putIfAbsent(row, nowNanos);
+  private AdmissionView limits(FileSet set) {
+    int entryBound = set.deployment().entryBound();
+    double weights = Math.max(1, set.tenants().stream().mapToInt(Tenant::weight).sum());
+    AdmissionView.@Nullable ServiceLimits[] limits =
+        new AdmissionView.ServiceLimits[services.capacity()];
+    for (Service service : set.services()) {
+      Tenant owner = owner(set, service).orElseThrow();
+      int slots = 0;
+      int count = 0;
+      for (TargetGroup group : service.targets()) {
+        slots += group.slots() * group.addresses().size();
+        count += group.addresses().size();
       }
+      double queuePerSlot =
+          Math.max(1, service.queuePerTarget()) * (double) count / Math.max(1, slots);
+      limits[services.acquire(service.name())] =
+          new AdmissionView.ServiceLimits(
+              LimitShare.of(service.limits(), entryBound),
+              LimitShare.of(owner.limits(), entryBound),
+              tenants.acquire(owner.name()),
+              owner.weight() / weights,
+              Math.max(Double.MIN_NORMAL, queuePerSlot));
     }
+    return new AdmissionView(limits);
   }
 
-  private static void releaseUnused(Map<Integer, Long> unused, ServiceTable table, long nowNanos) {
-    unused
-        .entrySet()
-        .removeIf(
-            entry -> {
-              int row = entry.getKey();
-              if (!isExpired(entry.getValue(), nowNanos) || table.inFlight(row) > 0) {
-                return false;
-              }
-              table.release(row);
-              return true;
-            });
-  }
-
-  private static boolean isExpired(long sinceNanos, long nowNanos) {
-    return nowNanos - sinceNanos >= RELEASE_DELAY_NANOS;
+  private static Optional<Tenant> owner(FileSet set, Service service) {
+    return set.tenants().stream()
+        .filter(tenant -> tenant.name().equals(service.owner()))
+        .findFirst();
   }
 }
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/engine/HealthReport.java
@@ -0,0 +1,12 @@
+package org.chivecross.logic.engine;
+
+import java.util.Optional;
+import org.chivecross.model.request.LoadReport;
+
+/**
+ * Answer of a target to a probe.
+ *
+ * @param leaving whether the target says that it is leaving
+ * @param load its load report
+ */
+public record HealthReport(boolean leaving, Optional<LoadReport> load) {}
--- a/chivecross-core/src/main/java/org/chivecross/logic/engine/ServiceStatus.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/engine/ServiceStatus.java
@@ -9,6 +9,15 @@
  * @param inFlight admitted requests of this entry that are not over
  * @param targets number of its targets
  * @param usableTargets number of targets that may take new work
+ * @param loadPerSlot mean load that its targets report, in requests for each slot
+ * @param latencyMillis moving mean of the latency of its targets, in ms
  */
 public record ServiceStatus(
-    int row, String name, String tenant, int inFlight, int targets, int usableTargets) {}
+    int row,
+    String name,
+    String tenant,
+    int inFlight,
+    int targets,
+    int usableTargets,
+    double loadPerSlot,
+    long latencyMillis) {}
--- a/chivecross-core/src/main/java/org/chivecross/logic/engine/TableObserver.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/engine/TableObserver.java
@@ -1,48 +1,83 @@
 package org.chivecross.logic.engine;
 
 import org.chivecross.logic.balance.UpstreamObserver;
+import org.chivecross.logic.leaving.LeavingSystem;
 import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.LoadReport;
+import org.chivecross.model.table.LatencyTable;
 import org.chivecross.model.table.ServiceTable;
 import org.chivecross.model.table.TargetTable;
 
-/** Writes what the request path sees into the live columns of the targets. Thread-safe. */
+/** Writes what the request path sees into the live columns of the tables. Thread-safe. */
 final class TableObserver implements UpstreamObserver {
 
+  private static final int LATE_ANSWER = 4;
+
   private final TargetTable targets;
   private final ServiceTable services;
+  private final LatencyTable latencies;
+  private final LeavingSystem leaving;
 
-  TableObserver(TargetTable targets, ServiceTable services) {
+  TableObserver(
+      TargetTable targets, ServiceTable services, LatencyTable latencies, LeavingSystem leaving) {
     this.targets = targets;
     this.services = services;
+    this.latencies = latencies;
+    this.leaving = leaving;
   }
 
   @Override
   public void attemptStarted(int target, long nowNanos) {
-    targets.start(target, nowNanos);
+    targets.loads().start(target, nowNanos);
   }
 
   @Override
   public void attemptEnded(int target, long latencyNanos, boolean succeeded, long nowNanos) {
-    targets.end(target, succeeded, nowNanos);
-    if (succeeded) {
-      services.recordLatency(targets.service(target), latencyNanos);
+    targets.loads().end(target, nowNanos);
+    if (!succeeded) {
+      targets.health().fail(target, nowNanos);
+      return;
     }
+    targets.health().succeed(target);
+    targets.loads().compare(target, isContradicted(target, latencyNanos));
+    recordLatency(target, latencyNanos);
   }
 
   @Override
-  public void attemptCancelled(int target, long elapsedNanos, long nowNanos) {
-    targets.cancel(target);
+  public void attemptAbandoned(int target, long waitedNanos, long nowNanos) {
+    targets.loads().cancel(target);
+    if (waitedNanos > services.latencyNanos(targets.service(target))) {
+      recordLatency(target, waitedNanos);
+    }
   }
 
   @Override
-  public void connectionFailed(int target, ConnectionFault fault, long nowNanos) {}
+  public void connectionFailed(int target, ConnectionFault fault, long nowNanos) {
+    if (fault == ConnectionFault.REFUSED) {
+      leaving.refused(target, nowNanos);
+    }
+  }
 
   @Override
   public void loadReported(int target, LoadReport report, long nowNanos) {
-    targets.report(target, report, nowNanos);
+    targets.loads().report(target, report, nowNanos);
   }
 
   @Override
-  public void leavingReported(int target, long nowNanos) {}
+  public void leavingReported(int target, long nowNanos) {
+    leaving.headerSeen(target, nowNanos);
+  }
+
+  /** A target that reports most of its slots free and yet answers late is not to be believed. */
+  private boolean isContradicted(int target, long latencyNanos) {
+    return 2 * targets.loads().reported(target) < targets.slots(target)
+        && latencyNanos > LATE_ANSWER * services.latencyNanos(targets.service(target));
+  }
+
+  private void recordLatency(int target, long nanos) {
+    int service = targets.service(target);
+    targets.loads().recordLatency(target, nanos);
+    services.recordLatency(service, nanos);
+    latencies.record(service, nanos);
+  }
 }
--- a/chivecross-core/src/main/java/org/chivecross/logic/engine/Topology.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/engine/Topology.java
@@ -1,6 +1,8 @@
 package org.chivecross.logic.engine;
 
 import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.chivecross.logic.balance.TargetSelector;
@@ -18,35 +20,35 @@
       new Topology(
           (method, host, path) -> Optional.empty(),
           Map.of(),
-          Map.of(),
-          new int[0][],
-          new String[0],
+          List.of(),
           new ClassPolicy[0],
           AdmissionView.EMPTY);
 
   private final RequestRouter router;
   private final Map<String, Integer> targetRows;
   private final Map<String, Integer> serviceRows;
-  private final int[][] targetsByService;
-  private final @Nullable String[] tenantByService;
+  private final List<ServicePlan> plans;
   private final @Nullable ClassPolicy[] classPolicies;
   private final AdmissionView limits;
+  private final int[] rows;
+  private final double[] hedgeFractions;
 
   Topology(
       RequestRouter router,
       Map<String, Integer> targetRows,
-      Map<String, Integer> serviceRows,
-      int[][] targetsByService,
-      @Nullable String[] tenantByService,
+      List<ServicePlan> plans,
       @Nullable ClassPolicy[] classPolicies,
       AdmissionView limits) {
     this.router = router;
     this.targetRows = Map.copyOf(targetRows);
-    this.serviceRows = Map.copyOf(serviceRows);
-    this.targetsByService = targetsByService;
-    this.tenantByService = tenantByService;
+    this.plans = List.copyOf(plans);
     this.classPolicies = classPolicies;
     this.limits = limits;
+    Map<String, Integer> byName = new HashMap<>();
+    plans.forEach(plan -> byName.put(plan.name(), plan.row()));
+    serviceRows = Map.copyOf(byName);
+    rows = plans.stream().mapToInt(ServicePlan::row).toArray();
+    hedgeFractions = plans.stream().mapToDouble(ServicePlan::hedgeFraction).toArray();
   }
 
   RequestRouter router() {
@@ -57,10 +59,6 @@
     return targetRows;
   }
 
-  Map<String, Integer> serviceRows() {
-    return serviceRows;
-  }
-
   int targetRow(String address) {
     return targetRows.getOrDefault(address, TargetSelector.NONE);
   }
@@ -69,15 +67,27 @@
     return Optional.ofNullable(serviceRows.get(name));
   }
 
-  Optional<String> tenantName(int service) {
-    if (service < 0 || service >= tenantByService.length) {
-      return Optional.empty();
+  List<ServicePlan> plans() {
+    return plans;
+  }
+
+  Optional<ServicePlan> plan(int serviceRow) {
+    for (ServicePlan plan : plans) {
+      if (plan.row() == serviceRow) {
+        return Optional.of(plan);
+      }
     }
-    return Optional.ofNullable(tenantByService[service]);
+    return Optional.empty();
+  }
+
+  /** Rows of all services; callers must not change the array. */
+  int[] rows() {
+    return rows;
   }
 
-  int[] targetsOf(int service) {
-    return targetsByService[service].clone();
+  /** Hedge fractions by index of {@link #rows}; callers must not change the array. */
+  double[] hedgeFractions() {
+    return hedgeFractions;
   }
 
   @Nullable ClassPolicy[] classPolicies() {
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/leaving/package-info.java
@@ -0,0 +1,5 @@
+/** Evidence that targets are leaving. */
+@NullMarked
+package org.chivecross.logic.leaving;
+
+import org.jspecify.annotations.NullMarked;
--- a/chivecross-core/src/main/java/org/chivecross/logic/limit/AdmissionView.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/limit/AdmissionView.java
@@ -17,8 +17,15 @@
    * @param own share in the limits of the service
    * @param tenant share in the limits of its owner
    * @param tenantRow row of its owner
+   * @param tenantFraction part of the entry that its owner may use when the entry is full
+   * @param queuePerSlot room for waiting requests, for each slot
    */
-  public record ServiceLimits(LimitShare own, LimitShare tenant, int tenantRow) {}
+  public record ServiceLimits(
+      LimitShare own,
+      LimitShare tenant,
+      int tenantRow,
+      double tenantFraction,
+      double queuePerSlot) {}
 
   /** Creates a view; the array holds null for a row without a service. */
   public AdmissionView(@Nullable ServiceLimits[] byService) {
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/outlier/OutlierSystem.java
@@ -0,0 +1,82 @@
+package org.chivecross.logic.outlier;
+
+import org.chivecross.model.table.TargetHealth;
+
+/**
+ * Ejects targets that fail several times in a row.
+ *
+ * <p>Invariants: at most half of the targets of a service are ejected at once; when more than half
+ * look bad, none is, since the fault is then more likely on the own side. An ejection ends by
+ * itself; a target that fails again at once is ejected for twice as long.
+ *
+ * <p>Not thread-safe: runs in the tick.
+ */
+public final class OutlierSystem {
+
+  /** Failures in a row after which a target is ejected. */
+  public static final int FAILURES_IN_ROW = 3;
+
+  /** Time of a first ejection, in ns. */
+  public static final long FIRST_EJECTION_NANOS = 1_000_000_000L;
+
+  /** Longest time of an ejection, in ns. */
+  public static final long MAX_EJECTION_NANOS = 30_000_000_000L;
+
+  private static final int MAX_DOUBLINGS = 5;
+
+  private final TargetHealth health;
+
+  /** Creates a system over the health columns. */
+  public OutlierSystem(TargetHealth health) {
+    this.health = health;
+  }
+
+  /** Ejects and readmits targets of one service. */
+  public void tick(int[] rows, long nowNanos) {
+    int bad = 0;
+    for (int row : rows) {
+      readmitWhenOver(row, nowNanos);
+      if (looksBad(row)) {
+        bad++;
+      }
+    }
+    if (bad == 0) {
+      return;
+    }
+    if (bad > rows.length / 2) {
+      for (int row : rows) {
+        health.readmit(row);
+      }
+      return;
+    }
+    for (int row : rows) {
+      if (looksBad(row) && !health.isEjected(row)) {
+        health.eject(row, nowNanos + ejectionNanos(row));
+      }
+    }
+  }
+
+  private boolean looksBad(int row) {
+    return health.isEjected(row) || health.failuresInRow(row) >= FAILURES_IN_ROW;
+  }
+
+  private void readmitWhenOver(int row, long nowNanos) {
+    if (health.isEjected(row)) {
+      if (nowNanos >= health.ejectedUntilNanos(row)) {
+        health.readmit(row);
+        health.setFailuresInRow(row, FAILURES_IN_ROW - 1);
+        health.startServing(row, nowNanos);
+      }
+      return;
+    }
+    if (health.ejections(row) > 0
+        && nowNanos - health.lastFailureNanos(row) > 2 * MAX_EJECTION_NANOS) {
+      health.forgetEjections(row);
+    }
+  }
+
+  private long ejectionNanos(int row) {
+    int doublings = Math.min(MAX_DOUBLINGS, health.ejections(row));
+    return Math.min(MAX_EJECTION_NANOS, FIRST_EJECTION_NANOS << doublings);
+  }
+}
--- a/chivecross-core/src/main/java/org/chivecross/logic/retry/BudgetedRetryControl.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/retry/BudgetedRetryControl.java
@@ -1,43 +1,64 @@
 package org.chivecross.logic.retry;
 
+import java.util.Arrays;
 import java.util.concurrent.atomic.AtomicLongArray;
+import java.util.function.IntUnaryOperator;
 import org.chivecross.logic.balance.SharedRandom;
 import org.chivecross.model.fileset.ClassPolicy;
 import org.chivecross.model.fileset.RequestClass;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Budgets of retries for each service and class, earned by successes.
+ * Budgets of retries and hedged requests for each service and class, earned by successes.
  *
- * <p>Invariant: over any time, retries stay below {@link #BUCKET_TOKENS} plus the configured
- * fraction of the successes. Failures earn nothing, so an overload can't feed itself. Safe for use
- * by many threads.
+ * <p>Invariant: over any time, retries stay below {@link #RETRY_BUCKET} plus the configured
+ * fraction of the successes, and hedged requests below {@link #HEDGE_BUCKET} plus theirs. Failures
+ * earn nothing, so an overload can't feed itself. Only calls from outside are hedged: a hedge at
+ * each of many layers would multiply. Safe for use by many threads.
  */
 public final class BudgetedRetryControl implements RetryControl {
 
   /** Retries that a quiet service may hold. */
-  public static final int BUCKET_TOKENS = 10;
+  public static final int RETRY_BUCKET = 10;
+
+  /** Hedged requests that a quiet service may hold. */
+  public static final int HEDGE_BUCKET = 10;
 
   private static final int CLASSES = RequestClass.values().length;
   private static final long TOKEN = 1_000_000;
   private static final long FIRST_BACKOFF_NANOS = 2_000_000;
   private static final long MAX_BACKOFF_NANOS = 50_000_000;
-  private static final long SILENCE_NANOS = 1_000_000_000;
+  private static final int MAX_DOUBLINGS = 10;
+  private static final int OUTSIDE_DEPTH = 0;
 
   private final SharedRandom random;
-  private final AtomicLongArray tokens;
+  private final LatencySystem latencies;
+  private final IntUnaryOperator serviceOfTarget;
+  private final AtomicLongArray retryTokens;
+  private final AtomicLongArray hedgeTokens;
   private volatile @Nullable ClassPolicy[] policies;
 
-  /** Creates a control for at most {@code services} rows. */
-  public BudgetedRetryControl(int services, SharedRandom random) {
+  /**
+   * Creates a control for at most {@code services} rows.
+   *
+   * @param serviceOfTarget finds the row of the service of a target
+   */
+  public BudgetedRetryControl(
+      int services,
+      SharedRandom random,
+      LatencySystem latencies,
+      IntUnaryOperator serviceOfTarget) {
     this.random = random;
-    tokens = new AtomicLongArray(services * CLASSES);
+    this.latencies = latencies;
+    this.serviceOfTarget = serviceOfTarget;
+    retryTokens = new AtomicLongArray(services * CLASSES);
+    hedgeTokens = new AtomicLongArray(services * CLASSES);
     policies = new ClassPolicy[services * CLASSES];
   }
 
-  /** Replaces the policies; an index is the service row times the classes plus the class. */
+  /** Replaces the policies; {@link #cell} is the index. */
   public void apply(@Nullable ClassPolicy[] newPolicies) {
-    policies = newPolicies.clone();
+    policies = Arrays.copyOf(newPolicies, newPolicies.length);
   }
 
   @Override
@@ -47,40 +68,56 @@
     if (policy == null) {
       return;
     }
-    long earned = (long) (policy.retryFraction() * TOKEN);
-    long held = tokens.get(cell);
-    if (held < BUCKET_TOKENS * TOKEN) {
-      tokens.addAndGet(cell, earned);
-    }
+    earn(retryTokens, cell, policy.retryFraction(), RETRY_BUCKET);
+    earn(hedgeTokens, cell, policy.hedgeFraction(), HEDGE_BUCKET);
   }
 
   @Override
   public boolean tryRetry(int service, RequestClass requestClass, int depth, long nowNanos) {
-    return take(cell(service, requestClass));
+    return tryTake(retryTokens, cell(service, requestClass));
   }
 
   @Override
   public boolean tryHedge(int service, RequestClass requestClass, int depth, long nowNanos) {
-    return false;
+    return depth == OUTSIDE_DEPTH && tryTake(hedgeTokens, cell(service, requestClass));
   }
 
   @Override
   public long backoffNanos(int retry) {
-    long most = Math.min(MAX_BACKOFF_NANOS, FIRST_BACKOFF_NANOS << Math.min(retry, 10));
+    long most = Math.min(MAX_BACKOFF_NANOS, FIRST_BACKOFF_NANOS << Math.min(retry, MAX_DOUBLINGS));
     return (long) (random.nextDouble(retry) * most);
   }
 
   @Override
   public long hedgeDelayNanos(int service, RequestClass requestClass) {
-    return NO_HEDGE;
+    return requestClass == RequestClass.READ ? latencies.hedgeNanos(service) : NO_HEDGE;
   }
 
   @Override
   public long silenceNanos(int target, RequestClass requestClass) {
-    return SILENCE_NANOS;
+    return latencies.silenceNanos(serviceOfTarget.applyAsInt(target));
+  }
+
+  /** Returns the index of a service and class in a table of policies. */
+  public static int cell(int service, RequestClass requestClass) {
+    return service * CLASSES + requestClass.ordinal();
+  }
+
+  private static void earn(AtomicLongArray tokens, int cell, double fraction, int bucket) {
+    long earned = (long) (fraction * TOKEN);
+    if (earned == 0) {
+      return;
+    }
+    long held = tokens.get(cell);
+    while (held < bucket * TOKEN) {
+      if (tokens.compareAndSet(cell, held, Math.min(bucket * TOKEN, held + earned))) {
+        return;
+      }
+      held = tokens.get(cell);
+    }
   }
 
-  private boolean take(int cell) {
+  private static boolean tryTake(AtomicLongArray tokens, int cell) {
     long held = tokens.get(cell);
     while (held >= TOKEN) {
       if (tokens.compareAndSet(cell, held, held - TOKEN)) {
@@ -90,9 +127,4 @@
     }
     return false;
   }
-
-  /** Returns the index of a service and class in a table of policies. */
-  public static int cell(int service, RequestClass requestClass) {
-    return service * CLASSES + requestClass.ordinal();
-  }
 }
--- a/chivecross-core/src/main/java/org/chivecross/model/table/ServiceTable.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/table/ServiceTable.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.atomic.AtomicIntegerArray;
 import java.util.concurrent.atomic.AtomicLongArray;
 
@@ -38,9 +37,9 @@
     meanLoadBits = new AtomicLongArray(capacity);
   }
 
-  /** Returns the row of a name, or empty when it has none. */
-  public Optional<Integer> row(String name) {
-    return Optional.ofNullable(rows.get(name));
+  /** Returns whether a name has a row. */
+  public boolean contains(String name) {
+    return rows.containsKey(name);
   }
 
   /**
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/model/table/TargetHealth.java
@@ -0,0 +1,133 @@
+package org.chivecross.model.table;
+
+import java.util.concurrent.atomic.AtomicIntegerArray;
+import java.util.concurrent.atomic.AtomicLongArray;
+
+/**
+ * Health columns of the targets: outcomes of attempts, ejection and the start of service.
+ *
+ * <p>Thread safety: any thread may count outcomes and read; ejection and start of service are
+ * written by the tick alone.
+ */
+public final class TargetHealth {
+
+  private final AtomicLongArray successes;
+  private final AtomicLongArray failures;
+  private final AtomicIntegerArray failuresInRow;
+  private final AtomicIntegerArray refusalsInRow;
+  private final AtomicLongArray lastFailureNanos;
+  private final AtomicLongArray ejectedUntilNanos;
+  private final AtomicIntegerArray ejections;
+  private final AtomicLongArray servingSinceNanos;
+
+  TargetHealth(int capacity) {
+    successes = new AtomicLongArray(capacity);
+    failures = new AtomicLongArray(capacity);
+    failuresInRow = new AtomicIntegerArray(capacity);
+    refusalsInRow = new AtomicIntegerArray(capacity);
+    lastFailureNanos = new AtomicLongArray(capacity);
+    ejectedUntilNanos = new AtomicLongArray(capacity);
+    ejections = new AtomicIntegerArray(capacity);
+    servingSinceNanos = new AtomicLongArray(capacity);
+  }
+
+  void clear(int row) {
+    successes.set(row, 0);
+    failures.set(row, 0);
+    failuresInRow.set(row, 0);
+    refusalsInRow.set(row, 0);
+    lastFailureNanos.set(row, TargetTable.NEVER);
+    ejectedUntilNanos.set(row, TargetTable.NEVER);
+    ejections.set(row, 0);
+    servingSinceNanos.set(row, TargetTable.NEVER);
+  }
+
+  /** Counts an attempt that the target served. */
+  public void succeed(int row) {
+    successes.incrementAndGet(row);
+    if (failuresInRow.get(row) != 0) {
+      failuresInRow.set(row, 0);
+    }
+    if (refusalsInRow.get(row) != 0) {
+      refusalsInRow.set(row, 0);
+    }
+  }
+
+  /** Counts an attempt that the target did not serve. */
+  public void fail(int row, long nowNanos) {
+    failures.incrementAndGet(row);
+    failuresInRow.incrementAndGet(row);
+    lastFailureNanos.set(row, nowNanos);
+  }
+
+  /** Counts a refused connection; returns how many came in a row. */
+  public int refuse(int row) {
+    return refusalsInRow.incrementAndGet(row);
+  }
+
+  /** Returns the attempts that succeeded since the row was acquired. */
+  public long successes(int row) {
+    return successes.get(row);
+  }
+
+  /** Returns the attempts that failed since the row was acquired. */
+  public long failures(int row) {
+    return failures.get(row);
+  }
+
+  /** Returns the failures since the last success. */
+  public int failuresInRow(int row) {
+    return failuresInRow.get(row);
+  }
+
+  /** Sets the failures since the last success. */
+  public void setFailuresInRow(int row, int count) {
+    failuresInRow.set(row, count);
+  }
+
+  /** Returns when the last attempt failed, or {@link TargetTable#NEVER}. */
+  public long lastFailureNanos(int row) {
+    return lastFailureNanos.get(row);
+  }
+
+  /** Ejects a target until a time. */
+  public void eject(int row, long untilNanos) {
+    ejectedUntilNanos.set(row, untilNanos);
+    ejections.incrementAndGet(row);
+  }
+
+  /** Ends the ejection of a target. */
+  public void readmit(int row) {
+    ejectedUntilNanos.set(row, TargetTable.NEVER);
+  }
+
+  /** Returns until when a target is ejected, or {@link TargetTable#NEVER} when it is not. */
+  public long ejectedUntilNanos(int row) {
+    return ejectedUntilNanos.get(row);
+  }
+
+  /** Returns whether a target is ejected. */
+  public boolean isEjected(int row) {
+    return ejectedUntilNanos.get(row) != TargetTable.NEVER;
+  }
+
+  /** Returns the ejections since the target was last healthy for a long time. */
+  public int ejections(int row) {
+    return ejections.get(row);
+  }
+
+  /** Forgets earlier ejections. */
+  public void forgetEjections(int row) {
+    ejections.set(row, 0);
+  }
+
+  /** Starts the ramp of a target that has just begun to serve, or serves again. */
+  public void startServing(int row, long nowNanos) {
+    servingSinceNanos.set(row, nowNanos);
+  }
+
+  /** Returns when the target began to serve; {@link TargetTable#NEVER} means long ago. */
+  public long servingSinceNanos(int row) {
+    return servingSinceNanos.get(row);
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/model/table/TargetLoads.java
@@ -0,0 +1,146 @@
+package org.chivecross.model.table;
+
+import java.util.concurrent.atomic.AtomicIntegerArray;
+import java.util.concurrent.atomic.AtomicLongArray;
+import org.chivecross.model.request.LoadReport;
+
+/**
+ * Load columns of the targets: what this entry has in flight and what the targets reported.
+ *
+ * <p>Invariant: own counts are exact; everything else may be lost when two threads write at once,
+ * which the next report mends. Safe for use by many threads.
+ */
+public final class TargetLoads {
+
+  private static final int COUNT_BITS = 16;
+  private static final int COUNT_MASK = 0xFFFF;
+  private static final int LATENCY_SAMPLES = 8;
+  private static final int MOST_DOUBT = 16;
+  private static final int DOUBT_STEP = 4;
+
+  private final AtomicIntegerArray inFlight;
+  private final AtomicIntegerArray startsSinceReport;
+  private final AtomicLongArray reports;
+  private final AtomicLongArray reportNanos;
+  private final AtomicLongArray progressNanos;
+  private final AtomicLongArray latencyNanos;
+  private final AtomicIntegerArray contradictions;
+
+  TargetLoads(int capacity) {
+    inFlight = new AtomicIntegerArray(capacity);
+    startsSinceReport = new AtomicIntegerArray(capacity);
+    reports = new AtomicLongArray(capacity);
+    reportNanos = new AtomicLongArray(capacity);
+    progressNanos = new AtomicLongArray(capacity);
+    latencyNanos = new AtomicLongArray(capacity);
+    contradictions = new AtomicIntegerArray(capacity);
+  }
+
+  void clear(int row) {
+    inFlight.set(row, 0);
+    startsSinceReport.set(row, 0);
+    reports.set(row, 0);
+    reportNanos.set(row, TargetTable.NEVER);
+    progressNanos.set(row, 0);
+    latencyNanos.set(row, 0);
+    contradictions.set(row, 0);
+  }
+
+  /** Returns the attempts of this entry in flight on a target. */
+  public int inFlight(int row) {
+    return inFlight.get(row);
+  }
+
+  /** Counts an attempt that starts. */
+  public void start(int row, long nowNanos) {
+    if (inFlight.getAndIncrement(row) == 0) {
+      progressNanos.set(row, nowNanos);
+    }
+    startsSinceReport.incrementAndGet(row);
+  }
+
+  /** Counts an attempt that ended. */
+  public void end(int row, long nowNanos) {
+    inFlight.decrementAndGet(row);
+    progressNanos.set(row, nowNanos);
+  }
+
+  /** Counts an attempt that was given up; this is no progress of the target. */
+  public void cancel(int row) {
+    inFlight.decrementAndGet(row);
+  }
+
+  /**
+   * Returns when the target last showed progress: an attempt ended, or one started while none was
+   * in flight.
+   */
+  public long progressNanos(int row) {
+    return progressNanos.get(row);
+  }
+
+  /** Keeps the newest report of a target. */
+  public void report(int row, LoadReport report, long nowNanos) {
+    reports.set(row, ((long) clamp(report.inService()) << COUNT_BITS) | clamp(report.queued()));
+    startsSinceReport.set(row, 0);
+    reportNanos.set(row, nowNanos);
+  }
+
+  /** Returns when the newest report came, or {@link TargetTable#NEVER}. */
+  public long reportNanos(int row) {
+    return reportNanos.get(row);
+  }
+
+  /** Returns the requests in service of the newest report. */
+  public int reportedInService(int row) {
+    return (int) (reports.get(row) >>> COUNT_BITS) & COUNT_MASK;
+  }
+
+  /** Returns the waiting requests of the newest report. */
+  public int reportedQueued(int row) {
+    return (int) reports.get(row) & COUNT_MASK;
+  }
+
+  /** Returns the requests in service and waiting of the newest report. */
+  public int reported(int row) {
+    long report = reports.get(row);
+    return (int) (report >>> COUNT_BITS) + (int) (report & COUNT_MASK);
+  }
+
+  /** Returns the attempts that started after the newest report came. */
+  public int startsSinceReport(int row) {
+    return startsSinceReport.get(row);
+  }
+
+  /** Takes the latency of an attempt into the moving mean. */
+  public void recordLatency(int row, long nanos) {
+    long mean = latencyNanos.get(row);
+    latencyNanos.set(row, mean == 0 ? nanos : mean + (nanos - mean) / LATENCY_SAMPLES);
+  }
+
+  /** Returns the moving mean of the latency in ns; 0 before the first attempt ended. */
+  public long latencyNanos(int row) {
+    return latencyNanos.get(row);
+  }
+
+  /**
+   * Counts whether a report contradicts what this entry saw. Contradictions weigh more than
+   * agreement, so that a target that lies half of the time is not believed.
+   */
+  public void compare(int row, boolean contradicts) {
+    int doubt = contradictions.get(row);
+    if (contradicts) {
+      contradictions.set(row, Math.min(MOST_DOUBT, doubt + DOUBT_STEP));
+    } else if (doubt > 0) {
+      contradictions.set(row, doubt - 1);
+    }
+  }
+
+  /** Returns how little the reports of a target are to be believed, 0 to 1. */
+  public double doubt(int row) {
+    return (double) contradictions.get(row) / MOST_DOUBT;
+  }
+
+  private static int clamp(int count) {
+    return Math.max(0, Math.min(COUNT_MASK, count));
+  }
+}
--- a/chivecross-core/src/test/java/org/chivecross/logic/engine/BalancerEngineTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/engine/BalancerEngineTest.java
@@ -49,7 +49,7 @@
         EngineFixture.set(
             1, List.of(EngineFixture.service("ledger", "team", 1, 4, EngineFixture.WIDE)));
     engine.apply(other, 1);
-    engine.tick(2 * FileSetApplier.RELEASE_DELAY_NANOS);
+    engine.tick(2 * RowCollector.DELAY_NANOS);
     assertNotEquals(row, select(engine, "ledger"));
     observer.attemptEnded(row, 1, true, 2);
   }
