--- a/chivecross-bench/src/main/java/org/chivecross/cli/experiment/ClusterModel.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/experiment/ClusterModel.java
@@ -21,6 +21,12 @@
   static final long MILLI = 1_000_000;
   static final long SECOND = 1_000 * MILLI;
 
+  /** Start of a fault after the warm-up, in ns. */
+  static final long FAULT_NANOS = 3 * SECOND;
+
+  /** Length of an overload, in ns. */
+  static final long OVERLOAD_NANOS = 10 * SECOND;
+
   private static final double MEAN_WORK_NANOS = 5.0 * MILLI;
   private static final double FIXED_WORK_FRACTION = 0.5;
   private static final long TICK_NANOS = 5 * MILLI;
@@ -31,6 +37,9 @@
   private static final long NOISE_MIN_NANOS = 50 * MILLI;
   private static final long NOISE_SPAN_NANOS = 450 * MILLI;
   private static final double NOISE_GAP_NANOS = 500.0 * MILLI;
+  private static final double OVERLOAD = 1.5;
+  private static final double COLD_SPEED = 1.0 / 3;
+  private static final long COLD_NANOS = 5 * SECOND;
 
   private final Scenario scenario;
   private final PolicyCase policy;
@@ -59,7 +68,8 @@
         targetDataCentres.put(address, FileSets.dataCentre(t));
       }
     }
-    FileSet set = FileSets.of(scenario, policy.hedgeFraction());
+    boolean joins = scenario.fault() == Scenario.Fault.COLD_START;
+    FileSet set = FileSets.of(scenario, policy.hedgeFraction(), joins ? 1 : 0);
     for (int e = 0; e < scenario.entries(); e++) {
       String dataCentre = FileSets.dataCentre(e);
       EnginePreferences preferences =
@@ -78,6 +88,7 @@
       startNoise(s);
     }
     scheduleTicks();
+    events.after(WARM_UP_NANOS + FAULT_NANOS, this::startFault);
     events.runUntil(WARM_UP_NANOS + scenario.seconds() * SECOND);
     return result;
   }
@@ -123,10 +134,6 @@
     return best;
   }
 
-  void sent() {
-    result.countSent();
-  }
-
   void hedged() {
     result.countHedged();
   }
@@ -137,7 +144,16 @@
 
   void served(int service, long startNanos) {
     if (startNanos >= WARM_UP_NANOS) {
-      result.recordServed(service, now() - startNanos);
+      result.recordServed(service, startNanos - WARM_UP_NANOS, now() - startNanos);
+    }
+  }
+
+  /** An attempt was sent to a target. */
+  void sentTo(SlottedTarget target) {
+    result.countSent();
+    boolean draining = scenario.fault() == Scenario.Fault.DRAIN;
+    if (draining && target == target(FileSets.address(0, 0))) {
+      result.noteSentToFaulty(now() - WARM_UP_NANOS);
     }
   }
 
@@ -149,7 +165,7 @@
 
   private void scheduleArrival(int service) {
     int slots = scenario.serviceTargets().get(service) * scenario.slots();
-    double gap = MEAN_WORK_NANOS / (slots * scenario.load());
+    double gap = MEAN_WORK_NANOS / (slots * load());
     events.after((long) exponential(arrivals, gap), () -> arrive(service));
   }
 
@@ -163,6 +179,32 @@
     entry.arrive(service, work, network);
   }
 
+  private double load() {
+    long since = now() - WARM_UP_NANOS - FAULT_NANOS;
+    boolean over = scenario.fault() == Scenario.Fault.OVERLOAD;
+    return over && since >= 0 && since < OVERLOAD_NANOS ? OVERLOAD : scenario.load();
+  }
+
+  private void startFault() {
+    for (int s = 0; s < scenario.serviceTargets().size(); s++) {
+      SlottedTarget target = target(FileSets.address(s, 0));
+      switch (scenario.fault()) {
+        case FAIL_FAST -> target.setFailing(true);
+        case LYING_REPORTS -> target.setLying(true);
+        case DRAIN -> target.setLeaving(true);
+        case COLD_START -> {
+          target.setSpeed(COLD_SPEED);
+          events.after(COLD_NANOS, () -> target.setSpeed(1));
+        }
+        default -> {}
+      }
+    }
+    if (scenario.fault() == Scenario.Fault.COLD_START) {
+      FileSet whole = FileSets.of(scenario, policy.hedgeFraction(), 0);
+      entries.forEach(entry -> entry.engine().apply(whole, now()));
+    }
+  }
+
   private void startNoise(int service) {
     if (!scenario.noisy()) {
       return;
--- a/chivecross-bench/src/main/java/org/chivecross/cli/experiment/DecisionExperiment.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/experiment/DecisionExperiment.java
@@ -47,13 +47,12 @@
             false,
             0),
         new PolicyCase("two choices", (t, v, r) -> new TwoChoicesPolicy(t, r), false, 0),
-        reported("default", 0, new ScorePreferences(1, 2, 1, 1, 1)),
-        reported("nodoubt", 0, new ScorePreferences(1, 2, 1, 0, 1)),
-        reported("stall2", 0, new ScorePreferences(1, 2, 2, 1, 1)),
-        reported("stall4", 0, new ScorePreferences(1, 2, 4, 1, 1)),
-        reported("hedged", 0.02, new ScorePreferences(1, 2, 1, 1, 1)),
-        reported("hedged1", 0.01, new ScorePreferences(1, 2, 1, 1, 1)),
-        reported("hedged5", 0.05, new ScorePreferences(1, 2, 1, 1, 1)));
+        reported("default", 0.02, ScorePreferences.DEFAULT),
+        reported("no hedges", 0, ScorePreferences.DEFAULT),
+        reported("no trip", 0.02, new ScorePreferences(1, 2, 1, 1, 0)),
+        reported("no doubt", 0.02, new ScorePreferences(1, 2, 1, 0, 1)),
+        reported("no stall", 0.02, new ScorePreferences(1, 2, 0, 1, 1)),
+        reported("long memory", 0.02, new ScorePreferences(4, 2, 1, 1, 1)));
   }
 
   private static PolicyCase reported(String name, double hedges, ScorePreferences preferences) {
--- a/chivecross-bench/src/main/java/org/chivecross/cli/experiment/ModelEntry.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/experiment/ModelEntry.java
@@ -172,7 +172,7 @@
     void start() {
       policies.observer().attemptStarted(target, startNanos);
       slotted.announce();
-      cluster.sent();
+      cluster.sentTo(slotted);
       cluster.events().after(oneWayNanos, () -> slotted.arrive(work));
     }
 
--- a/chivecross-core/src/main/java/org/chivecross/logic/balance/ReportedLoadScore.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/balance/ReportedLoadScore.java
@@ -19,6 +19,7 @@
 
   private static final int MOST_FAILURES = 8;
   private static final double FAILURE_NANOS = 1e9;
+  private static final long SUSPICION_NANOS = 200_000_000L;
 
   private final TargetTable targets;
   private final ServiceTable services;
@@ -49,8 +50,8 @@
       double doubt = loads.doubt(row) * preferences.doubtWeight();
       double believed = fresh * (1 - doubt);
       double blended = mean + (loads.reported(row) - mean) * believed;
-      double suspected = mean * doubt * loads.latencyNanos(row) / latency;
-      load = Math.max(inFlight, blended + suspected + loads.startsSinceReport(row));
+      double doubted = mean * doubt * loads.latencyNanos(row) / latency;
+      load = Math.max(inFlight, blended + doubted + loads.startsSinceReport(row));
     }
     double score = load / (candidates.slots(index) * weight);
     score += preferences.tripWeight() * candidates.extraNanos(index) / latency;
@@ -58,6 +59,10 @@
         && nowNanos - loads.progressNanos(row) > preferences.stallLatencies() * latency) {
       score += preferences.stallLoad();
     }
+    long suspected = loads.suspectNanos(row);
+    if (suspected != TargetTable.NEVER && nowNanos - suspected < SUSPICION_NANOS) {
+      score += preferences.stallLoad();
+    }
     return score + failureLoad(row, nowNanos);
   }
 
--- a/chivecross-core/src/main/java/org/chivecross/logic/engine/TableObserver.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/engine/TableObserver.java
@@ -12,6 +12,7 @@
 final class TableObserver implements UpstreamObserver {
 
   private static final int LATE_ANSWER = 4;
+  private static final int LATE_ABANDONED = 2;
 
   private final TargetTable targets;
   private final ServiceTable services;
@@ -40,15 +41,22 @@
     }
     targets.health().succeed(target);
     targets.loads().compare(target, isContradicted(target, latencyNanos));
+    if (latencyNanos < LATE_ABANDONED * services.latencyNanos(targets.service(target))) {
+      targets.loads().trust(target);
+    }
     recordLatency(target, latencyNanos);
   }
 
   @Override
   public void attemptAbandoned(int target, long waitedNanos, long nowNanos) {
     targets.loads().cancel(target);
-    if (waitedNanos > services.latencyNanos(targets.service(target))) {
+    long usual = services.latencyNanos(targets.service(target));
+    if (waitedNanos > usual) {
       recordLatency(target, waitedNanos);
     }
+    if (waitedNanos > LATE_ABANDONED * usual) {
+      targets.loads().suspect(target, nowNanos);
+    }
   }
 
   @Override
--- a/chivecross-core/src/main/java/org/chivecross/model/table/TargetLoads.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/table/TargetLoads.java
@@ -25,6 +25,7 @@
   private final AtomicLongArray progressNanos;
   private final AtomicLongArray latencyNanos;
   private final AtomicIntegerArray contradictions;
+  private final AtomicLongArray suspectNanos;
 
   TargetLoads(int capacity) {
     inFlight = new AtomicIntegerArray(capacity);
@@ -34,6 +35,7 @@
     progressNanos = new AtomicLongArray(capacity);
     latencyNanos = new AtomicLongArray(capacity);
     contradictions = new AtomicIntegerArray(capacity);
+    suspectNanos = new AtomicLongArray(capacity);
   }
 
   void clear(int row) {
@@ -44,6 +46,7 @@
     progressNanos.set(row, 0);
     latencyNanos.set(row, 0);
     contradictions.set(row, 0);
+    suspectNanos.set(row, TargetTable.NEVER);
   }
 
   /** Returns the attempts of this entry in flight on a target. */
@@ -70,6 +73,23 @@
     inFlight.decrementAndGet(row);
   }
 
+  /** Notes that a target kept an attempt waiting for too long. */
+  public void suspect(int row, long nowNanos) {
+    suspectNanos.set(row, nowNanos);
+  }
+
+  /** Notes that a target answered in the usual time. */
+  public void trust(int row) {
+    if (suspectNanos.get(row) != TargetTable.NEVER) {
+      suspectNanos.set(row, TargetTable.NEVER);
+    }
+  }
+
+  /** Returns when a target last kept an attempt waiting, or {@link TargetTable#NEVER}. */
+  public long suspectNanos(int row) {
+    return suspectNanos.get(row);
+  }
+
   /**
    * Returns when the target last showed progress: an attempt ended, or one started while none was
    * in flight.
