--- a/chivecross-bench/src/main/java/org/chivecross/cli/experiment/FileSets.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/experiment/FileSets.java
@@ -32,10 +32,15 @@
     return DATA_CENTRES.get(number % DATA_CENTRES.size());
   }
 
-  static FileSet of(Scenario scenario, double hedgeFraction) {
+  /**
+   * Returns the file set of a scenario.
+   *
+   * @param firstTarget number of the first target; earlier ones are left out
+   */
+  static FileSet of(Scenario scenario, double hedgeFraction, int firstTarget) {
     List<Service> services = new ArrayList<>();
     for (int s = 0; s < scenario.serviceTargets().size(); s++) {
-      services.add(service(s, scenario, hedgeFraction));
+      services.add(service(s, scenario, hedgeFraction, firstTarget));
     }
     List<DataCentreLink> links = new ArrayList<>();
     for (String from : DATA_CENTRES) {
@@ -50,9 +55,10 @@
     return new FileSet(deployment, List.of(new Tenant("team", 1, WIDE)), services, List.of());
   }
 
-  private static Service service(int number, Scenario scenario, double hedgeFraction) {
+  private static Service service(
+      int number, Scenario scenario, double hedgeFraction, int firstTarget) {
     List<TargetGroup> groups = new ArrayList<>();
-    for (int t = 0; t < scenario.serviceTargets().get(number); t++) {
+    for (int t = firstTarget; t < scenario.serviceTargets().get(number); t++) {
       groups.add(
           new TargetGroup(dataCentre(t), scenario.slots(), 300, List.of(address(number, t))));
     }
