Enumerate the interleavings of one request

Cause: at most once and truthful outcomes must hold in every order of events. Found and mended: a key whose first answer was a 5xx without proof was told as answered although it may not have run; it is unknown now, with the status kept.

--- a/chivecross-core/src/main/java/org/chivecross/logic/key/KeyRecordTable.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/key/KeyRecordTable.java
@@ -49,7 +49,7 @@
       if (outcome == Outcome.ANSWERED) {
         records.set(row, KeyRecords.RowState.ANSWERED, status);
       } else if (outcome == Outcome.UNKNOWN) {
-        records.set(row, KeyRecords.RowState.UNKNOWN, 0);
+        records.set(row, KeyRecords.RowState.UNKNOWN, status);
       } else if (records.state(row) == KeyRecords.RowState.IN_FLIGHT_CANCELLED) {
         records.set(row, KeyRecords.RowState.FENCED, 0);
       } else {
@@ -158,7 +158,7 @@
     }
     return switch (records.state(row)) {
       case ANSWERED -> new KeyClaim.Finished(records.status(row), Outcome.ANSWERED);
-      case UNKNOWN -> new KeyClaim.Finished(0, Outcome.UNKNOWN);
+      case UNKNOWN -> new KeyClaim.Finished(records.status(row), Outcome.UNKNOWN);
       case FENCED -> new KeyClaim.Fenced();
       default -> new KeyClaim.InFlight();
     };
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/AttemptTable.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/AttemptTable.java
@@ -1,7 +1,5 @@
 package org.chivecross.logic.request;
 
-import java.util.Arrays;
-
 /**
  * Attempts of one request; a row for each, numbered in the order of their start.
  *
@@ -136,6 +134,12 @@
 
   @Override
   public String toString() {
-    return "targets " + Arrays.toString(Arrays.copyOf(targets, size));
+    StringBuilder text = new StringBuilder();
+    for (int i = 0; i < size; i++) {
+      text.append(targets[i]).append(open[i] ? " open" : " closed").append(sent[i] ? " sent" : "");
+      text.append(notRun[i] ? " not run" : "").append(" silent at ").append(silentAtNanos[i]);
+      text.append("; ");
+    }
+    return text.toString();
   }
 }
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/PolicyRequestMachine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/PolicyRequestMachine.java
@@ -11,7 +11,6 @@
 import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.ConnectionKind;
 import org.chivecross.model.request.Decision;
-import org.chivecross.model.request.Outcome;
 import org.chivecross.model.request.RequestHead;
 import org.chivecross.model.request.ResponseHead;
 
@@ -33,12 +32,14 @@
   private final RequestPolicies policies;
   private final AttemptTable attempts = new AttemptTable();
   private final Refusals refusals;
+  private final RequestLedger ledger;
   private RequestState state = new RequestState.Arriving();
   private boolean bodySent;
   private int retries;
 
   PolicyRequestMachine(RequestPolicies policies) {
     this.policies = policies;
+    ledger = new RequestLedger(policies, attempts);
     refusals = new Refusals(policies.admission());
   }
 
@@ -107,7 +108,7 @@
       }
     }
     RequestContext context = sending.context();
-    abandonOthers(attempt, nowNanos);
+    ledger.abandonOthers(attempt, nowNanos);
     state = new RequestState.Relaying(context, attempt, head.status(), nowNanos);
     return new Decision.Relay(attempt);
   }
@@ -122,7 +123,8 @@
     if (succeeded) {
       policies.retries().succeeded(context.service(), context.requestClass(), nowNanos);
     }
-    finishRelaying(relaying, succeeded, nowNanos);
+    ledger.finishRelaying(relaying, succeeded, nowNanos);
+    state = new RequestState.Done();
     return new Decision.Finish();
   }
 
@@ -174,12 +176,12 @@
   @Override
   public Decision cancelled(long nowNanos) {
     if (state instanceof RequestState.Relaying relaying) {
-      finishRelaying(relaying, relaying.status() < SERVER_ERROR, nowNanos);
+      ledger.finishRelaying(relaying, relaying.status() < SERVER_ERROR, nowNanos);
     } else if (state instanceof RequestState.Queued queued) {
-      finishKey(queued.context(), 0, refusals.settle(proof()), nowNanos);
+      ledger.finishKey(queued.context(), 0, refusals.settle(proof()), nowNanos);
     } else if (state instanceof RequestState.Sending sending) {
-      abandonOthers(-1, nowNanos);
-      finish(sending.context(), 0, refusals.settle(proof()), nowNanos);
+      ledger.abandonOthers(-1, nowNanos);
+      ledger.finish(sending.context(), 0, refusals.settle(proof()), nowNanos);
     }
     state = new RequestState.Done();
     return new Decision.Finish();
@@ -201,6 +203,12 @@
     return AttemptTable.NEVER;
   }
 
+  /** Returns everything on which later decisions depend. */
+  @Override
+  public String toString() {
+    return state + " " + attempts + " retries " + retries + " body " + bodySent;
+  }
+
   private Decision admit(RequestContext context, long nowNanos) {
     if (nowNanos >= context.deadlineNanos()) {
       return refuse(context, refusals.expired(proof(), context, nowNanos), nowNanos);
@@ -229,7 +237,7 @@
 
   /** Ends a request that was never admitted. */
   private Decision refuse(RequestContext context, Decision.Answer answer, long nowNanos) {
-    finishKey(context, 0, answer.outcome(), nowNanos);
+    ledger.finishKey(context, 0, answer.outcome(), nowNanos);
     state = new RequestState.Done();
     return answer;
   }
@@ -261,7 +269,7 @@
 
   private Decision attemptFailed(
       RequestState.Sending sending, int attempt, String detail, long nowNanos) {
-    end(attempt, false, nowNanos);
+    ledger.fail(attempt, nowNanos);
     if (attempts.hasOpen() || sending.retryAtNanos() != AttemptTable.NEVER) {
       return await();
     }
@@ -285,7 +293,7 @@
     if (!otherWay && !(mayRepeat(sending.context()) && scheduleRetry(sending, nowNanos))) {
       return Optional.empty();
     }
-    end(attempt, false, nowNanos);
+    ledger.fail(attempt, nowNanos);
     return Optional.of(await());
   }
 
@@ -341,64 +349,25 @@
   }
 
   private Decision deadlinePassed(RequestContext context, long nowNanos) {
-    endAll(nowNanos);
+    ledger.failAll(nowNanos);
     Decision.Answer answer = refusals.expired(proof(), context, nowNanos);
-    finish(context, 0, answer.outcome(), nowNanos);
+    ledger.finish(context, 0, answer.outcome(), nowNanos);
+    state = new RequestState.Done();
     return answer;
   }
 
   private Decision giveUp(RequestContext context, int status, Failure failure, long nowNanos) {
     Decision.Answer answer = refusals.givenUp(proof(), status, failure, context, nowNanos);
-    finish(context, 0, answer.outcome(), nowNanos);
+    ledger.finish(context, 0, answer.outcome(), nowNanos);
+    state = new RequestState.Done();
     return answer;
   }
 
   private Decision abort(RequestState.Relaying relaying, String detail, long nowNanos) {
     String peer = refusals.peer(attempts.target(relaying.attempt()));
-    finishRelaying(relaying, false, nowNanos);
-    return new Decision.Abort(new Failure(Step.RELAY_RESPONSE, peer, detail));
-  }
-
-  private void finishRelaying(RequestState.Relaying relaying, boolean succeeded, long nowNanos) {
-    int attempt = relaying.attempt();
-    attempts.close(attempt);
-    long latency = relaying.headNanos() - attempts.startedNanos(attempt);
-    policies.observer().attemptEnded(attempts.target(attempt), latency, succeeded, nowNanos);
-    finish(relaying.context(), relaying.status(), Outcome.ANSWERED, nowNanos);
-  }
-
-  private void finish(RequestContext context, int status, Outcome outcome, long nowNanos) {
-    policies.admission().release(context.service(), context.requestClass(), nowNanos);
-    finishKey(context, status, outcome, nowNanos);
+    ledger.finishRelaying(relaying, false, nowNanos);
     state = new RequestState.Done();
-  }
-
-  private void finishKey(RequestContext context, int status, Outcome outcome, long nowNanos) {
-    context.claimedKey().ifPresent(key -> policies.keys().finish(key, status, outcome, nowNanos));
-  }
-
-  private void end(int attempt, boolean succeeded, long nowNanos) {
-    attempts.close(attempt);
-    long latency = nowNanos - attempts.startedNanos(attempt);
-    policies.observer().attemptEnded(attempts.target(attempt), latency, succeeded, nowNanos);
-  }
-
-  private void endAll(long nowNanos) {
-    for (int i = 0; i < attempts.size(); i++) {
-      if (attempts.isOpen(i)) {
-        end(i, false, nowNanos);
-      }
-    }
-  }
-
-  private void abandonOthers(int kept, long nowNanos) {
-    for (int i = 0; i < attempts.size(); i++) {
-      if (i != kept && attempts.isOpen(i)) {
-        attempts.close(i);
-        long waited = nowNanos - attempts.startedNanos(i);
-        policies.observer().attemptAbandoned(attempts.target(i), waited, nowNanos);
-      }
-    }
+    return new Decision.Abort(new Failure(Step.RELAY_RESPONSE, peer, detail));
   }
 
   private Optional<NotRunProof> proof() {
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/RequestLedger.java
@@ -0,0 +1,72 @@
+package org.chivecross.logic.request;
+
+import org.chivecross.model.request.Outcome;
+
+/**
+ * Gives back what a request took: its attempts, its admission and its key.
+ *
+ * <p>Invariants: an attempt is closed before its end is reported, and reported once; admission and
+ * key are given back by the one call of {@link #finish} or {@link #finishKey}. Not thread-safe.
+ */
+final class RequestLedger {
+
+  private static final int SERVER_ERROR = 500;
+
+  private final RequestPolicies policies;
+  private final AttemptTable attempts;
+
+  RequestLedger(RequestPolicies policies, AttemptTable attempts) {
+    this.policies = policies;
+    this.attempts = attempts;
+  }
+
+  /** Ends an attempt that the target did not serve. */
+  void fail(int attempt, long nowNanos) {
+    end(attempt, nowNanos - attempts.startedNanos(attempt), false, nowNanos);
+  }
+
+  /** Ends all open attempts, which the target did not serve in time. */
+  void failAll(long nowNanos) {
+    for (int i = 0; i < attempts.size(); i++) {
+      if (attempts.isOpen(i)) {
+        fail(i, nowNanos);
+      }
+    }
+  }
+
+  /** Closes all open attempts but one; the targets are not to blame. */
+  void abandonOthers(int kept, long nowNanos) {
+    for (int i = 0; i < attempts.size(); i++) {
+      if (i != kept && attempts.isOpen(i)) {
+        attempts.close(i);
+        long waited = nowNanos - attempts.startedNanos(i);
+        policies.observer().attemptAbandoned(attempts.target(i), waited, nowNanos);
+      }
+    }
+  }
+
+  /** Ends the attempt whose answer was relayed, and the request with it. */
+  void finishRelaying(RequestState.Relaying relaying, boolean succeeded, long nowNanos) {
+    int attempt = relaying.attempt();
+    end(attempt, relaying.headNanos() - attempts.startedNanos(attempt), succeeded, nowNanos);
+    // An error answer doesn't tell whether the request ran.
+    Outcome outcome = relaying.status() < SERVER_ERROR ? Outcome.ANSWERED : Outcome.UNKNOWN;
+    finish(relaying.context(), relaying.status(), outcome, nowNanos);
+  }
+
+  /** Ends an admitted request. */
+  void finish(RequestContext context, int status, Outcome outcome, long nowNanos) {
+    policies.admission().release(context.service(), context.requestClass(), nowNanos);
+    finishKey(context, status, outcome, nowNanos);
+  }
+
+  /** Ends a request that was not admitted. */
+  void finishKey(RequestContext context, int status, Outcome outcome, long nowNanos) {
+    context.claimedKey().ifPresent(key -> policies.keys().finish(key, status, outcome, nowNanos));
+  }
+
+  private void end(int attempt, long latencyNanos, boolean succeeded, long nowNanos) {
+    attempts.close(attempt);
+    policies.observer().attemptEnded(attempts.target(attempt), latencyNanos, succeeded, nowNanos);
+  }
+}
--- a/chivecross-core/src/main/java/org/chivecross/model/request/Outcome.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/request/Outcome.java
@@ -8,7 +8,7 @@
   UNKNOWN("unknown"),
   /** Its deadline passed before any byte of it was sent. */
   EXPIRED("expired"),
-  /** An upstream answered the first request with the same idempotency key. */
+  /** It ran: an upstream answered the first request with the same key, and not by an error. */
   ANSWERED("answered");
 
   private final String headerValue;
--- /dev/null
+++ b/chivecross-core/src/test/java/org/chivecross/logic/session/SessionHop.java
@@ -0,0 +1,40 @@
+package org.chivecross.logic.session;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.chivecross.logic.request.RequestMachine;
+import org.jspecify.annotations.Nullable;
+
+/** One request at one entry; a passed request has a hop at each of the two entries. */
+final class SessionHop {
+
+  final SessionCall call;
+  final SessionEntry entry;
+  final RequestMachine machine;
+  final List<SessionAttempt> attempts = new ArrayList<>();
+
+  /** Entry to which the request is being passed, until it arrives there. */
+  @Nullable SessionEntry passingTo;
+
+  boolean over;
+
+  SessionHop(SessionCall call, SessionEntry entry) {
+    this.call = call;
+    this.entry = entry;
+    machine = entry.machines.create();
+  }
+
+  void closeAttempts(int kept) {
+    for (SessionAttempt attempt : attempts) {
+      if (attempt.number != kept) {
+        attempt.entrySide = SessionAttempt.EntrySide.CLOSED;
+      }
+    }
+  }
+
+  @Override
+  public String toString() {
+    String passing = passingTo == null ? "" : passingTo.name;
+    return call.id + entry.name + over + passing + attempts + machine;
+  }
+}
