--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerFilter.java
@@ -0,0 +1,71 @@
+package org.chivecross.cli.entry.http;
+
+import java.util.Optional;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.http.HttpBrokenContent;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.nio.NIOConnection;
+
+/** Gives what callers send to the exchange it belongs to. Safe for use by many threads. */
+final class CallerFilter extends BaseFilter {
+
+  private final CallerRegistry callers;
+  private final ExchangeServices services;
+  private final LocalRoutes localRoutes;
+
+  CallerFilter(CallerRegistry callers, ExchangeServices services, LocalRoutes localRoutes) {
+    this.callers = callers;
+    this.services = services;
+    this.localRoutes = localRoutes;
+  }
+
+  @Override
+  public NextAction handleAccept(FilterChainContext context) {
+    callers.add((NIOConnection) context.getConnection(), System.nanoTime());
+    return context.getInvokeAction();
+  }
+
+  @Override
+  public NextAction handleRead(FilterChainContext context) {
+    HttpContent content = context.getMessage();
+    HttpRequestPacket request = (HttpRequestPacket) content.getHttpHeader();
+    CallerConnection caller = callers.of(context.getConnection()).orElseThrow();
+    CallerExchange exchange = caller.current();
+    if (exchange != null && exchange.request() != request) {
+      if (caller.park(context)) {
+        return context.getSuspendAction();
+      }
+      exchange = null;
+    }
+    if (exchange == null) {
+      if (caller.isFinished(request)) {
+        return context.getStopAction();
+      }
+      exchange = begin(caller, request);
+    }
+    if (content instanceof HttpBrokenContent) {
+      exchange.bodyBroken();
+      return context.getStopAction();
+    }
+    if (exchange.received(content) || !exchange.parkReader(context)) {
+      return context.getStopAction();
+    }
+    return context.getSuspendAction();
+  }
+
+  private CallerExchange begin(CallerConnection caller, HttpRequestPacket request) {
+    Optional<LocalHandler> local = localRoutes.find(request.getRequestURI());
+    if (local.isPresent()) {
+      LocalExchange exchange = new LocalExchange(caller, request, local.get());
+      caller.begin(exchange);
+      return exchange;
+    }
+    Exchange exchange = new Exchange(services, caller, request, System.nanoTime());
+    caller.begin(exchange);
+    exchange.acknowledge();
+    return exchange;
+  }
+}
