--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/admin/AdminRoutes.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/admin/AdminRoutes.java
@@ -20,7 +20,30 @@
  */
 final class AdminRoutes {
 
-  static final String KEYS = "/admin/v1/keys/";
+  private static final String HEALTH = "/health";
+  private static final String READY = "/ready";
+  private static final String METRICS = "/metrics";
+  private static final String CONFIG = "/admin/v1/config";
+  private static final String TARGETS = "/admin/v1/targets";
+  private static final String MEMBERS = "/admin/v1/members";
+  private static final String SERVICES = "/admin/v1/services";
+  private static final String TENANTS = "/admin/v1/tenants";
+  private static final String DECISIONS = "/admin/v1/decisions";
+  private static final String KEYS = "/admin/v1/keys/";
+
+  /** Paths that are served, with parameters in braces. */
+  static final Set<String> PATHS =
+      Set.of(
+          HEALTH,
+          READY,
+          METRICS,
+          CONFIG,
+          TARGETS,
+          MEMBERS,
+          SERVICES,
+          TENANTS,
+          DECISIONS,
+          KEYS + "{key}");
 
   private static final int OK = 200;
   private static final int BAD_REQUEST = 400;
@@ -49,20 +72,15 @@
   AdminRoutes(AdminSettings settings, AdminViews views) {
     this.settings = settings;
     this.views = views;
-    routes.put("/health", request -> json(OK, new HealthStatus("up")));
-    routes.put("/ready", request -> readiness());
-    routes.put("/metrics", request -> metrics());
-    routes.put("/admin/v1/config", request -> json(OK, views.config().get()));
-    routes.put("/admin/v1/targets", request -> page(request, views.targets()));
-    routes.put("/admin/v1/members", request -> page(request, views.members()));
-    routes.put("/admin/v1/services", request -> page(request, views.services()));
-    routes.put("/admin/v1/tenants", request -> page(request, views.tenants()));
-    routes.put("/admin/v1/decisions", request -> page(request, views.decisions()));
-  }
-
-  /** Returns the paths without parameters. */
-  Set<String> paths() {
-    return Set.copyOf(routes.keySet());
+    routes.put(HEALTH, request -> json(OK, new HealthStatus("up")));
+    routes.put(READY, request -> readiness());
+    routes.put(METRICS, request -> metrics());
+    routes.put(CONFIG, request -> json(OK, views.config().get()));
+    routes.put(TARGETS, request -> page(request, views.targets()));
+    routes.put(MEMBERS, request -> page(request, views.members()));
+    routes.put(SERVICES, request -> page(request, views.services()));
+    routes.put(TENANTS, request -> page(request, views.tenants()));
+    routes.put(DECISIONS, request -> page(request, views.decisions()));
   }
 
   /** Answers a request. */
@@ -90,7 +108,7 @@
 
   /** Returns whether a path needs no token: what load balancers and supervisors poll. */
   private static boolean isOpen(String path) {
-    return path.equals("/health") || path.equals("/ready");
+    return path.equals(HEALTH) || path.equals(READY);
   }
 
   private AdminAnswer readiness() {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/admin/AdminServer.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/admin/AdminServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.NetworkListener;
@@ -40,6 +41,11 @@
         .addHttpHandler(new AdminHandler(new AdminRoutes(settings, views)), "/");
   }
 
+  /** Returns the paths that are served, with parameters in braces. */
+  public static Set<String> paths() {
+    return AdminRoutes.PATHS;
+  }
+
   /**
    * Starts to listen.
    *
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/admin/AdminRoutesTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/admin/AdminRoutesTest.java
@@ -37,7 +37,8 @@
   @ValueSource(
       strings = {"", "Bearer", "Bearer wrong", "Basic 0123456789abcdef-token", "0123456789abcdef"})
   void everythingButHealthNeedsTheToken(String authorization) {
-    for (String path : routes.paths()) {
+    for (String template : AdminRoutes.PATHS) {
+      String path = template.replace("{key}", "a-1");
       boolean open = path.equals("/health") || path.equals("/ready");
       AdminRequest request = new AdminRequest("GET", path, Map.of(), authorization);
       assertEquals(open ? 200 : 401, routes.answer(request).status(), path);
