Add chivecross-admin

Exit codes: 0, 1 when entries disagree, are behind or don't answer, 2 for a bad setting. Tests: 9 runs against given answers and a manual clock.

--- a/chivecross-admin/src/main/java/org/chivecross/cli/admin/AdminMain.java
+++ b/chivecross-admin/src/main/java/org/chivecross/cli/admin/AdminMain.java
@@ -1,19 +1,37 @@
 package org.chivecross.cli.admin;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.chivecross.logic.settings.ProgramLauncher;
 
 /** Start of {@code chivecross-admin}. */
 public final class AdminMain {
 
+  private static final String VERSION = "--version";
+
   private AdminMain() {}
 
   /** Runs the program and ends the process with its exit code. */
   public static void main(String[] arguments) {
     ProgramLauncher launcher =
         new ProgramLauncher("chivecross-admin", System.getenv(), System.out, System.err);
-    System.exit(
-        launcher.launch(
-            new AdminOptions(), List.of(arguments), options -> ProgramLauncher.SUCCESS));
+    System.exit(launcher.launch(new AdminOptions(), rename(List.of(arguments)), AdminMain::run));
+  }
+
+  private static int run(AdminOptions options) {
+    AdminPreferences preferences = options.toPreferences();
+    AdminClient client = new AdminClient(preferences.token());
+    return new AdminRun(preferences, client, Pause.SYSTEM, System.out, System.err).run();
+  }
+
+  /** Makes {@code wait --version N} mean the version waited for, not that of the program. */
+  static List<String> rename(List<String> arguments) {
+    List<String> renamed = new ArrayList<>();
+    boolean wait = arguments.contains("wait");
+    for (String argument : arguments) {
+      boolean isVersion = argument.equals(VERSION) || argument.startsWith(VERSION + "=");
+      renamed.add(wait && isVersion ? argument.replaceFirst("--", "--config-") : argument);
+    }
+    return renamed;
   }
 }
--- a/chivecross-admin/src/main/java/org/chivecross/cli/admin/AdminOptions.java
+++ b/chivecross-admin/src/main/java/org/chivecross/cli/admin/AdminOptions.java
@@ -1,6 +1,62 @@
 package org.chivecross.cli.admin;
 
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.chivecross.logic.settings.AllowedForm;
 import org.chivecross.logic.settings.ProgramOptions;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
 
 /** Flags of {@code chivecross-admin}. Not thread-safe. */
-final class AdminOptions extends ProgramOptions {}
+final class AdminOptions extends ProgramOptions {
+
+  @Argument(
+      metaVar = "COMMAND [NAME]",
+      usage =
+          "config, targets, members, services, tenants, decisions, key KEY, histograms [NAME], diff,"
+              + " or wait --version EPOCH.REVISION")
+  private List<String> command = new ArrayList<>();
+
+  @AllowedForm(
+      pattern = "[^,:\\s]+:[0-9]{1,5}(,[^,:\\s]+:[0-9]{1,5})*",
+      allowed = "HOST:PORT of the administration API of each entry, joined by commas")
+  @Option(
+      name = "--admin-entries",
+      metaVar = "HOST:PORT,...",
+      usage = "administration addresses of the entries to read")
+  private String entries = "127.0.0.1:8001";
+
+  @Option(
+      name = "--admin-token",
+      metaVar = "TOKEN",
+      usage = "bearer token; prefer the variable, since flags show in process lists")
+  private String token = "";
+
+  @AllowedForm(
+      pattern = "[0-9]{1,18}(\\.[0-9]{1,18})?",
+      allowed = "EPOCH.REVISION, or REVISION for epoch 0")
+  @Option(
+      name = "--config-version",
+      metaVar = "EPOCH.REVISION",
+      usage = "version that wait waits for; after wait, --version with a value means the same")
+  private String configVersion = "0";
+
+  @AllowedForm(pattern = "[1-9][0-9]{0,4}(ms|s|m)", allowed = "a time such as 500ms, 20s or 2m")
+  @Option(name = "--timeout", metaVar = "TIME", usage = "longest time that wait waits")
+  private String timeout = "20s";
+
+  @Option(name = "--json", usage = "print JSON instead of tables")
+  private boolean json;
+
+  /** Returns the immutable preferences. */
+  AdminPreferences toPreferences() {
+    return new AdminPreferences(
+        command,
+        Arrays.asList(entries.split(",")),
+        token,
+        VersionText.parse(configVersion),
+        TimeText.millis(timeout),
+        json);
+  }
+}
--- /dev/null
+++ b/chivecross-admin/src/main/java/org/chivecross/cli/admin/AdminRun.java
@@ -0,0 +1,173 @@
+package org.chivecross.cli.admin;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.chivecross.logic.settings.ProgramLauncher;
+import org.chivecross.model.failure.Result;
+
+/** One run of {@code chivecross-admin}. Not thread-safe. */
+final class AdminRun {
+
+  private static final String PROGRAM = "chivecross-admin";
+  private static final String API = "/admin/v1/";
+  private static final List<String> LISTS =
+      List.of("targets", "members", "services", "tenants", "decisions");
+
+  private final AdminPreferences preferences;
+  private final EntrySource source;
+  private final Pause pause;
+  private final PrintStream out;
+  private final PrintStream err;
+  private final EntryReader reader;
+  private final JsonMapper mapper =
+      JsonMapper.builder().enable(SerializationFeature.INDENT_OUTPUT).build();
+
+  /** Creates a run that prints results to {@code out} and failures to {@code err}. */
+  AdminRun(
+      AdminPreferences preferences,
+      EntrySource source,
+      Pause pause,
+      PrintStream out,
+      PrintStream err) {
+    this.preferences = preferences;
+    this.source = source;
+    this.pause = pause;
+    this.out = out;
+    this.err = err;
+    reader = new EntryReader(preferences.entries(), err);
+  }
+
+  /** Runs the command; returns the exit code. */
+  int run() {
+    String command = preferences.name();
+    if (LISTS.contains(command)) {
+      return show(reader.readAll(entry -> rows(entry, command)));
+    }
+    return switch (command) {
+      case "config" -> show(reader.readAll(entry -> one(entry, "config")));
+      case "key" -> key();
+      case "diff" -> diff();
+      case "wait" -> new VersionWait(preferences, source, reader, pause, out, err).run();
+      case "histograms" -> histograms();
+      default -> badCommand(command);
+    };
+  }
+
+  private int key() {
+    if (preferences.argument().isEmpty()) {
+      return badSetting("key: got no KEY, allowed: one idempotency key");
+    }
+    String path = "keys/" + AdminClient.escape(preferences.argument());
+    return show(reader.readAll(entry -> one(entry, path)));
+  }
+
+  private int diff() {
+    List<Map<String, String>> differences = new ArrayList<>();
+    Map<String, List<JsonNode>> configs = reader.readAll(entry -> one(entry, "config"));
+    differences.addAll(EntryDiff.compare("config", "", List.of("deployment", "version"), configs));
+    for (DiffView view : DiffView.ALL) {
+      Map<String, List<JsonNode>> rows = reader.readAll(entry -> rows(entry, view.name()));
+      differences.addAll(EntryDiff.compare(view.name(), view.key(), view.fields(), rows));
+    }
+    if (!differences.isEmpty()) {
+      print(differences);
+      return ProgramLauncher.FAILURE;
+    }
+    if (reader.isComplete() && !preferences.json()) {
+      out.println("no differences between " + preferences.entries().size() + " entries");
+    }
+    return exitCode();
+  }
+
+  private int histograms() {
+    Map<String, Map<Double, Long>> histograms = new TreeMap<>();
+    reader
+        .readAll(entry -> source.text(entry, "/metrics"))
+        .values()
+        .forEach(text -> PrometheusText.addHistograms(text, preferences.argument(), histograms));
+    if (preferences.json()) {
+      printJson(histograms);
+      return exitCode();
+    }
+    histograms.forEach((name, buckets) -> out.print(HistogramText.draw(name, buckets)));
+    return exitCode();
+  }
+
+  private Result<List<JsonNode>> one(String entry, String view) {
+    return source.object(entry, API + view).flatMap(row -> Result.success(List.of(row)));
+  }
+
+  private Result<List<JsonNode>> rows(String entry, String view) {
+    return source
+        .rows(entry, API + view)
+        .flatMap(
+            items -> {
+              List<JsonNode> rows = new ArrayList<>();
+              items.forEach(rows::add);
+              return Result.success(rows);
+            });
+  }
+
+  private int show(Map<String, List<JsonNode>> rowsByEntry) {
+    if (preferences.json()) {
+      printJson(rowsByEntry);
+      return exitCode();
+    }
+    List<Map<String, String>> rows = new ArrayList<>();
+    rowsByEntry.forEach(
+        (entry, entryRows) -> {
+          for (JsonNode row : entryRows) {
+            Map<String, String> cells = new LinkedHashMap<>();
+            if (preferences.entries().size() > 1) {
+              cells.put("entry", entry);
+            }
+            cells.putAll(TableText.cells(row));
+            rows.add(cells);
+          }
+        });
+    out.print(TableText.draw(rows));
+    return exitCode();
+  }
+
+  private void print(List<Map<String, String>> rows) {
+    if (preferences.json()) {
+      printJson(rows);
+    } else {
+      out.print(TableText.draw(rows));
+    }
+  }
+
+  private void printJson(Object value) {
+    try {
+      out.println(mapper.writeValueAsString(value));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("rows are always writable", e);
+    }
+  }
+
+  private int exitCode() {
+    return reader.isComplete() ? ProgramLauncher.SUCCESS : ProgramLauncher.FAILURE;
+  }
+
+  private int badCommand(String command) {
+    return badSetting(
+        "COMMAND: got \""
+            + command
+            + "\", allowed: config, "
+            + String.join(", ", LISTS)
+            + ", key, histograms, diff, wait");
+  }
+
+  private int badSetting(String message) {
+    err.println(PROGRAM + ": " + message);
+    return ProgramLauncher.BAD_SETTING;
+  }
+}
--- /dev/null
+++ b/chivecross-admin/src/main/java/org/chivecross/cli/admin/EntryReader.java
@@ -0,0 +1,66 @@
+package org.chivecross.cli.admin;
+
+import java.io.PrintStream;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.function.Function;
+import org.chivecross.model.failure.Failure;
+import org.chivecross.model.failure.Result;
+
+/** Asks all entries at once and reports those that don't answer. Not thread-safe. */
+final class EntryReader {
+
+  private static final int THREADS = 16;
+
+  private final List<String> entries;
+  private final PrintStream err;
+  private boolean complete = true;
+
+  /** Creates a reader of the given entries that reports failures to {@code err}. */
+  EntryReader(List<String> entries, PrintStream err) {
+    this.entries = entries;
+    this.err = err;
+  }
+
+  /** Returns the answer of each entry that gave one, in the order of the entries. */
+  <T> Map<String, T> readAll(Function<String, Result<T>> read) {
+    Map<String, T> answers = new LinkedHashMap<>();
+    for (Map.Entry<String, Result<T>> result : ask(read).entrySet()) {
+      if (result.getValue() instanceof Result.Success<T> success) {
+        answers.put(result.getKey(), success.value());
+      }
+      if (result.getValue() instanceof Result.Failed<T> failed) {
+        complete = false;
+        for (Failure failure : failed.failures()) {
+          err.println("chivecross-admin: " + failure);
+        }
+      }
+    }
+    return answers;
+  }
+
+  /** Returns the answer or failure of each entry, in the order of the entries. */
+  <T> Map<String, Result<T>> ask(Function<String, Result<T>> read) {
+    ExecutorService pool = Executors.newFixedThreadPool(Math.min(THREADS, entries.size()));
+    try {
+      Map<String, CompletableFuture<Result<T>>> pending = new LinkedHashMap<>();
+      for (String entry : entries) {
+        pending.put(entry, CompletableFuture.supplyAsync(() -> read.apply(entry), pool));
+      }
+      Map<String, Result<T>> results = new LinkedHashMap<>();
+      pending.forEach((entry, result) -> results.put(entry, result.join()));
+      return results;
+    } finally {
+      pool.shutdown();
+    }
+  }
+
+  /** Returns whether every entry has answered every question so far. */
+  boolean isComplete() {
+    return complete;
+  }
+}
--- /dev/null
+++ b/chivecross-admin/src/main/java/org/chivecross/cli/admin/HistogramText.java
@@ -0,0 +1,89 @@
+package org.chivecross.cli.admin;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** Draws histograms as bars of text. Stateless. */
+final class HistogramText {
+
+  private static final int BAR_WIDTH = 50;
+  private static final double MILLIS_PER_SECOND = 1000;
+
+  private HistogramText() {}
+
+  /**
+   * Draws one histogram.
+   *
+   * @param name name with its labels
+   * @param buckets cumulative count by upper bound in s, in ascending order of bounds
+   */
+  static String draw(String name, Map<Double, Long> buckets) {
+    List<Double> bounds = new ArrayList<>(buckets.keySet());
+    long[] counts = counts(buckets, bounds);
+    long total = buckets.isEmpty() ? 0 : buckets.getOrDefault(bounds.get(bounds.size() - 1), 0L);
+    long largest = 1;
+    for (long count : counts) {
+      largest = Math.max(largest, count);
+    }
+    StringBuilder text = new StringBuilder();
+    text.append(
+        String.format(
+            Locale.ROOT,
+            "%s  count %d  p50 %s  p99 %s  p99.9 %s%n",
+            name,
+            total,
+            quantile(buckets, bounds, 0.5),
+            quantile(buckets, bounds, 0.99),
+            quantile(buckets, bounds, 0.999)));
+    for (int i = 0; i < counts.length; i++) {
+      if (counts[i] == 0) {
+        continue;
+      }
+      int width = (int) Math.max(1, counts[i] * BAR_WIDTH / largest);
+      text.append(
+          String.format(
+              Locale.ROOT,
+              "  <= %12s %10d %s%n",
+              bound(bounds.get(i)),
+              counts[i],
+              "#".repeat(width)));
+    }
+    return text.toString();
+  }
+
+  private static long[] counts(Map<Double, Long> buckets, List<Double> bounds) {
+    long[] counts = new long[bounds.size()];
+    long before = 0;
+    for (int i = 0; i < counts.length; i++) {
+      long cumulative = buckets.getOrDefault(bounds.get(i), before);
+      counts[i] = cumulative - before;
+      before = cumulative;
+    }
+    return counts;
+  }
+
+  /** Returns the upper bound of the bucket that holds the quantile. */
+  private static String quantile(Map<Double, Long> buckets, List<Double> bounds, double q) {
+    if (bounds.isEmpty()) {
+      return "-";
+    }
+    long total = buckets.getOrDefault(bounds.get(bounds.size() - 1), 0L);
+    if (total == 0) {
+      return "-";
+    }
+    for (double upper : bounds) {
+      if (buckets.getOrDefault(upper, 0L) >= q * total) {
+        return "<=" + bound(upper);
+      }
+    }
+    return "-";
+  }
+
+  private static String bound(double seconds) {
+    return Double.isInfinite(seconds)
+        ? "more"
+        : String.format(Locale.ROOT, "%.3f ms", seconds * MILLIS_PER_SECOND);
+  }
+}
--- /dev/null
+++ b/chivecross-admin/src/main/java/org/chivecross/cli/admin/PrometheusText.java
@@ -0,0 +1,43 @@
+package org.chivecross.cli.admin;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Reads the histograms out of metrics in Prometheus text form. Stateless. */
+final class PrometheusText {
+
+  private static final Pattern BUCKET =
+      Pattern.compile("([a-zA-Z_:][a-zA-Z0-9_:]*)_bucket\\{(.*)\\} ([0-9.eE+]+)");
+  private static final Pattern BOUND = Pattern.compile("(?:^|,)le=\"([^\"]+)\"");
+
+  private PrometheusText() {}
+
+  /**
+   * Adds the buckets of all histograms of a text to {@code histograms}.
+   *
+   * @param part text that the name of a histogram must hold
+   * @param histograms cumulative count by upper bound, by name with labels
+   */
+  static void addHistograms(String text, String part, Map<String, Map<Double, Long>> histograms) {
+    for (String line : text.split("\n")) {
+      Matcher bucket = BUCKET.matcher(line);
+      if (!bucket.matches() || !bucket.group(1).contains(part)) {
+        continue;
+      }
+      Matcher bound = BOUND.matcher(bucket.group(2));
+      if (!bound.find()) {
+        continue;
+      }
+      String labels = BOUND.matcher(bucket.group(2)).replaceAll("");
+      double upper =
+          bound.group(1).equals("+Inf")
+              ? Double.POSITIVE_INFINITY
+              : Double.parseDouble(bound.group(1));
+      histograms
+          .computeIfAbsent(bucket.group(1) + "{" + labels + "}", name -> new TreeMap<>())
+          .merge(upper, (long) Double.parseDouble(bucket.group(3)), Long::sum);
+    }
+  }
+}
--- /dev/null
+++ b/chivecross-admin/src/main/java/org/chivecross/cli/admin/VersionWait.java
@@ -0,0 +1,105 @@
+package org.chivecross.cli.admin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.PrintStream;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.chivecross.logic.settings.ProgramLauncher;
+import org.chivecross.model.failure.Result;
+import org.chivecross.model.manifest.ConfigVersion;
+
+/** Waits until a version, or a newer one, is in force at every entry. Not thread-safe. */
+final class VersionWait {
+
+  private static final long POLL_MILLIS = 200;
+
+  private final AdminPreferences preferences;
+  private final EntrySource source;
+  private final EntryReader reader;
+  private final Pause pause;
+  private final PrintStream out;
+  private final PrintStream err;
+
+  VersionWait(
+      AdminPreferences preferences,
+      EntrySource source,
+      EntryReader reader,
+      Pause pause,
+      PrintStream out,
+      PrintStream err) {
+    this.preferences = preferences;
+    this.source = source;
+    this.reader = reader;
+    this.pause = pause;
+    this.out = out;
+    this.err = err;
+  }
+
+  /** Returns 0 when the version is in force everywhere, 1 when the time is over. */
+  int run() {
+    long start = pause.nanos();
+    long deadline = start + TimeUnit.MILLISECONDS.toNanos(preferences.timeoutMillis());
+    Map<String, String> behind = behind();
+    while (!behind.isEmpty() && pause.nanos() < deadline) {
+      pause.sleepMillis(POLL_MILLIS);
+      behind = behind();
+    }
+    long millis = TimeUnit.NANOSECONDS.toMillis(pause.nanos() - start);
+    int entries = preferences.entries().size();
+    if (behind.isEmpty()) {
+      out.println(
+          "version "
+              + preferences.version()
+              + " in force at "
+              + entries
+              + " entries after "
+              + millis
+              + " ms");
+      return ProgramLauncher.SUCCESS;
+    }
+    behind.forEach((entry, state) -> err.println("chivecross-admin: " + entry + ": " + state));
+    out.println(
+        "version "
+            + preferences.version()
+            + " not in force at "
+            + behind.size()
+            + " of "
+            + entries
+            + " entries after "
+            + millis
+            + " ms");
+    return ProgramLauncher.FAILURE;
+  }
+
+  /** Returns each entry at which the version is not in force, with its state. */
+  private Map<String, String> behind() {
+    Map<String, String> behind = new TreeMap<>();
+    Map<String, Result<JsonNode>> answers =
+        reader.ask(entry -> source.object(entry, "/admin/v1/config"));
+    for (Map.Entry<String, Result<JsonNode>> answer : answers.entrySet()) {
+      if (answer.getValue() instanceof Result.Failed<JsonNode> failed) {
+        behind.put(answer.getKey(), failed.failures().get(0).detail());
+      }
+      if (answer.getValue() instanceof Result.Success<JsonNode> success) {
+        String inForce = success.value().path("version").asText("0");
+        ConfigVersion version = VersionText.parse(inForce);
+        if (preferences.version().isNewerThan(version)) {
+          behind.put(answer.getKey(), "version " + inForce + refused(success.value()));
+        }
+      }
+    }
+    return behind;
+  }
+
+  private static String refused(JsonNode config) {
+    JsonNode refused = config.path("refused");
+    if (!refused.isObject()) {
+      return "";
+    }
+    return ", refused "
+        + refused.path("version").asText()
+        + ": "
+        + refused.path("errors").path(0).asText();
+  }
+}
--- /dev/null
+++ b/chivecross-admin/src/test/java/org/chivecross/cli/admin/AdminRunTest.java
@@ -0,0 +1,178 @@
+package org.chivecross.cli.admin;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.chivecross.logic.settings.ProgramLauncher;
+import org.junit.jupiter.api.Test;
+
+class AdminRunTest {
+
+  private static final String TARGETS = "/admin/v1/targets";
+  private static final String CONFIG = "/admin/v1/config";
+  private static final String TARGET =
+      "[{\"address\":\"10.0.0.1:80\",\"service\":\"s\",\"inFlight\":%d,\"weight\":%s,\"reasons\":[%s]}]";
+
+  private final FakeEntries entries = new FakeEntries();
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+  private final ManualPause pause = new ManualPause();
+
+  /** Clock that a sleep moves on; after three sleeps, entry b takes version 0.9. */
+  private final class ManualPause implements Pause {
+    private long nanos;
+    private int sleeps;
+
+    @Override
+    public long nanos() {
+      return nanos;
+    }
+
+    @Override
+    public void sleepMillis(long millis) {
+      nanos += millis * 1_000_000;
+      sleeps++;
+      if (sleeps == 3) {
+        entries.answer("b:1", CONFIG, "{\"deployment\":\"d\",\"version\":\"0.9\"}");
+      }
+    }
+  }
+
+  private int run(String... arguments) {
+    PrintStream stdout = new PrintStream(out, true, StandardCharsets.UTF_8);
+    PrintStream stderr = new PrintStream(err, true, StandardCharsets.UTF_8);
+    List<String> all = new ArrayList<>(List.of("--admin-entries", "a:1,b:1"));
+    all.addAll(List.of(arguments));
+    return new ProgramLauncher("chivecross-admin", Map.of(), stdout, stderr)
+        .launch(
+            new AdminOptions(),
+            AdminMain.rename(all),
+            options -> new AdminRun(options.toPreferences(), entries, pause, stdout, stderr).run());
+  }
+
+  private String output() {
+    return out.toString(StandardCharsets.UTF_8);
+  }
+
+  private void bothInForce(String first, String second) {
+    entries
+        .answer("a:1", CONFIG, "{\"deployment\":\"d\",\"version\":\"" + first + "\"}")
+        .answer("b:1", CONFIG, "{\"deployment\":\"d\",\"version\":\"" + second + "\"}");
+  }
+
+  @Test
+  void listsAreTablesOverAllEntries() {
+    entries
+        .answer("a:1", TARGETS, TARGET.formatted(2, "1.0", ""))
+        .answer("b:1", TARGETS, TARGET.formatted(0, "0.0", "\"leaving\",\"silent\""));
+    assertEquals(0, run("targets"));
+    assertEquals(
+        """
+        entry  address      service  inFlight  weight  reasons
+        a:1    10.0.0.1:80  s        2         1.0
+        b:1    10.0.0.1:80  s        0         0.0     leaving; silent
+        """,
+        output());
+  }
+
+  @Test
+  void entryThatDoesNotAnswerIsNamedAndTheExitCodeIsOne() {
+    entries.answer("a:1", CONFIG, "{\"deployment\":\"d\",\"version\":\"0.9\"}");
+    assertEquals(1, run("config"));
+    assertTrue(output().contains("0.9"));
+    assertEquals(
+        "chivecross-admin: ADMINISTRATION at b:1: connection refused\n",
+        err.toString(StandardCharsets.UTF_8));
+  }
+
+  @Test
+  void diffNamesWhereEntriesDisagree() {
+    bothInForce("0.9", "0.9");
+    entries
+        .answer("a:1", TARGETS, TARGET.formatted(2, "1.0", ""))
+        .answer("b:1", TARGETS, TARGET.formatted(0, "0.0", "\"leaving\""));
+    assertEquals(1, run("diff"));
+    assertEquals(
+        """
+        view     row          field    a:1  b:1
+        targets  10.0.0.1:80  weight   1.0  0.0
+        targets  10.0.0.1:80  reasons       leaving
+        """,
+        output());
+  }
+
+  @Test
+  void diffOfAgreeingEntriesExitsWithZero() {
+    bothInForce("0.9", "0.9");
+    entries
+        .answer("a:1", TARGETS, TARGET.formatted(2, "1.0", ""))
+        .answer("b:1", TARGETS, TARGET.formatted(7, "1.0", ""));
+    assertEquals(0, run("diff"));
+    assertEquals("no differences between 2 entries\n", output());
+  }
+
+  @Test
+  void waitEndsWhenTheVersionIsInForceEverywhere() {
+    bothInForce("0.9", "0.8");
+    assertEquals(0, run("wait", "--version", "0.9", "--timeout", "20s"));
+    assertEquals("version 0.9 in force at 2 entries after 600 ms\n", output());
+  }
+
+  @Test
+  void waitThatRunsOutOfTimeNamesTheEntriesBehind() {
+    bothInForce("0.8", "0.8");
+    entries.answer(
+        "a:1",
+        CONFIG,
+        "{\"version\":\"0.8\",\"refused\":{\"version\":\"0.9\",\"errors\":[\"rules/a.yaml: wrong\"]}}");
+    assertEquals(1, run("wait", "--version=9", "--timeout", "1s"));
+    assertEquals("version 0.9 not in force at 1 of 2 entries after 1000 ms\n", output());
+    assertEquals(
+        "chivecross-admin: a:1: version 0.8, refused 0.9: rules/a.yaml: wrong\n",
+        err.toString(StandardCharsets.UTF_8));
+  }
+
+  @Test
+  void histogramsOfAllEntriesAreAdded() {
+    String metrics =
+        """
+        # TYPE x_seconds histogram
+        x_seconds_bucket{tenant="t",le="0.001"} 10
+        x_seconds_bucket{tenant="t",le="0.01"} 49
+        x_seconds_bucket{tenant="t",le="+Inf"} 50
+        x_seconds_count{tenant="t"} 50
+        y_seconds_bucket{le="+Inf"} 1
+        """;
+    entries.answer("a:1", "/metrics", metrics).answer("b:1", "/metrics", metrics);
+    assertEquals(0, run("histograms", "x_"));
+    assertEquals(
+        """
+        x_seconds{tenant="t"}  count 100  p50 <=10.000 ms  p99 <=more  p99.9 <=more
+          <=     1.000 ms         20 ############
+          <=    10.000 ms         78 ##################################################
+          <=         more          2 #
+        """,
+        output());
+  }
+
+  @Test
+  void badSettingsExitWithTwo() {
+    assertEquals(2, run("everything"));
+    assertEquals(2, run("key"));
+    assertEquals(2, run("wait", "--timeout", "soon"));
+    assertEquals(2, run("targets", "--admin-entries", "nowhere"));
+    assertEquals(4, err.toString(StandardCharsets.UTF_8).lines().count());
+  }
+
+  @Test
+  void versionOfTheProgramIsStillShown() {
+    assertEquals(0, run("--version"));
+    assertTrue(output().startsWith("chivecross-admin "));
+  }
+}
