Add the platform stand-in with Consul's key/value interface

Cause: entries need a platform to read, watch and lose in tests. Change: chivecross-standin platform serves a packed directory, publishes when its manifest changes, counts calls and can be down, stale, slow or silent on watches; sets are checked as bytes, so that bad UTF-8 is found by the parser.

--- a/chivecross-bench/src/main/java/org/chivecross/cli/simulation/SimulatedCheck.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/simulation/SimulatedCheck.java
@@ -1,5 +1,6 @@
 package org.chivecross.cli.simulation;
 
+import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -26,10 +27,10 @@
   private int mixedSets;
 
   @Override
-  public Result<FileSet> check(Map<String, String> contents) {
+  public Result<FileSet> check(Map<String, byte[]> contents) {
     Set<String> revisions = new HashSet<>();
-    for (String content : contents.values()) {
-      String[] words = content.split(" ", -1);
+    for (byte[] content : contents.values()) {
+      String[] words = new String(content, StandardCharsets.UTF_8).split(" ", -1);
       if (words[0].equals(BAD_WORD)) {
         return Result.failed(Step.FILE_SET, Failure.LOCAL, "bad set");
       }
--- a/chivecross-bench/src/main/java/org/chivecross/cli/standin/StandinMain.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/standin/StandinMain.java
@@ -1,6 +1,8 @@
 package org.chivecross.cli.standin;
 
 import java.util.List;
+import org.chivecross.cli.standin.platform.PlatformOptions;
+import org.chivecross.cli.standin.platform.PlatformProgram;
 import org.chivecross.cli.standin.upstream.UpstreamOptions;
 import org.chivecross.cli.standin.upstream.UpstreamProgram;
 import org.chivecross.logic.settings.ProgramLauncher;
@@ -28,6 +30,8 @@
     ProgramLauncher launcher =
         new ProgramLauncher(PROGRAM + " " + kind, System.getenv(), System.out, System.err);
     switch (kind) {
+      case "platform":
+        return launcher.launch(new PlatformOptions(), flags, PlatformProgram::run);
       case "upstream":
         return launcher.launch(new UpstreamOptions(), flags, UpstreamProgram::run);
       case "--help":
--- /dev/null
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/standin/platform/PlatformStandin.java
@@ -0,0 +1,186 @@
+package org.chivecross.cli.standin.platform;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.chivecross.cli.standin.platform.StoredValues.StoredValue;
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+import org.tinylog.Logger;
+
+/**
+ * Configuration service and list of VMs with the HTTP interface of Consul's key/value store and
+ * catalogue, as far as entries use it. Its control endpoint makes it down, stale, slow or silent on
+ * watches. Safe for use by many threads.
+ */
+public final class PlatformStandin implements AutoCloseable {
+
+  private static final String KV_PREFIX = "/v1/kv/";
+  private static final String NODES_PATH = "/v1/catalog/nodes";
+  private static final String CONTROL_PATH = "/control";
+  private static final String INDEX_HEADER = "X-Consul-Index";
+  private static final long RELOAD_MILLIS = 50;
+  private static final int UNAVAILABLE = 503;
+
+  /** A watch that waits for a higher revision of a key. */
+  private record Watch(String key, long index, Response response) {}
+
+  private final PlatformSettings settings;
+  private final StoredValues values;
+  private final CallCounts counts = new CallCounts();
+  private final List<Watch> watches = new CopyOnWriteArrayList<>();
+  private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
+  private final HttpServer server = new HttpServer();
+  private volatile PlatformBehaviour behaviour = PlatformBehaviour.NORMAL;
+
+  /** Creates a stand-in that does not listen yet. */
+  public PlatformStandin(PlatformSettings settings) {
+    this.settings = settings;
+    values = new StoredValues(settings);
+  }
+
+  /**
+   * Starts to serve and returns the port.
+   *
+   * @throws IOException if the address can't be bound or the directory can't be read
+   */
+  public int start() throws IOException {
+    values.reload();
+    NetworkListener listener =
+        new NetworkListener("platform", settings.listen().host(), settings.listen().port());
+    server.addListener(listener);
+    server.getServerConfiguration().addHttpHandler(new Service(), "/");
+    server.start();
+    timer.scheduleWithFixedDelay(this::reload, RELOAD_MILLIS, RELOAD_MILLIS, TimeUnit.MILLISECONDS);
+    return listener.getPort();
+  }
+
+  @Override
+  public void close() {
+    timer.shutdownNow();
+    server.shutdownNow();
+  }
+
+  /** Serves all paths. */
+  private final class Service extends HttpHandler {
+    @Override
+    public void service(Request request, Response response) throws IOException {
+      String path = request.getRequestURI();
+      if (path.equals(CONTROL_PATH)) {
+        control(request, response);
+      } else if (path.startsWith(KV_PREFIX)) {
+        read(path.substring(KV_PREFIX.length()), request, response);
+      } else if (path.equals(NODES_PATH)) {
+        read(StoredValues.VMS_KEY, request, response);
+      } else {
+        response.sendError(404);
+      }
+    }
+  }
+
+  private void control(Request request, Response response) throws IOException {
+    if (request.getMethod().getMethodString().equals("POST")) {
+      behaviour = PlatformBehaviour.of(request::getParameter);
+      if ("true".equals(request.getParameter("reset"))) {
+        counts.reset();
+      }
+      Logger.info("behaviour is now {}", behaviour);
+    }
+    response.setContentType("application/json");
+    response.getWriter().write(counts.json());
+  }
+
+  private void read(String key, Request request, Response response) throws IOException {
+    String index = request.getParameter("index");
+    counts.count(kind(key, index), System.currentTimeMillis());
+    PlatformBehaviour now = behaviour;
+    if (now.down()) {
+      response.sendError(UNAVAILABLE);
+      return;
+    }
+    long waited = index == null ? -1 : Long.parseLong(index);
+    long revision = values.get(key).map(StoredValue::revision).orElse(0L);
+    response.suspend();
+    if (waited < 0 || revision > waited && !now.silentWatches()) {
+      timer.schedule(() -> answer(key, response), now.delayMillis(), TimeUnit.MILLISECONDS);
+      return;
+    }
+    Watch watch = new Watch(key, waited, response);
+    watches.add(watch);
+    if (!now.silentWatches()) {
+      timer.schedule(
+          () -> answerWatch(watch),
+          waitMillis(request.getParameter("wait")),
+          TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private static String kind(String key, String index) {
+    if (key.equals(StoredValues.VMS_KEY)) {
+      return "vms";
+    }
+    String what = key.endsWith("/manifest") ? "manifest" : "file";
+    return index == null ? what + "Read" : what + "Watch";
+  }
+
+  /** Reads a wait such as {@code 30s} or {@code 500ms}. */
+  private static long waitMillis(String wait) {
+    if (wait == null) {
+      return TimeUnit.MINUTES.toMillis(5);
+    }
+    if (wait.endsWith("ms")) {
+      return Long.parseLong(wait.substring(0, wait.length() - 2));
+    }
+    return TimeUnit.SECONDS.toMillis(Long.parseLong(wait.substring(0, wait.length() - 1)));
+  }
+
+  private void reload() {
+    try {
+      if (!behaviour.stale() && values.reload()) {
+        Logger.info("published revision {}", values.revision());
+      }
+    } catch (IOException e) {
+      Logger.warn("reload: {}", e.toString());
+    }
+    if (behaviour.silentWatches() || behaviour.down()) {
+      return;
+    }
+    for (Watch watch : watches) {
+      long revision = values.get(watch.key()).map(StoredValue::revision).orElse(0L);
+      if (revision > watch.index()) {
+        answerWatch(watch);
+      }
+    }
+  }
+
+  private void answerWatch(Watch watch) {
+    if (watches.remove(watch)) {
+      answer(watch.key(), watch.response());
+    }
+  }
+
+  private void answer(String key, Response response) {
+    try {
+      Optional<StoredValue> value = values.get(key);
+      response.setHeader(INDEX_HEADER, Long.toString(value.map(StoredValue::revision).orElse(0L)));
+      response.setContentType("application/json");
+      if (value.isEmpty()) {
+        response.setStatus(404);
+      } else {
+        byte[] body = PlatformAnswers.body(key, value.get());
+        response.setContentLength(body.length);
+        response.getOutputStream().write(body);
+      }
+    } catch (IOException e) {
+      Logger.debug("answer: {}", e.toString());
+    }
+    response.resume();
+  }
+}
--- a/chivecross-core/src/main/java/org/chivecross/logic/config/FileSetCheck.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/config/FileSetCheck.java
@@ -13,5 +13,5 @@
    *
    * @param contents content of each file by its name
    */
-  Result<FileSet> check(Map<String, String> contents);
+  Result<FileSet> check(Map<String, byte[]> contents);
 }
--- a/chivecross-core/src/main/java/org/chivecross/logic/config/SetFetch.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/config/SetFetch.java
@@ -1,6 +1,5 @@
 package org.chivecross.logic.config;
 
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -99,20 +98,20 @@
     if (manifest == null || manifestJson == null || !missing.isEmpty()) {
       return Optional.empty();
     }
-    Result<FileSet> verdict = manifest.flatMap(readable -> check.check(texts(readable)));
+    Result<FileSet> verdict = manifest.flatMap(readable -> check.check(byName(readable)));
     return Optional.of(new HeldSet(version, manifestJson, Map.copyOf(contents), verdict));
   }
 
-  private Map<String, String> texts(Manifest readable) {
-    Map<String, String> texts = new TreeMap<>();
+  private Map<String, byte[]> byName(Manifest readable) {
+    Map<String, byte[]> named = new TreeMap<>();
     for (ManifestFile file : readable.files()) {
       byte[] content = contents.get(file.sha256());
       if (content == null) {
         throw new IllegalStateException("file " + file.name() + " is not there");
       }
-      texts.put(file.name(), new String(content, StandardCharsets.UTF_8));
+      named.put(file.name(), content);
     }
-    return texts;
+    return named;
   }
 
   private Result<Manifest> checkDeployment(Manifest readable) {
