--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/directory/DirectoryHandler.java
@@ -0,0 +1,67 @@
+package org.chivecross.cli.entry.directory;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.chivecross.cli.entry.http.LocalHandler;
+import org.chivecross.cli.entry.http.LocalRequest;
+import org.chivecross.cli.entry.http.LocalResponse;
+import org.chivecross.logic.directory.DirectoryAnswer;
+import org.chivecross.logic.directory.EntryDirectory;
+import org.chivecross.logic.peer.NodeView;
+
+/** Answers {@code GET /chivecross/entries?caller=ID}. Safe for use by many threads. */
+public final class DirectoryHandler implements LocalHandler {
+
+  private static final int METHOD_NOT_ALLOWED = 405;
+
+  /** Body of the answer. */
+  private record Body(List<String> entries, String keyPrefix, long lifetimeMillis) {}
+
+  private final EntryDirectory directory = new EntryDirectory();
+  private final JsonMapper mapper = JsonMapper.builder().build();
+  private final Supplier<NodeView> view;
+  private final Supplier<String> keyPrefixes;
+
+  /**
+   * Creates a handler.
+   *
+   * @param view what this entry knows
+   * @param keyPrefixes prefixes of keys that this incarnation owns
+   */
+  public DirectoryHandler(Supplier<NodeView> view, Supplier<String> keyPrefixes) {
+    this.view = view;
+    this.keyPrefixes = keyPrefixes;
+  }
+
+  @Override
+  public void handle(LocalRequest request, Consumer<LocalResponse> responder) {
+    if (!request.method().equals("GET")) {
+      responder.accept(
+          new LocalResponse(
+              METHOD_NOT_ALLOWED,
+              Map.of("Allow", "GET"),
+              "application/json",
+              "{\"error\":\"only GET\"}\n"));
+      return;
+    }
+    NodeView known = view.get();
+    String caller = request.query().getOrDefault("caller", request.callerAddress());
+    String dataCentre =
+        request.query().getOrDefault("data-centre", known.members().self().dataCentre());
+    DirectoryAnswer answer = directory.answer(caller, dataCentre, known);
+    responder.accept(LocalResponse.json(json(answer) + "\n"));
+  }
+
+  private String json(DirectoryAnswer answer) {
+    try {
+      return mapper.writeValueAsString(
+          new Body(answer.addresses(), keyPrefixes.get(), answer.lifetimeMillis()));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("an answer is always writable", e);
+    }
+  }
+}
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/peer/PeerShare.java
@@ -0,0 +1,284 @@
+package org.chivecross.cli.entry.peer;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.chivecross.cli.entry.platform.ListedVm;
+import org.chivecross.cli.entry.platform.PlatformClient;
+import org.chivecross.cli.entry.platform.PlatformEvents;
+import org.chivecross.logic.config.ConfigPreferences;
+import org.chivecross.logic.config.PlatformValue;
+import org.chivecross.logic.fileset.FileSetParser;
+import org.chivecross.logic.key.OwnedKeyHandler;
+import org.chivecross.logic.key.OwnerCalls;
+import org.chivecross.logic.membership.MembershipPreferences;
+import org.chivecross.logic.peer.NodeView;
+import org.chivecross.logic.peer.PeerNode;
+import org.chivecross.logic.peer.PeerNodePreferences;
+import org.chivecross.model.failure.Failure;
+import org.chivecross.model.failure.Result;
+import org.chivecross.model.fileset.FileSet;
+import org.chivecross.model.manifest.ConfigVersion;
+import org.chivecross.model.peer.EntryMarks;
+import org.chivecross.model.peer.EntryMember;
+import org.chivecross.model.peer.MemberState;
+import org.chivecross.model.peer.PeerMessage;
+import org.chivecross.wire.OwnerCallClient;
+import org.chivecross.wire.PeerLink;
+import org.chivecross.wire.PeerTraffic;
+import org.chivecross.wire.PeerTransport;
+import org.chivecross.wire.PeerTransportPreferences;
+import org.tinylog.Logger;
+
+/**
+ * The share of one entry in the common view: drives the node with ticks and with the events of the
+ * transport and the platform.
+ *
+ * <p>Invariant: only {@link #tick} touches the node; events of other threads wait in a queue for
+ * it. All other methods are safe for use by many threads.
+ */
+public final class PeerShare {
+
+  private static final int MAX_QUEUED_EVENTS = 10_000;
+  private static final int TABLE_ROWS_PER_ENTRY = 4;
+  private static final int MIN_TABLE_ROWS = 64;
+  private static final long VMS_PERIOD_NANOS = TimeUnit.SECONDS.toNanos(10);
+  private static final Duration RELOAD_PERIOD = Duration.ofSeconds(10);
+
+  private final PeerSettings settings;
+  private final PeerTraffic traffic = new PeerTraffic();
+  private final PeerTransport transport;
+  private final OwnerCallClient ownerCalls;
+  private final ScheduledExecutorService timer =
+      Executors.newSingleThreadScheduledExecutor(PeerShare::daemon);
+  private final Queue<Consumer<PeerNode>> events = new ConcurrentLinkedQueue<>();
+  private final AtomicInteger queued = new AtomicInteger();
+  private final BiConsumer<ConfigVersion, FileSet> inForceListener;
+  private final Consumer<List<ListedVm>> vmsListener;
+  private final long incarnation;
+  private final PlatformClient platform;
+  private volatile PeerNode node;
+  private long nextVmsNanos;
+  private volatile Optional<Instant> inForceSince = Optional.empty();
+
+  /**
+   * Creates a share that does not run yet.
+   *
+   * @param incarnation random number of this process
+   * @param inForceListener told of each set that is put in force, by {@link #tick}
+   * @param vmsListener told of the platform's list of VMs
+   * @param keys serves calls of others about keys of this incarnation
+   */
+  public PeerShare(
+      PeerSettings settings,
+      long incarnation,
+      BiConsumer<ConfigVersion, FileSet> inForceListener,
+      Consumer<List<ListedVm>> vmsListener,
+      OwnedKeyHandler keys) {
+    this.settings = settings;
+    this.incarnation = incarnation;
+    this.inForceListener = inForceListener;
+    this.vmsListener = vmsListener;
+    transport =
+        new PeerTransport(
+            PeerTransportPreferences.standard(settings.peerListen(), settings.deployment()),
+            settings.security(),
+            incarnation,
+            () -> view().members().self(),
+            this::received,
+            traffic);
+    ownerCalls = new OwnerCallClient(incarnation, this::liveAddress, transport, timer, keys);
+    platform =
+        new PlatformClient(
+            settings.platform().orElseThrow(), settings.deployment(), new QueuedEvents());
+    node = node("", "");
+  }
+
+  /**
+   * Starts to talk to the others.
+   *
+   * @param callerAddress address in use for callers
+   */
+  public Result<Integer> start(InetSocketAddress callerAddress) {
+    Result<Integer> port = transport.start();
+    if (port instanceof Result.Success<Integer> bound) {
+      node =
+          node(
+              orElse(
+                  settings.peerAdvertise(),
+                  settings.peerListen().getHostString() + ":" + bound.value()),
+              orElse(
+                  settings.advertise(),
+                  callerAddress.getHostString() + ":" + callerAddress.getPort()));
+      timer.scheduleWithFixedDelay(
+          this::reloadSecurity,
+          RELOAD_PERIOD.toSeconds(),
+          RELOAD_PERIOD.toSeconds(),
+          TimeUnit.SECONDS);
+    }
+    return port;
+  }
+
+  /** Handles waiting events and runs what is due. Called by one thread. */
+  public void tick(long nowNanos) {
+    for (Consumer<PeerNode> event = events.poll(); event != null; event = events.poll()) {
+      queued.decrementAndGet();
+      event.accept(node);
+    }
+    node.tick(nowNanos);
+    if (nowNanos - nextVmsNanos >= 0 && view().config().reader()) {
+      nextVmsNanos = nowNanos + VMS_PERIOD_NANOS;
+      platform.readVms();
+    }
+  }
+
+  /** Returns what this entry knows. */
+  public NodeView view() {
+    return node.view();
+  }
+
+  /** Returns the random number of this process. */
+  public long incarnation() {
+    return incarnation;
+  }
+
+  /** Returns the UTC time since which the set in force has been so; empty when none is. */
+  public Optional<Instant> inForceSince() {
+    return inForceSince;
+  }
+
+  /** Returns the calls to owners of keys. */
+  public OwnerCalls ownerCalls() {
+    return ownerCalls;
+  }
+
+  /** Returns the counters of the traffic between entries. */
+  public PeerTraffic traffic() {
+    return traffic;
+  }
+
+  /** This entry takes no new callers from now on. */
+  public void startLeaving() {
+    enqueue(PeerNode::startLeaving);
+  }
+
+  /** Tells the others that this process ends and closes all connections. */
+  public void stop() {
+    node.leave();
+    timer.shutdownNow();
+    transport.close();
+  }
+
+  private PeerNode node(String peerAddress, String callerAddress) {
+    EntryMember self =
+        new EntryMember(
+            incarnation,
+            peerAddress,
+            callerAddress,
+            settings.dataCentre(),
+            1,
+            MemberState.ALIVE,
+            EntryMarks.STARTING);
+    FileSetParser parser = new FileSetParser();
+    return new PeerNode(
+        new PeerNodePreferences(
+            self,
+            settings.deployment(),
+            settings.peers(),
+            Math.max(MIN_TABLE_ROWS, TABLE_ROWS_PER_ENTRY * settings.entryBound()),
+            MembershipPreferences.standard(),
+            ConfigPreferences.forBound(settings.entryBound(), !settings.peers().isEmpty())),
+        parser::parseBytes,
+        transport,
+        platform,
+        new SplittableRandom(incarnation),
+        this::inForce);
+  }
+
+  private void inForce(ConfigVersion version, FileSet set) {
+    inForceSince = Optional.of(Instant.now());
+    Logger.info("version {} is in force", version);
+    inForceListener.accept(version, set);
+  }
+
+  private void received(PeerLink link, PeerMessage.Sender sender, PeerMessage message) {
+    if (message instanceof PeerMessage.KeyRequest || message instanceof PeerMessage.KeyResponse) {
+      ownerCalls.receive(link, message);
+    } else {
+      enqueue(current -> current.receive(sender, message, System.nanoTime()));
+    }
+  }
+
+  private void enqueue(Consumer<PeerNode> event) {
+    if (queued.incrementAndGet() > MAX_QUEUED_EVENTS) {
+      queued.decrementAndGet();
+      return;
+    }
+    events.add(event);
+  }
+
+  private Optional<String> liveAddress(long wanted) {
+    return view()
+        .members()
+        .find(wanted)
+        .filter(member -> member.state() != MemberState.DEAD)
+        .map(EntryMember::peerAddress);
+  }
+
+  private void reloadSecurity() {
+    Result<Boolean> reloaded = settings.security().reload();
+    if (reloaded instanceof Result.Failed<Boolean> failed) {
+      Failure failure = failed.failures().get(0);
+      Logger.warn("{}: {}", failure.step(), failure.detail());
+    } else if (((Result.Success<Boolean>) reloaded).value()) {
+      Logger.info("TLS files of the peer port were read again");
+    }
+  }
+
+  private static String orElse(String text, String fallback) {
+    return text.isEmpty() ? fallback : text;
+  }
+
+  private static Thread daemon(Runnable task) {
+    Thread thread = new Thread(task, "peer-timer");
+    thread.setDaemon(true);
+    return thread;
+  }
+
+  /** Puts answers of the platform into the queue. */
+  private final class QueuedEvents implements PlatformEvents {
+    @Override
+    public void manifestRead(boolean watch, Result<PlatformValue> result) {
+      enqueue(current -> current.manifestRead(watch, result, System.nanoTime()));
+    }
+
+    @Override
+    public void fileRead(String digest, Result<byte[]> result) {
+      enqueue(current -> current.fileRead(digest, result, System.nanoTime()));
+    }
+
+    @Override
+    public void vmsRead(List<ListedVm> vms) {
+      List<String> addresses = new ArrayList<>();
+      for (ListedVm vm : vms) {
+        if (!vm.peerAddress().isEmpty() && !vm.leaving()) {
+          addresses.add(vm.peerAddress());
+        }
+      }
+      enqueue(current -> current.addContacts(addresses));
+      vmsListener.accept(vms);
+    }
+  }
+}
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/platform/BoundedBody.java
@@ -0,0 +1,65 @@
+package org.chivecross.cli.entry.platform;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Flow;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Collects a body of bounded size; a larger one fails. Used by one response.
+ *
+ * <p>Invariant: never holds more than the bound.
+ */
+final class BoundedBody implements HttpResponse.BodySubscriber<byte[]> {
+
+  private final int maxBytes;
+  private final CompletableFuture<byte[]> body = new CompletableFuture<>();
+  private final ByteArrayOutputStream collected = new ByteArrayOutputStream();
+  private Flow.@Nullable Subscription subscription;
+
+  BoundedBody(int maxBytes) {
+    this.maxBytes = maxBytes;
+  }
+
+  @Override
+  public CompletionStage<byte[]> getBody() {
+    return body;
+  }
+
+  @Override
+  public void onSubscribe(Flow.Subscription newSubscription) {
+    subscription = newSubscription;
+    newSubscription.request(Long.MAX_VALUE);
+  }
+
+  @Override
+  public void onNext(List<ByteBuffer> parts) {
+    for (ByteBuffer part : parts) {
+      if (collected.size() + part.remaining() > maxBytes) {
+        body.completeExceptionally(new IOException("answer has more than " + maxBytes + " bytes"));
+        if (subscription != null) {
+          subscription.cancel();
+        }
+        return;
+      }
+      byte[] bytes = new byte[part.remaining()];
+      part.get(bytes);
+      collected.writeBytes(bytes);
+    }
+  }
+
+  @Override
+  public void onError(Throwable cause) {
+    body.completeExceptionally(cause);
+  }
+
+  @Override
+  public void onComplete() {
+    body.complete(collected.toByteArray());
+  }
+}
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/platform/package-info.java
@@ -0,0 +1,5 @@
+/** Client of the platform. */
+@NullMarked
+package org.chivecross.cli.entry.platform;
+
+import org.jspecify.annotations.NullMarked;
