--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/directory/DirectoryHandler.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/directory/DirectoryHandler.java
@@ -41,7 +41,7 @@
   public void handle(LocalRequest request, Consumer<LocalResponse> responder) {
     if (!request.method().equals("GET")) {
       responder.accept(
-          new LocalResponse(
+          LocalResponse.text(
               METHOD_NOT_ALLOWED,
               Map.of("Allow", "GET"),
               "application/json",
