Run 1,500 seeded fault schedules through the core logic

Change: FaultSchedule draws calls, losses, sheds, pauses, cancels, fences and kills from a seed for three entries; every history is checked.

--- /dev/null
+++ b/chivecross-core/src/test/java/org/chivecross/logic/session/FaultScheduleTest.java
@@ -0,0 +1,53 @@
+package org.chivecross.logic.session;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.chivecross.logic.request.FakePolicies;
+import org.chivecross.logic.request.RequestPolicies;
+import org.junit.jupiter.api.Test;
+
+/** Seeded schedules of losses, late answers, pauses, cancels, re-sends and dying entries. */
+class FaultScheduleTest {
+
+  private static final int SCHEDULES = 1500;
+
+  @Test
+  void noScheduleBreaksARule() {
+    Map<String, Integer> outcomes = new TreeMap<>();
+    List<String> found = new ArrayList<>();
+    for (long seed = 0; seed < SCHEDULES; seed++) {
+      FaultSchedule schedule =
+          new FaultSchedule(seed, FleetSetup.of(3).withPolicies(index -> policies()));
+      for (String violation : schedule.run()) {
+        found.add("seed " + seed + ": " + violation + " after " + schedule.commands());
+      }
+      countOutcomes(schedule, outcomes);
+    }
+    System.out.println("FaultScheduleTest: " + SCHEDULES + " schedules, outcomes " + outcomes);
+    assertEquals(List.of(), found.subList(0, Math.min(3, found.size())));
+    for (String outcome : List.of("not-run", "unknown", "answered", "expired", "from", "broken,")) {
+      assertTrue(outcomes.containsKey(outcome), "no schedule ended " + outcome);
+    }
+  }
+
+  private static void countOutcomes(FaultSchedule schedule, Map<String, Integer> outcomes) {
+    for (String line : schedule.fleet().recorder().lines()) {
+      if (line.startsWith("caller: ")) {
+        String[] words = line.split(" ", -1);
+        outcomes.merge(words[2].equals("broken,") ? words[2] : words[3], 1, Integer::sum);
+      }
+    }
+  }
+
+  private static RequestPolicies policies() {
+    FakePolicies fakes = new FakePolicies();
+    fakes.hedgeDelayNanos = 10_000_000;
+    fakes.silenceNanos = 20_000_000;
+    return fakes.policies();
+  }
+}
