Plant fourteen faults and show that the checks find them

Cause: a check that can't fail proves nothing. Change: mutants of machines and key registries in test code; each must be found by a seeded schedule (or a scripted session) under its rule. Conclusion: the schedules and the checker can fail.

--- /dev/null
+++ b/chivecross-core/src/test/java/org/chivecross/logic/session/PlantedFaultTest.java
@@ -0,0 +1,242 @@
+package org.chivecross.logic.session;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Function;
+import java.util.function.UnaryOperator;
+import org.chivecross.logic.key.KeyClaim;
+import org.chivecross.logic.key.KeyRegistry;
+import org.chivecross.logic.request.DefaultRequestMachines;
+import org.chivecross.logic.request.FakePolicies;
+import org.chivecross.logic.request.RequestMachine;
+import org.chivecross.logic.request.RequestMachines;
+import org.chivecross.logic.request.RequestPolicies;
+import org.chivecross.logic.routing.Route;
+import org.chivecross.model.fileset.RequestClass;
+import org.chivecross.model.request.ConnectionFault;
+import org.chivecross.model.request.Decision;
+import org.chivecross.model.request.Outcome;
+import org.chivecross.model.request.ResponseHead;
+import org.junit.jupiter.api.Test;
+
+/** Deliberate defects of the core are caught by the checks of {@link FaultScheduleTest}. */
+class PlantedFaultTest {
+
+  private static final int SCHEDULES = 1500;
+
+  @Test
+  void writeTakenForARead() {
+    assertCaught("at-most-once", setup().withMachines(p -> () -> reclassified(p)));
+  }
+
+  @Test
+  void notRunOnDoubt() {
+    assertCaught("truthful-outcome", mutant(m -> toldOnDoubt(m, Outcome.NOT_RUN)));
+  }
+
+  @Test
+  void expiredOnDoubt() {
+    assertCaught("truthful-outcome", mutant(m -> toldOnDoubt(m, Outcome.EXPIRED)));
+  }
+
+  @Test
+  void sendsAfterDeadlineOrCancel() {
+    UnaryOperator<RequestMachine> fault =
+        inner ->
+            new MachineMutant(inner) {
+              @Override
+              public boolean sending(int attempt, long nowNanos) {
+                inner.sending(attempt, nowNanos);
+                return true;
+              }
+            };
+    assertCaught("truthful-outcome", mutant(fault));
+  }
+
+  @Test
+  void lostConnectionTakenAsProof() {
+    UnaryOperator<RequestMachine> fault =
+        inner ->
+            new MachineMutant(inner) {
+              @Override
+              public Decision connectionFailed(int attempt, ConnectionFault fault, long nowNanos) {
+                ResponseHead shed = new ResponseHead(503, true, false, Optional.empty());
+                return inner.responseHead(attempt, shed, nowNanos);
+              }
+            };
+    assertCaught("at-most-once", mutant(fault));
+  }
+
+  @Test
+  void cutAnswerTakenAsWhole() {
+    assertCaught("whole-own-answer", mutant(PlantedFaultTest::finishInsteadOfAbort));
+  }
+
+  @Test
+  void answerOfAnotherAttemptRelayed() {
+    assertCaught("whole-own-answer", mutant(PlantedFaultTest::relaysLatestAttempt));
+  }
+
+  @Test
+  void finishedKeyRunsAgain() {
+    assertCaught("at-most-once", mistaken(KeyClaim.Finished.class));
+  }
+
+  @Test
+  void keyInFlightRunsAgain() {
+    assertCaught("at-most-once", mistaken(KeyClaim.InFlight.class));
+  }
+
+  @Test
+  void foreignKeyRunsHere() {
+    assertCaught("at-most-once", mistaken(KeyClaim.Foreign.class));
+  }
+
+  @Test
+  void fencedKeyRuns() {
+    assertCaught("truthful-outcome", mistaken(KeyClaim.Fenced.class));
+  }
+
+  @Test
+  void outOfWindowKeyRuns() {
+    List<String> session =
+        List.of(
+            "call r1 write at e0 key e0/k",
+            "connect r1/0",
+            "run r1/0",
+            "lose r1/0",
+            "pause 61000",
+            "call r2 write at e0 key e0/k",
+            "connect r2/0",
+            "run r2/0",
+            "reply r2/0",
+            "end r2/0");
+    UnaryOperator<KeyRegistry> forgetful =
+        keys ->
+            new KeyMutant(
+                new KeyMutant(keys, KeyClaim.Finished.class), KeyClaim.OutsideWindow.class);
+    VirtualFleet fleet = new VirtualFleet(FleetSetup.of(1).withKeys(forgetful));
+    session.forEach(fleet::apply);
+    assertEquals(1, fleet.violations().size(), fleet.violations().toString());
+  }
+
+  @Test
+  void admissionReleasedTwice() {
+    assertCaught("balance", setup().withMachines(p -> () -> releasingTwice(p)));
+  }
+
+  @Test
+  void givenUpRequestWithoutOutcome() {
+    assertCaught("not settled", mutant(PlantedFaultTest::silentGiveUp));
+  }
+
+  private static RequestMachine reclassified(RequestPolicies policies) {
+    RequestPolicies wrong =
+        new RequestPolicies(
+            (method, host, path) ->
+                policies
+                    .router()
+                    .route(method, host, path)
+                    .map(r -> new Route(r.service(), RequestClass.READ, r.deadlineMillis())),
+            policies.admission(),
+            policies.selector(),
+            policies.observer(),
+            policies.retries(),
+            policies.keys());
+    return new DefaultRequestMachines(wrong).create();
+  }
+
+  private static RequestMachine toldOnDoubt(RequestMachine inner, Outcome told) {
+    return new MachineMutant(inner) {
+      @Override
+      Decision change(Decision decision) {
+        if (decision instanceof Decision.Answer answer && answer.outcome() == Outcome.UNKNOWN) {
+          return new Decision.Answer(503, told, answer.failure(), OptionalLong.empty());
+        }
+        return decision;
+      }
+    };
+  }
+
+  private static RequestMachine finishInsteadOfAbort(RequestMachine inner) {
+    return new MachineMutant(inner) {
+      @Override
+      Decision change(Decision decision) {
+        return decision instanceof Decision.Abort ? new Decision.Finish() : decision;
+      }
+    };
+  }
+
+  private static RequestMachine relaysLatestAttempt(RequestMachine inner) {
+    return new MachineMutant(inner) {
+      private int latest;
+
+      @Override
+      Decision change(Decision decision) {
+        if (decision instanceof Decision.Send send) {
+          latest = send.attempt();
+        }
+        return decision instanceof Decision.Relay ? new Decision.Relay(latest) : decision;
+      }
+
+      @Override
+      public Decision responseEnd(int attempt, long nowNanos) {
+        return new Decision.Finish();
+      }
+    };
+  }
+
+  private static RequestMachine silentGiveUp(RequestMachine inner) {
+    return new MachineMutant(inner) {
+      @Override
+      Decision change(Decision decision) {
+        return decision instanceof Decision.Answer ? new Decision.Await(0) : decision;
+      }
+    };
+  }
+
+  private static RequestMachine releasingTwice(RequestPolicies policies) {
+    return new MachineMutant(new DefaultRequestMachines(policies).create()) {
+      @Override
+      public Decision responseEnd(int attempt, long nowNanos) {
+        policies.admission().release(0, RequestClass.READ, nowNanos);
+        return super.responseEnd(attempt, nowNanos);
+      }
+    };
+  }
+
+  private static FleetSetup mistaken(Class<? extends KeyClaim> claim) {
+    return setup().withKeys(keys -> new KeyMutant(keys, claim));
+  }
+
+  private static FleetSetup mutant(UnaryOperator<RequestMachine> fault) {
+    Function<RequestPolicies, RequestMachines> machines =
+        policies -> () -> fault.apply(new DefaultRequestMachines(policies).create());
+    return setup().withMachines(machines);
+  }
+
+  private static FleetSetup setup() {
+    return FleetSetup.of(3)
+        .withPolicies(
+            index -> {
+              FakePolicies fakes = new FakePolicies();
+              fakes.hedgeDelayNanos = 10_000_000;
+              return fakes.policies();
+            });
+  }
+
+  private static void assertCaught(String rule, FleetSetup setup) {
+    for (long seed = 0; seed < SCHEDULES; seed++) {
+      List<String> found = new FaultSchedule(seed, setup).run();
+      if (found.stream().anyMatch(violation -> violation.startsWith(rule))) {
+        System.out.println("PlantedFaultTest: " + rule + " found at seed " + seed);
+        return;
+      }
+    }
+    assertTrue(false, "no schedule finds " + rule);
+  }
+}
--- a/chivecross-core/src/test/java/org/chivecross/logic/session/SessionHop.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/session/SessionHop.java
@@ -16,6 +16,9 @@
   /** Entry to which the request is being passed, until it arrives there. */
   @Nullable SessionEntry passingTo;
 
+  /** Attempt whose answer goes to the caller, or -1. */
+  int relaying = -1;
+
   boolean over;
 
   SessionHop(SessionCall call, SessionEntry entry) {
--- a/chivecross-core/src/test/java/org/chivecross/logic/session/SessionRecorder.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/session/SessionRecorder.java
@@ -40,6 +40,16 @@
     facts.append("ran ").append(call.id).append(';');
   }
 
+  /** The target answers with an error and doesn't say whether it ran the request. */
+  void busy(long now, SessionCall call, SessionAttempt attempt) {
+    String upstream = "t" + attempt.target;
+    String digest = digest(call, attempt);
+    add(
+        now,
+        at ->
+            new HistoryEvent.Ran(at, upstream, call.id, upstream, 503, digest, BODY_LENGTH, true));
+  }
+
   void answered(long now, SessionCall call, int status, Outcome outcome) {
     add(
         now,
@@ -52,14 +62,6 @@
     int status = attempt.targetSide == SessionAttempt.TargetSide.RAN ? 200 : 503;
     long length = whole ? BODY_LENGTH : BODY_LENGTH / 2;
     String digest = digest(call, attempt);
-    if (status != 200) {
-      String upstream = "t" + attempt.target;
-      add(
-          now,
-          at ->
-              new HistoryEvent.Ran(
-                  at, upstream, call.id, upstream, status, digest, BODY_LENGTH, true));
-    }
     add(now, at -> new HistoryEvent.Answer(at, "caller", call.id, status, "", digest, length));
     log("caller: " + call.id + " " + status + " from t" + attempt.target);
     facts.append(call.id).append(status).append(';');
--- a/chivecross-core/src/test/java/org/chivecross/logic/session/VirtualFleet.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/session/VirtualFleet.java
@@ -1,10 +1,12 @@
 package org.chivecross.logic.session;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.chivecross.logic.history.HistoryChecker;
@@ -186,7 +188,10 @@
         recorder.ran(now, hop.call, attempt);
       }
       case "shed" -> attempt.targetSide = TargetSide.SHED;
-      case "busy" -> attempt.targetSide = TargetSide.BUSY;
+      case "busy" -> {
+        attempt.targetSide = TargetSide.BUSY;
+        recorder.busy(now, hop.call, attempt);
+      }
       case "reply" -> reply(hop, attempt);
       case "end" -> end(hop, attempt);
       default -> throw new IllegalArgumentException("unknown command " + verb);
@@ -249,6 +254,7 @@
               + kind);
     } else if (decision instanceof Decision.Relay relay) {
       hop.closeAttempts(relay.attempt());
+      hop.relaying = relay.attempt();
       hop.attempts.get(relay.attempt()).entrySide = EntrySide.RELAYING;
       recorder.log(hop.entry.name + ": relay " + hop.call.id + "/" + relay.attempt());
     } else if (decision instanceof Decision.Answer answer) {
@@ -260,7 +266,14 @@
     } else if (decision instanceof Decision.PassToOwner pass) {
       pass(hop, pass.ownerIncarnation());
     } else if (decision instanceof Decision.Finish) {
-      settle(hop, () -> {});
+      settle(hop, () -> endEarly(hop));
+    }
+  }
+
+  /** The caller takes what was relayed so far for the whole answer. */
+  private void endEarly(SessionHop hop) {
+    if (hop.relaying >= 0) {
+      recorder.relayed(now, hop.call, hop.attempts.get(hop.relaying), false);
     }
   }
 
@@ -274,7 +287,7 @@
   }
 
   private void deliver(SessionHop hop) {
-    SessionEntry owner = java.util.Objects.requireNonNull(hop.passingTo);
+    SessionEntry owner = Objects.requireNonNull(hop.passingTo);
     if (!owner.alive) {
       dropped(hop);
       return;
@@ -344,7 +357,7 @@
   private Optional<SessionHop> nextTimer() {
     return hops.stream()
         .filter(hop -> !hop.over && hop.machine.nextTimerNanos() != Long.MAX_VALUE)
-        .min(java.util.Comparator.comparingLong(hop -> hop.machine.nextTimerNanos()));
+        .min(Comparator.comparingLong(hop -> hop.machine.nextTimerNanos()));
   }
 
   private SessionHop passingHop(String id) {
@@ -355,7 +368,7 @@
   }
 
   private SessionEntry entry(String name) {
-    return java.util.Objects.requireNonNull(entries.get(name), name);
+    return Objects.requireNonNull(entries.get(name), name);
   }
 
   private String key(String name) {
