--- a/chivecross-bench/src/main/java/org/chivecross/cli/experiment/Scenario.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/experiment/Scenario.java
@@ -28,13 +28,19 @@
     int reportDelayMillis,
     int seconds) {
 
-  /** What is wrong with the first target of each service, from a third of the run on. */
+  /** What goes wrong from {@link ClusterModel#FAULT_NANOS} after the warm-up on. */
   enum Fault {
+    /** Nothing. */
     NONE,
+    /** The first target of each service fails every request at once. */
     FAIL_FAST,
+    /** The first target of each service reports no load, whatever its load is. */
     LYING_REPORTS,
+    /** The first target of each service says that it is leaving. */
     DRAIN,
+    /** The first target of each service joins and serves at a third of its speed for 5 s. */
     COLD_START,
+    /** The load is 1.5 times all slots for 10 s. */
     OVERLOAD
   }
 
