Bound the memory of a file set check

Cause: a set within the size limits could hold millions of YAML values and problems. Change: at most 200,000 values in a set and 1,000 problems kept, with one more line that says there are others. Tests: both bounds.

--- a/chivecross-core/src/main/java/org/chivecross/logic/fileset/FileSetParser.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fileset/FileSetParser.java
@@ -33,7 +33,7 @@
   public static final int MAX_FILES = Manifest.MAX_FILES;
 
   /** Largest set, in characters over all files. */
-  public static final int MAX_SET_CHARACTERS = 16_000_000;
+  public static final int MAX_SET_CHARACTERS = 8_000_000;
 
   private static final Pattern FILE_NAME =
       Pattern.compile(
@@ -149,27 +149,32 @@
     if (contents.keySet().stream().noneMatch(file -> file.startsWith("services/"))) {
       problems.addUnreadable("services", 0, "no file", "at least one file");
     }
+    NodeBudget budget = new NodeBudget();
     for (Map.Entry<String, String> entry : contents.entrySet()) {
       String file = entry.getKey();
       String content = entry.getValue();
       if (!FILE_NAME.matcher(file).matches()) {
         problems.add(Quoting.shorten(file), 0, "", "an unexpected file", FILE_NAMES);
       } else if (file.equals(DEPLOYMENT_FILE)) {
-        deployment = read(file, content, RecordReaders::deployment, problems);
+        deployment = read(file, content, budget, RecordReaders::deployment, problems);
       } else if (file.startsWith("tenants/")) {
-        read(file, content, RecordReaders::tenant, problems).ifPresent(tenants::add);
+        read(file, content, budget, RecordReaders::tenant, problems).ifPresent(tenants::add);
       } else if (file.startsWith("services/")) {
-        read(file, content, RecordReaders::service, problems).ifPresent(services::add);
+        read(file, content, budget, RecordReaders::service, problems).ifPresent(services::add);
       } else {
-        read(file, content, RecordReaders::ruleFile, problems).ifPresent(rules::add);
+        read(file, content, budget, RecordReaders::ruleFile, problems).ifPresent(rules::add);
       }
     }
     return new ParsedFileSet(deployment, tenants, services, rules);
   }
 
   private <T> Optional<ParsedFile<T>> read(
-      String file, String content, Function<FieldReader, T> reader, ProblemLog problems) {
-    Optional<YamlNode> root = trees.read(file, content, problems);
+      String file,
+      String content,
+      NodeBudget budget,
+      Function<FieldReader, T> reader,
+      ProblemLog problems) {
+    Optional<YamlNode> root = trees.read(file, content, budget, problems);
     if (root.isEmpty()) {
       return Optional.empty();
     }
--- a/chivecross-core/src/main/java/org/chivecross/logic/fileset/ProblemLog.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fileset/ProblemLog.java
@@ -5,16 +5,25 @@
 import org.chivecross.model.fileset.FileSetProblem;
 
 /**
- * Collects what is wrong with a file set, in order of discovery. Invariant: it only grows. Not
- * thread-safe.
+ * Collects what is wrong with a file set, in order of discovery. Invariant: it only grows, up to a
+ * bound. Not thread-safe.
  */
 final class ProblemLog {
 
+  /** Most problems kept; one more line says that there are others. */
+  static final int MAX_PROBLEMS = 1_000;
+
   private final List<FileSetProblem> problems = new ArrayList<>();
   private boolean unreadable;
 
   void add(String file, int line, String field, String found, String allowed) {
-    problems.add(new FileSetProblem(file, line, field, found, allowed));
+    if (problems.size() == MAX_PROBLEMS) {
+      problems.add(
+          new FileSetProblem(file, 0, "", "more problems", "none; mend those above first"));
+    }
+    if (problems.size() < MAX_PROBLEMS) {
+      problems.add(new FileSetProblem(file, line, field, found, allowed));
+    }
   }
 
   /** Adds a problem that hides what the rest of the file says. */
--- a/chivecross-core/src/main/java/org/chivecross/logic/fileset/YamlTreeReader.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fileset/YamlTreeReader.java
@@ -36,8 +36,12 @@
     factory = YAMLFactory.builder().loaderOptions(options).build();
   }
 
-  /** Returns the tree, or empty after adding what is wrong to {@code problems}. */
-  Optional<YamlNode> read(String file, String content, ProblemLog problems) {
+  /**
+   * Returns the tree, or empty after adding what is wrong to {@code problems}.
+   *
+   * @param budget nodes that the rest of the set may still have
+   */
+  Optional<YamlNode> read(String file, String content, NodeBudget budget, ProblemLog problems) {
     if (content.length() > MAX_FILE_BYTES
         || content.getBytes(StandardCharsets.UTF_8).length > MAX_FILE_BYTES) {
       addTooLarge(file, problems);
@@ -48,12 +52,16 @@
         problems.addUnreadable(file, 1, "an empty file", "one YAML mapping");
         return Optional.empty();
       }
-      YamlNode root = new Walk(file, parser, problems).node("");
+      YamlNode root = new Walk(file, parser, budget, problems).node("");
       if (parser.nextToken() != null) {
         problems.addUnreadable(file, line(parser), "a second document", "one YAML document");
         return Optional.empty();
       }
       return Optional.of(root);
+    } catch (NodeBudget.ExhaustedException e) {
+      problems.addUnreadable(
+          file, 0, "more values than a set may have", "at most " + NodeBudget.MAX_NODES);
+      return Optional.empty();
     } catch (IOException e) {
       addSyntaxProblem(file, e, problems);
       return Optional.empty();
@@ -86,9 +94,10 @@
   }
 
   /** Walk over the tokens of one file. Not thread-safe. */
-  private record Walk(String file, YAMLParser parser, ProblemLog problems) {
+  private record Walk(String file, YAMLParser parser, NodeBudget budget, ProblemLog problems) {
 
     YamlNode node(String path) throws IOException {
+      budget.take();
       refuseAnchorAndTag(path);
       JsonToken token = parser.currentToken();
       if (token == JsonToken.START_OBJECT) {
--- a/chivecross-core/src/test/java/org/chivecross/logic/fileset/MalformedFileSetsTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fileset/MalformedFileSetsTest.java
@@ -118,6 +118,17 @@
     assertTrue(found.get(1).startsWith("rules/deep.yaml: "), found.get(1));
   }
 
+  @Test
+  void memoryOfHugeSetsIsBounded() throws IOException {
+    Map<String, String> contents = ExampleFileSetsTest.contents("pulpwood");
+    contents.put("rules/many.yaml", "rules: [" + "a,".repeat(250_000) + "a]");
+    assertEquals(
+        "rules/many.yaml: found more values than a set may have, allowed: at most 200000",
+        messages(contents).get(0));
+    contents.put("rules/many.yaml", "rules: [" + "a,".repeat(4_000) + "a]");
+    assertEquals(ProblemLog.MAX_PROBLEMS + 1, messages(contents).size());
+  }
+
   @Test
   void aliasesAreNotExpanded() throws IOException {
     Map<String, String> contents = ExampleFileSetsTest.contents("pulpwood");
