--- a/chivecross-bench/src/main/java/org/chivecross/cli/simulation/SimulatedEntry.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/simulation/SimulatedEntry.java
@@ -74,6 +74,7 @@
             new SimulatedPlatformCalls(),
             random,
             this::inForce);
+    node.serveAt(address);
     around.network().listen(address, this::receive);
     around.time().after(random.nextLong(around.tickNanos()), this::tick);
   }
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/drain/package-info.java
@@ -0,0 +1,5 @@
+/** Graceful stop of an entry. */
+@NullMarked
+package org.chivecross.logic.drain;
+
+import org.jspecify.annotations.NullMarked;
--- a/chivecross-core/src/main/java/org/chivecross/logic/membership/MembershipSystem.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/membership/MembershipSystem.java
@@ -100,6 +100,12 @@
     }
   }
 
+  /** Replaces the address for callers and tells the others. */
+  public void serveAt(String clientAddress) {
+    self = self.servingAt(clientAddress);
+    renewSelf(self.sequence() + 1, self.marks());
+  }
+
   /** Tells the neighbours that this process ends now. */
   public void leave() {
     EntryMember gone = self.renewed(self.sequence() + 1, self.marks()).withState(MemberState.DEAD);
--- a/chivecross-core/src/main/java/org/chivecross/logic/peer/PeerNode.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/peer/PeerNode.java
@@ -31,6 +31,7 @@
   private final MembershipSystem membership;
   private final ConfigSystem config;
   private final StartupGate gate;
+  private boolean serving;
   private boolean leaving;
   private boolean overloaded;
   private boolean platformMarked;
@@ -102,6 +103,12 @@
     membership.addContacts(addresses);
   }
 
+  /** Callers reach this entry at this address from now on. */
+  public void serveAt(String clientAddress) {
+    serving = true;
+    membership.serveAt(clientAddress);
+  }
+
   /** This entry takes no new callers from now on. */
   public void startLeaving() {
     leaving = true;
@@ -130,7 +137,7 @@
   private EntryMarks marks() {
     // Only readers are marked, so that an outage of the platform changes few marks at once.
     platformMarked = !config.isPlatformReachable() && (platformMarked || config.view().reader());
-    return new EntryMarks(leaving, gate.isOpen(), overloaded, platformMarked);
+    return new EntryMarks(leaving, serving && gate.isOpen(), overloaded, platformMarked);
   }
 
   private boolean isReady(MemberView members) {
--- a/chivecross-core/src/main/java/org/chivecross/model/peer/EntryMember.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/peer/EntryMember.java
@@ -50,6 +50,11 @@
         newMarks);
   }
 
+  /** Returns the same claim with another address for callers. */
+  public EntryMember servingAt(String address) {
+    return new EntryMember(incarnation, peerAddress, address, dataCentre, sequence, state, marks);
+  }
+
   /** Returns whether callers may be sent to it. */
   public boolean isUsable() {
     return state == MemberState.ALIVE && marks.ready() && !marks.leaving() && !marks.overloaded();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryMain.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryMain.java
@@ -43,8 +43,11 @@
         return ProgramLauncher.FAILURE;
       }
       EntryProcess entry = ((Result.Success<EntryProcess>) process).value();
-      entry.start();
-      Runtime.getRuntime().addShutdownHook(new Thread(entry::stop, "stop"));
+      if (entry.start() instanceof Result.Failed<Integer> failed) {
+        System.err.println("chivecross-entry: " + failed.failures().get(0).detail());
+        return ProgramLauncher.BAD_SETTING;
+      }
+      StopSignals.handle(entry::requestStop);
       entry.awaitStop();
       return ProgramLauncher.SUCCESS;
     } catch (IOException e) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryPreferences.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryPreferences.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import org.chivecross.cli.entry.admin.AdminSettings;
 import org.chivecross.cli.entry.http.DataPathSettings;
+import org.chivecross.cli.entry.peer.PeerSettings;
 import org.chivecross.model.failure.Failure;
 import org.chivecross.model.failure.Result;
 import org.chivecross.model.failure.Step;
@@ -16,9 +17,14 @@
  * @param files directory of the file set
  * @param dataPath limits and time-outs of the data path
  * @param admin settings of the administration API
+ * @param peers settings towards the platform and the other entries
  */
 record EntryPreferences(
-    InetSocketAddress listen, Path files, DataPathSettings dataPath, AdminSettings admin) {
+    InetSocketAddress listen,
+    Path files,
+    DataPathSettings dataPath,
+    AdminSettings admin,
+    PeerSettings peers) {
 
   private static final int MAX_PORT = 65535;
   private static final int DEFAULT_ADMIN_PORT = 8001;
@@ -31,9 +37,14 @@
                 admin(options, listen)
                     .flatMap(
                         admin ->
-                            Result.success(
-                                new EntryPreferences(
-                                    listen, options.files(), DataPathSettings.defaults(), admin))));
+                            PeerSettings.of(options)
+                                .flatMap(peers -> all(options, listen, admin, peers))));
+  }
+
+  private static Result<EntryPreferences> all(
+      EntryOptions options, InetSocketAddress listen, AdminSettings admin, PeerSettings peers) {
+    return Result.success(
+        new EntryPreferences(listen, options.files(), DataPathSettings.defaults(), admin, peers));
   }
 
   private static Result<AdminSettings> admin(EntryOptions options, InetSocketAddress listen) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
@@ -3,82 +3,175 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.time.Instant;
+import java.security.SecureRandom;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import org.chivecross.cli.entry.admin.AdminServer;
 import org.chivecross.cli.entry.admin.AdminViews;
-import org.chivecross.cli.entry.admin.ConfigStatus;
-import org.chivecross.cli.entry.admin.ReadinessStatus;
+import org.chivecross.cli.entry.directory.DirectoryHandler;
 import org.chivecross.cli.entry.http.DataPath;
-import org.chivecross.cli.entry.http.LocalHandler;
-import org.chivecross.cli.entry.http.LocalResponse;
 import org.chivecross.cli.entry.http.LocalRoutes;
+import org.chivecross.cli.entry.peer.FleetShare;
+import org.chivecross.cli.entry.peer.LocalShare;
+import org.chivecross.cli.entry.peer.PeerShare;
+import org.chivecross.cli.entry.peer.ShareStatus;
+import org.chivecross.logic.directory.EntryDirectory;
+import org.chivecross.logic.drain.DrainSystem;
 import org.chivecross.logic.engine.BalancerEngine;
 import org.chivecross.logic.engine.EnginePreferences;
 import org.chivecross.logic.fileset.FileSetParser;
 import org.chivecross.logic.key.KeyRegistry;
+import org.chivecross.logic.peer.NodeView;
 import org.chivecross.logic.request.DefaultRequestMachines;
 import org.chivecross.model.failure.Result;
+import org.chivecross.model.fileset.Deployment;
 import org.chivecross.model.fileset.FileSet;
-import org.chivecross.model.manifest.ConfigVersion;
+import org.chivecross.model.peer.KeyAnswer;
 import org.tinylog.Logger;
 
-/** All parts of one running entry. {@link #start} and {@link #stop} are called once each. */
+/**
+ * All parts of one running entry. {@link #start} is called once; {@link #requestStop} starts a
+ * graceful stop and, called again, forces it.
+ *
+ * <p>Invariant: callers are served from the moment the share is ready, and the file set in force
+ * changes only on the ticker's thread.
+ */
 final class EntryProcess {
 
   private static final long TIMER_PERIOD_MILLIS = 2;
   private static final long ENGINE_PERIOD_MILLIS = 5;
   private static final long IDLE_PERIOD_MILLIS = 100;
+  private static final int UNAVAILABLE = 503;
 
   private final EntryPreferences preferences;
   private final BalancerEngine engine;
   private final DataPath dataPath;
-  private final EntryTicker ticker;
+  private final EntryTicker ticker = new EntryTicker();
   private final AdminServer admin;
+  private final FleetShare share;
+  private final DrainSystem drain;
   private final CountDownLatch stopped = new CountDownLatch(1);
+  private boolean serving;
 
+  /** Creates an entry around its share. */
   private EntryProcess(
       EntryPreferences preferences,
       BalancerEngine engine,
-      DataPath dataPath,
-      EntryTicker ticker,
-      AdminServer admin) {
-    this.admin = admin;
+      FleetShare share,
+      EngineAddresses addresses) {
     this.preferences = preferences;
     this.engine = engine;
-    this.dataPath = dataPath;
-    this.ticker = ticker;
+    this.share = share;
+    drain = new DrainSystem(preferences.peers().stopDeadline().toMillis());
+    NoKeys keys = new NoKeys();
+    LocalRoutes routes =
+        new LocalRoutes(Map.of("/chivecross/entries", new DirectoryHandler(share::view, () -> "")));
+    dataPath =
+        new DataPath(
+            new DefaultRequestMachines(engine.policies(keys)),
+            addresses,
+            routes,
+            preferences.dataPath());
+    admin = new AdminServer(preferences.admin(), adminViews(engine, share, keys));
   }
 
   /**
-   * Creates an entry that serves the file set of its directory.
+   * Creates an entry that serves the file set of the platform, or that of its directory.
    *
-   * @return the entry, or what is wrong with the file set
+   * @return the entry, or what is wrong with the file set of the directory
    * @throws IOException if a file can't be read
    */
   static Result<EntryProcess> create(EntryPreferences preferences) throws IOException {
-    Map<String, String> contents = FileSetReader.read(preferences.files());
+    long incarnation = new SecureRandom().nextLong();
+    BalancerEngine engine =
+        new BalancerEngine(
+            EnginePreferences.of(preferences.listen().toString(), preferences.peers().dataCentre()),
+            new SplittableRandom(incarnation));
+    EngineAddresses addresses = new EngineAddresses(engine);
+    if (preferences.peers().platform().isPresent()) {
+      FleetShare share =
+          new PeerShare(
+              preferences.peers(),
+              incarnation,
+              (version, set) -> apply(set, engine, addresses),
+              vms -> {},
+              (call, remaining, answer) ->
+                  answer.accept(new KeyAnswer(UNAVAILABLE, List.of(), new byte[0])));
+      return Result.success(new EntryProcess(preferences, engine, share, addresses));
+    }
     return new FileSetParser()
-        .parse(contents)
-        .flatMap(set -> Result.success(compose(preferences, set)));
+        .parse(FileSetReader.read(preferences.files()))
+        .flatMap(
+            set -> {
+              apply(set, engine, addresses);
+              FleetShare share = new LocalShare(incarnation, preferences.peers().dataCentre(), set);
+              return Result.success(new EntryProcess(preferences, engine, share, addresses));
+            });
   }
 
-  /** Starts to serve callers. */
-  void start() throws IOException {
-    ticker.every(TIMER_PERIOD_MILLIS, List.of(dataPath::tick));
-    ticker.every(ENGINE_PERIOD_MILLIS, List.of(engine::tick));
-    ticker.every(IDLE_PERIOD_MILLIS, List.of(dataPath::closeIdle));
-    InetSocketAddress address = dataPath.start(preferences.listen());
-    Logger.info("serving callers at {}", address);
+  /**
+   * Starts to talk to the platform and the other entries; callers are served once that is safe.
+   *
+   * @return whether every address could be bound
+   * @throws IOException if the administration API can't be started
+   */
+  Result<Integer> start() throws IOException {
+    Result<Integer> port = share.start();
+    if (port instanceof Result.Failed<Integer>) {
+      return port;
+    }
     Logger.info("serving the administration API at {}", admin.start());
+    ticker.every(TIMER_PERIOD_MILLIS, List.of(dataPath::tick));
+    ticker.every(ENGINE_PERIOD_MILLIS, List.of(share::tick, this::serve, engine::tick));
+    ticker.every(IDLE_PERIOD_MILLIS, List.of(dataPath::closeIdle, this::drain));
+    return port;
+  }
+
+  /** Starts a graceful stop; called again, it forces the stop. Safe for use by many threads. */
+  void requestStop() {
+    ticker.once(this::requestStop);
+  }
+
+  /** Waits until the stop has done its work. */
+  void awaitStop() throws InterruptedException {
+    stopped.await();
+  }
+
+  private void requestStop(long nowNanos) {
+    NodeView view = share.view();
+    drain.request(serving ? EntryDirectory.lifetimeMillis(view) : 0, nowNanos);
+    Logger.info("stop requested: {}", drain.phase());
+    share.startLeaving();
   }
 
-  /** Stops at once. */
-  void stop() {
+  private void serve(long nowNanos) {
+    if (serving || !share.view().ready()) {
+      return;
+    }
+    try {
+      InetSocketAddress address = dataPath.start(preferences.listen());
+      serving = true;
+      share.serving(address);
+      Logger.info("serving callers at {}", address);
+    } catch (IOException e) {
+      Logger.error(e, "can't serve callers at {}", preferences.listen());
+      stop();
+    }
+  }
+
+  private void drain(long nowNanos) {
+    DrainSystem.Phase phase = drain.tick(dataPath.inFlightCount() == 0, nowNanos);
+    if (phase == DrainSystem.Phase.FINISHED || phase == DrainSystem.Phase.CUT) {
+      Logger.info("stop: {} with {} requests in flight", phase, dataPath.inFlightCount());
+      stop();
+    }
+  }
+
+  private void stop() {
     ticker.stop();
+    share.stop();
     admin.stop();
     try {
       dataPath.stop();
@@ -88,54 +181,25 @@
     stopped.countDown();
   }
 
-  /** Waits until {@link #stop} has done its work. */
-  void awaitStop() throws InterruptedException {
-    stopped.await();
-  }
-
-  private static EntryProcess compose(EntryPreferences preferences, FileSet set) {
-    String entryId = preferences.listen().toString();
-    BalancerEngine engine =
-        new BalancerEngine(
-            EnginePreferences.of(entryId, ""), new SplittableRandom(System.nanoTime()));
+  private static void apply(FileSet set, BalancerEngine engine, EngineAddresses addresses) {
     engine.apply(set, System.nanoTime());
-    EngineAddresses addresses = new EngineAddresses(engine);
     addresses.apply(set);
-    NoKeys keys = new NoKeys();
-    LocalRoutes routes =
-        new LocalRoutes(Map.of("/chivecross/entries", directory(preferences, set)));
-    DataPath dataPath =
-        new DataPath(
-            new DefaultRequestMachines(engine.policies(keys)),
-            addresses,
-            routes,
-            preferences.dataPath());
-    AdminServer admin = new AdminServer(preferences.admin(), adminViews(engine, set, keys));
-    return new EntryProcess(preferences, engine, dataPath, new EntryTicker(), admin);
   }
 
-  private static AdminViews adminViews(BalancerEngine engine, FileSet set, KeyRegistry keys) {
-    ConfigStatus config =
-        new ConfigStatus(
-            set.deployment().name(),
-            ConfigVersion.NONE.toString(),
-            Instant.now().toString(),
-            set.services().size(),
-            engine.targetStatuses(System.nanoTime()).size(),
-            null);
+  private static AdminViews adminViews(BalancerEngine engine, FleetShare share, KeyRegistry keys) {
+    Deployment nothing = new Deployment("", 1, 0, 0, List.of(), List.of());
+    FileSet empty = new FileSet(nothing, List.of(), List.of(), List.of());
     PrometheusRegistry metrics = new PrometheusRegistry();
-    return new EntryAdminViews(engine, () -> set, keys, metrics, System::nanoTime)
-        .views(() -> ReadinessStatus.of(List.of()), () -> config, List::of, List::of);
-  }
-
-  private static LocalHandler directory(EntryPreferences preferences, FileSet set) {
-    InetSocketAddress listen = preferences.listen();
-    String body =
-        "{\"entries\":[\"%s:%d\"],\"keyPrefix\":\"\",\"lifetimeMillis\":%d}%n"
-            .formatted(
-                listen.getHostString(),
-                listen.getPort(),
-                set.deployment().directoryLifetimeMillis());
-    return (request, responder) -> responder.accept(LocalResponse.json(body));
+    return new EntryAdminViews(
+            engine,
+            () -> share.view().config().fileSet().orElse(empty),
+            keys,
+            metrics,
+            System::nanoTime)
+        .views(
+            () -> ShareStatus.readiness(share.view()),
+            () -> ShareStatus.config(share),
+            () -> ShareStatus.members(share.view()),
+            List::of);
   }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryTicker.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryTicker.java
@@ -33,6 +33,11 @@
         executor.scheduleWithFixedDelay(run, periodMillis, periodMillis, TimeUnit.MILLISECONDS));
   }
 
+  /** Runs a task once, as soon as the thread is free. */
+  void once(LongConsumer task) {
+    running.add(executor.schedule(() -> runSafely(task), 0, TimeUnit.MILLISECONDS));
+  }
+
   void stop() {
     running.forEach(task -> task.cancel(false));
     executor.shutdownNow();
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/peer/LocalShare.java
@@ -0,0 +1,96 @@
+package org.chivecross.cli.entry.peer;
+
+import java.net.InetSocketAddress;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.chivecross.logic.config.ConfigView;
+import org.chivecross.logic.key.OwnerCalls;
+import org.chivecross.logic.membership.MemberView;
+import org.chivecross.logic.peer.NodeView;
+import org.chivecross.model.failure.Result;
+import org.chivecross.model.failure.Step;
+import org.chivecross.model.fileset.FileSet;
+import org.chivecross.model.manifest.ConfigVersion;
+import org.chivecross.model.peer.EntryMarks;
+import org.chivecross.model.peer.EntryMember;
+import org.chivecross.model.peer.MemberState;
+
+/**
+ * Share of an entry that runs alone on a file set from a directory. Safe for use by many threads.
+ */
+public final class LocalShare implements FleetShare {
+
+  private static final EntryMarks READY = new EntryMarks(false, true, false, false);
+
+  private final ConfigView config;
+  private final Instant since = Instant.now();
+  private volatile EntryMember self;
+  private volatile boolean leaving;
+
+  /** Creates the share of an entry that serves {@code set}. */
+  public LocalShare(long incarnation, String dataCentre, FileSet set) {
+    self = new EntryMember(incarnation, "", "", dataCentre, 1, MemberState.ALIVE, READY);
+    config =
+        new ConfigView(
+            ConfigVersion.NONE,
+            Optional.of(set),
+            System.nanoTime(),
+            ConfigVersion.NONE,
+            List.of(),
+            ConfigVersion.NONE,
+            List.of(),
+            false,
+            false,
+            0,
+            0,
+            0);
+  }
+
+  @Override
+  public Result<Integer> start() {
+    return Result.success(0);
+  }
+
+  @Override
+  public void serving(InetSocketAddress callerAddress) {
+    EntryMember old = self;
+    self =
+        new EntryMember(
+            old.incarnation(),
+            "",
+            callerAddress.getHostString() + ":" + callerAddress.getPort(),
+            old.dataCentre(),
+            1,
+            MemberState.ALIVE,
+            READY);
+  }
+
+  @Override
+  public void tick(long nowNanos) {}
+
+  @Override
+  public NodeView view() {
+    MemberView members = new MemberView(self, List.of(), true);
+    return new NodeView(members, config, !leaving, leaving ? "nothing: this entry leaves" : "");
+  }
+
+  @Override
+  public Optional<Instant> inForceSince() {
+    return Optional.of(since);
+  }
+
+  @Override
+  public OwnerCalls ownerCalls() {
+    return (owner, call, remaining, done) ->
+        done.accept(Result.failed(Step.CONNECT, "unknown owner", "this entry runs alone"));
+  }
+
+  @Override
+  public void startLeaving() {
+    leaving = true;
+  }
+
+  @Override
+  public void stop() {}
+}
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/peer/PeerShare.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/peer/PeerShare.java
@@ -49,8 +49,9 @@
  * <p>Invariant: only {@link #tick} touches the node; events of other threads wait in a queue for
  * it. All other methods are safe for use by many threads.
  */
-public final class PeerShare {
+public final class PeerShare implements FleetShare {
 
+  private static final String NOT_SERVING = "0.0.0.0:0";
   private static final int MAX_QUEUED_EVENTS = 10_000;
   private static final int TABLE_ROWS_PER_ENTRY = 4;
   private static final int MIN_TABLE_ROWS = 64;
@@ -103,25 +104,15 @@
     platform =
         new PlatformClient(
             settings.platform().orElseThrow(), settings.deployment(), new QueuedEvents());
-    node = node("", "");
+    node = node("");
   }
 
-  /**
-   * Starts to talk to the others.
-   *
-   * @param callerAddress address in use for callers
-   */
-  public Result<Integer> start(InetSocketAddress callerAddress) {
+  @Override
+  public Result<Integer> start() {
     Result<Integer> port = transport.start();
     if (port instanceof Result.Success<Integer> bound) {
-      node =
-          node(
-              orElse(
-                  settings.peerAdvertise(),
-                  settings.peerListen().getHostString() + ":" + bound.value()),
-              orElse(
-                  settings.advertise(),
-                  callerAddress.getHostString() + ":" + callerAddress.getPort()));
+      String host = settings.peerListen().getHostString();
+      node = node(orElse(settings.peerAdvertise(), host + ":" + bound.value()));
       timer.scheduleWithFixedDelay(
           this::reloadSecurity,
           RELOAD_PERIOD.toSeconds(),
@@ -131,7 +122,13 @@
     return port;
   }
 
-  /** Handles waiting events and runs what is due. Called by one thread. */
+  @Override
+  public void serving(InetSocketAddress callerAddress) {
+    String address = callerAddress.getHostString() + ":" + callerAddress.getPort();
+    enqueue(current -> current.serveAt(orElse(settings.advertise(), address)));
+  }
+
+  @Override
   public void tick(long nowNanos) {
     for (Consumer<PeerNode> event = events.poll(); event != null; event = events.poll()) {
       queued.decrementAndGet();
@@ -144,7 +141,7 @@
     }
   }
 
-  /** Returns what this entry knows. */
+  @Override
   public NodeView view() {
     return node.view();
   }
@@ -154,12 +151,12 @@
     return incarnation;
   }
 
-  /** Returns the UTC time since which the set in force has been so; empty when none is. */
+  @Override
   public Optional<Instant> inForceSince() {
     return inForceSince;
   }
 
-  /** Returns the calls to owners of keys. */
+  @Override
   public OwnerCalls ownerCalls() {
     return ownerCalls;
   }
@@ -169,24 +166,24 @@
     return traffic;
   }
 
-  /** This entry takes no new callers from now on. */
+  @Override
   public void startLeaving() {
     enqueue(PeerNode::startLeaving);
   }
 
-  /** Tells the others that this process ends and closes all connections. */
+  @Override
   public void stop() {
     node.leave();
     timer.shutdownNow();
     transport.close();
   }
 
-  private PeerNode node(String peerAddress, String callerAddress) {
+  private PeerNode node(String peerAddress) {
     EntryMember self =
         new EntryMember(
             incarnation,
             peerAddress,
-            callerAddress,
+            orElse(settings.advertise(), NOT_SERVING),
             settings.dataCentre(),
             1,
             MemberState.ALIVE,
