--- /dev/null
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/experiment/FaultExperiment.java
@@ -0,0 +1,58 @@
+package org.chivecross.cli.experiment;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Runs each fault against the default policy and a baseline. Arguments: number of seeds. */
+public final class FaultExperiment {
+
+  private static final int SECONDS = 18;
+  private static final int FAULT_SECOND = (int) (ClusterModel.FAULT_NANOS / ClusterModel.SECOND);
+  private static final int DELAY_MILLIS = 200;
+
+  private FaultExperiment() {}
+
+  /** Runs all faults of both deployments. */
+  public static void main(String[] args) {
+    int seeds = args.length > 0 ? Integer.parseInt(args[0]) : 5;
+    System.out.println(
+        "| deployment | load | fault | policy | p99 before ms | p99 in fault ms | p99 13-15 s ms"
+            + " | p99 from 15 s ms | failed | refused | last send after fault ms |");
+    System.out.println("|---|---|---|---|---|---|---|---|---|---|---|");
+    for (Scenario base : List.of(Scenario.pulpwood(), Scenario.screenworks())) {
+      Scenario scenario = base.withSeconds(SECONDS).withLoad(0.8);
+      for (Scenario.Fault fault : Scenario.Fault.values()) {
+        print(scenario.withFault(fault), fault.toString(), seeds);
+      }
+      print(scenario.withReportDelay(DELAY_MILLIS), "reports 200 ms late", seeds);
+      print(scenario.withReportDelay(DELAY_MILLIS).withNoise(), "200 ms late, noisy", seeds);
+    }
+  }
+
+  private static void print(Scenario scenario, String fault, int seeds) {
+    for (PolicyCase policy : DecisionExperiment.policies()) {
+      if (!policy.name().equals("default") && !policy.name().equals("local least")) {
+        continue;
+      }
+      List<RunResult> results = new ArrayList<>();
+      for (int seed = 1; seed <= seeds; seed++) {
+        results.add(new ClusterModel(scenario, policy, seed).run());
+      }
+      RunResult sum = results.get(0).copy();
+      results.subList(1, results.size()).forEach(sum::add);
+      System.out.printf(
+          "| %s | %.1f | %s | %s | %.1f | %.1f | %.1f | %.1f | %d | %d | %.0f |%n",
+          scenario.name(),
+          scenario.load(),
+          fault,
+          policy.name(),
+          sum.millisBetween(99, 0, FAULT_SECOND),
+          sum.millisBetween(99, FAULT_SECOND, FAULT_SECOND + 10),
+          sum.millisBetween(99, FAULT_SECOND + 10, FAULT_SECOND + 12),
+          sum.millisBetween(99, FAULT_SECOND + 12, SECONDS),
+          sum.failedCount(),
+          sum.refusedCount(),
+          Math.max(0, sum.lastSentToFaultyMillis() - FAULT_SECOND * 1000));
+    }
+  }
+}
--- a/chivecross-bench/src/main/java/org/chivecross/cli/experiment/RunResult.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/experiment/RunResult.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 
 /** What callers saw in one run or in several added up. Not thread-safe. */
@@ -12,6 +13,8 @@
 
   private final Histogram all = new Histogram(MOST_NANOS, DIGITS);
   private final List<Histogram> byService = new ArrayList<>();
+  private final TreeMap<Integer, Histogram> bySecond = new TreeMap<>();
+  private long lastSentToFaultyNanos;
   private long arrived;
   private long sent;
   private long hedged;
@@ -37,6 +40,8 @@
     for (int s = 0; s < byService.size(); s++) {
       byService.get(s).add(other.byService.get(s));
     }
+    other.bySecond.forEach((second, part) -> bySecond(second * 1_000_000_000L).add(part));
+    lastSentToFaultyNanos = Math.max(lastSentToFaultyNanos, other.lastSentToFaultyNanos);
     arrived += other.arrived;
     sent += other.sent;
     hedged += other.hedged;
@@ -44,11 +49,40 @@
     failed += other.failed;
   }
 
-  void recordServed(int service, long nanos) {
+  /**
+   * Records a served request.
+   *
+   * @param sinceNanos time of its arrival since the warm-up, in ns
+   * @param nanos its latency
+   */
+  void recordServed(int service, long sinceNanos, long nanos) {
     all.recordValue(nanos);
+    bySecond(sinceNanos).recordValue(nanos);
     byService.get(service).recordValue(nanos);
   }
 
+  /** Notes an attempt that was sent to the faulty target. */
+  void noteSentToFaulty(long sinceNanos) {
+    lastSentToFaultyNanos = Math.max(lastSentToFaultyNanos, sinceNanos);
+  }
+
+  /** Returns when the last attempt was sent to the faulty target, in ms since the warm-up. */
+  double lastSentToFaultyMillis() {
+    return lastSentToFaultyNanos / 1e6;
+  }
+
+  /** Returns p99 of the requests that arrived from one second on to another, in ms. */
+  double millisBetween(double percentile, int fromSecond, int toSecond) {
+    Histogram part = new Histogram(MOST_NANOS, DIGITS);
+    bySecond.subMap(fromSecond, toSecond).values().forEach(part::add);
+    return part.getValueAtPercentile(percentile) / 1e6;
+  }
+
+  private Histogram bySecond(long sinceNanos) {
+    int second = (int) (sinceNanos / 1_000_000_000L);
+    return bySecond.computeIfAbsent(second, key -> new Histogram(MOST_NANOS, DIGITS));
+  }
+
   void countArrived() {
     arrived++;
   }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryPreferences.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryPreferences.java
@@ -44,7 +44,7 @@
   private static Result<EntryPreferences> all(
       EntryOptions options, InetSocketAddress listen, AdminSettings admin, PeerSettings peers) {
     return Result.success(
-        new EntryPreferences(listen, options.files(), DataPathSettings.defaults(), admin, peers));
+        new EntryPreferences(listen, options.files(), options.dataPath(), admin, peers));
   }
 
   private static Result<AdminSettings> admin(EntryOptions options, InetSocketAddress listen) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
@@ -13,6 +13,7 @@
 import org.chivecross.cli.entry.directory.DirectoryHandler;
 import org.chivecross.cli.entry.http.DataPath;
 import org.chivecross.cli.entry.http.LocalRoutes;
+import org.chivecross.cli.entry.metrics.EntryMetrics;
 import org.chivecross.cli.entry.peer.FleetShare;
 import org.chivecross.cli.entry.peer.LocalShare;
 import org.chivecross.cli.entry.peer.PeerShare;
@@ -24,7 +25,6 @@
 import org.chivecross.logic.fileset.FileSetParser;
 import org.chivecross.logic.key.KeyRegistry;
 import org.chivecross.logic.peer.NodeView;
-import org.chivecross.logic.request.DefaultRequestMachines;
 import org.chivecross.model.failure.Result;
 import org.chivecross.model.fileset.Deployment;
 import org.chivecross.model.fileset.FileSet;
@@ -68,13 +68,19 @@
     NoKeys keys = new NoKeys();
     LocalRoutes routes =
         new LocalRoutes(Map.of("/chivecross/entries", new DirectoryHandler(share::view, () -> "")));
+    PrometheusRegistry registry = new PrometheusRegistry();
+    EntryMetrics metrics = new EntryMetrics(registry, engine::tenantName);
     dataPath =
         new DataPath(
-            new DefaultRequestMachines(engine.policies(keys)),
+            engine.policies(keys),
+            share.ownerCalls(),
             addresses,
             routes,
+            metrics,
             preferences.dataPath());
-    admin = new AdminServer(preferences.admin(), adminViews(engine, share, keys));
+    metrics.gauge("chivecross_in_flight", "Requests in flight", dataPath::inFlightCount);
+    metrics.gauge("chivecross_callers", "Open connections of callers", dataPath::callerCount);
+    admin = new AdminServer(preferences.admin(), adminViews(engine, share, keys, registry));
   }
 
   /**
@@ -134,9 +140,10 @@
     ticker.once(this::requestStop);
   }
 
-  /** Waits until the stop has done its work. */
+  /** Waits until the entry may end, and ends it. */
   void awaitStop() throws InterruptedException {
     stopped.await();
+    close();
   }
 
   private void requestStop(long nowNanos) {
@@ -144,6 +151,7 @@
     drain.request(serving ? EntryDirectory.lifetimeMillis(view) : 0, nowNanos);
     Logger.info("stop requested: {}", drain.phase());
     share.startLeaving();
+    dataPath.startLeaving();
   }
 
   private void serve(long nowNanos) {
@@ -157,19 +165,19 @@
       Logger.info("serving callers at {}", address);
     } catch (IOException e) {
       Logger.error(e, "can't serve callers at {}", preferences.listen());
-      stop();
+      stopped.countDown();
     }
   }
 
   private void drain(long nowNanos) {
-    DrainSystem.Phase phase = drain.tick(dataPath.inFlightCount() == 0, nowNanos);
+    DrainSystem.Phase phase = drain.tick(dataPath.isDrained(), nowNanos);
     if (phase == DrainSystem.Phase.FINISHED || phase == DrainSystem.Phase.CUT) {
       Logger.info("stop: {} with {} requests in flight", phase, dataPath.inFlightCount());
-      stop();
+      stopped.countDown();
     }
   }
 
-  private void stop() {
+  private void close() {
     ticker.stop();
     share.stop();
     admin.stop();
@@ -178,7 +186,6 @@
     } catch (IOException e) {
       Logger.error(e, "stop failed");
     }
-    stopped.countDown();
   }
 
   private static void apply(FileSet set, BalancerEngine engine, EngineAddresses addresses) {
@@ -186,10 +193,10 @@
     addresses.apply(set);
   }
 
-  private static AdminViews adminViews(BalancerEngine engine, FleetShare share, KeyRegistry keys) {
+  private static AdminViews adminViews(
+      BalancerEngine engine, FleetShare share, KeyRegistry keys, PrometheusRegistry metrics) {
     Deployment nothing = new Deployment("", 1, 0, 0, List.of(), List.of());
     FileSet empty = new FileSet(nothing, List.of(), List.of(), List.of());
-    PrometheusRegistry metrics = new PrometheusRegistry();
     return new EntryAdminViews(
             engine,
             () -> share.view().config().fileSet().orElse(empty),
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/peer/PeerOptions.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/peer/PeerOptions.java
@@ -1,5 +1,6 @@
 package org.chivecross.cli.entry.peer;
 
+import org.chivecross.logic.settings.AllowedRange;
 import org.chivecross.logic.settings.ProgramOptions;
 import org.kohsuke.args4j.Option;
 
@@ -43,6 +44,7 @@
       name = "--entry-bound",
       metaVar = "COUNT",
       usage = "most entries alive at once; the platform's rate is shared by this number")
+  @AllowedRange(min = 1, max = 10_000)
   private int entryBound = 20;
 
   @Option(name = "--peer-certificate", metaVar = "FILE", usage = "PEM certificate chain for peers")
@@ -66,6 +68,7 @@
       name = "--stop-deadline",
       metaVar = "SECONDS",
       usage = "longest graceful stop; what is still in flight then is cut, in s")
+  @AllowedRange(min = 1, max = 86_400)
   private int stopDeadlineSeconds = 120;
 
   /** Creates options with their defaults. */
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/peer/PeerSettings.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/peer/PeerSettings.java
@@ -39,7 +39,6 @@
     Duration stopDeadline) {
 
   private static final int MAX_PORT = 65_535;
-  private static final int MAX_ENTRIES = 10_000;
 
   public PeerSettings {
     peers = List.copyOf(peers);
@@ -62,12 +61,6 @@
     if (options.dataCentre().isEmpty()) {
       throw bad("--data-centre", options.dataCentre(), "a name");
     }
-    if (options.entryBound() < 1 || options.entryBound() > MAX_ENTRIES) {
-      throw bad("--entry-bound", Integer.toString(options.entryBound()), "1 to " + MAX_ENTRIES);
-    }
-    if (options.stopDeadlineSeconds() < 1) {
-      throw bad("--stop-deadline", Integer.toString(options.stopDeadlineSeconds()), "1 s or more");
-    }
     List<String> peers = new ArrayList<>();
     for (String peer : options.peers().split(",", -1)) {
       if (!peer.isBlank()) {
