--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
-import java.util.function.Consumer;
 import org.chivecross.cli.entry.admin.AdminServer;
 import org.chivecross.cli.entry.admin.AdminViews;
 import org.chivecross.cli.entry.directory.DirectoryHandler;
@@ -27,11 +26,9 @@
 import org.chivecross.logic.key.KeyRegistry;
 import org.chivecross.logic.peer.NodeView;
 import org.chivecross.model.failure.Result;
-import org.chivecross.model.failure.Step;
 import org.chivecross.model.fileset.Deployment;
 import org.chivecross.model.fileset.FileSet;
 import org.chivecross.model.peer.KeyAnswer;
-import org.chivecross.model.peer.KeyCall;
 import org.tinylog.Logger;
 
 /**
@@ -76,7 +73,7 @@
     dataPath =
         new DataPath(
             engine.policies(keys),
-            EntryProcess::refuseOwnerCall,
+            share.ownerCalls(),
             addresses,
             routes,
             metrics,
@@ -143,9 +140,10 @@
     ticker.once(this::requestStop);
   }
 
-  /** Waits until the stop has done its work. */
+  /** Waits until the entry may end, and ends it. */
   void awaitStop() throws InterruptedException {
     stopped.await();
+    close();
   }
 
   private void requestStop(long nowNanos) {
@@ -153,6 +151,7 @@
     drain.request(serving ? EntryDirectory.lifetimeMillis(view) : 0, nowNanos);
     Logger.info("stop requested: {}", drain.phase());
     share.startLeaving();
+    dataPath.startLeaving();
   }
 
   private void serve(long nowNanos) {
@@ -166,19 +165,19 @@
       Logger.info("serving callers at {}", address);
     } catch (IOException e) {
       Logger.error(e, "can't serve callers at {}", preferences.listen());
-      stop();
+      stopped.countDown();
     }
   }
 
   private void drain(long nowNanos) {
-    DrainSystem.Phase phase = drain.tick(dataPath.inFlightCount() == 0, nowNanos);
+    DrainSystem.Phase phase = drain.tick(dataPath.isDrained(), nowNanos);
     if (phase == DrainSystem.Phase.FINISHED || phase == DrainSystem.Phase.CUT) {
       Logger.info("stop: {} with {} requests in flight", phase, dataPath.inFlightCount());
-      stop();
+      stopped.countDown();
     }
   }
 
-  private void stop() {
+  private void close() {
     ticker.stop();
     share.stop();
     admin.stop();
@@ -187,7 +186,6 @@
     } catch (IOException e) {
       Logger.error(e, "stop failed");
     }
-    stopped.countDown();
   }
 
   private static void apply(FileSet set, BalancerEngine engine, EngineAddresses addresses) {
@@ -195,12 +193,6 @@
     addresses.apply(set);
   }
 
-  private static void refuseOwnerCall(
-      long owner, KeyCall call, long remainingMillis, Consumer<Result<KeyAnswer>> done) {
-    done.accept(
-        Result.failed(Step.CONNECT, "entry " + Long.toHexString(owner), "no other entry is known"));
-  }
-
   private static AdminViews adminViews(
       BalancerEngine engine, FleetShare share, KeyRegistry keys, PrometheusRegistry metrics) {
     Deployment nothing = new Deployment("", 1, 0, 0, List.of(), List.of());
