--- a/chivecross-core/src/main/java/org/chivecross/logic/request/Arrival.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/Arrival.java
@@ -61,7 +61,10 @@
       return new Decision.PassToOwner(foreign.ownerIncarnation());
     }
     if (claim instanceof KeyClaim.Finished finished) {
-      String detail = "the first request ended with status " + finished.status();
+      String detail =
+          finished.status() == 0
+              ? "the first request ended without an answer"
+              : "the first request ended with status " + finished.status();
       return refusals.knownKey(finished.outcome(), detail, OptionalLong.empty());
     }
     if (claim instanceof KeyClaim.Fenced) {
--- a/chivecross-core/src/test/java/org/chivecross/logic/session/VirtualFleet.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/session/VirtualFleet.java
@@ -113,6 +113,11 @@
         && calls.values().stream().noneMatch(call -> call.waiting);
   }
 
+  boolean isWaiting(String id) {
+    SessionCall call = calls.get(id);
+    return call != null && call.waiting;
+  }
+
   /** Returns broken rules; completeness is checked only when all requests are over. */
   List<String> violations() {
     List<String> found = new ArrayList<>();
