--- /dev/null
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/experiment/latency/LoadConnection.java
@@ -0,0 +1,70 @@
+package org.chivecross.cli.experiment.latency;
+
+import java.io.BufferedInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import org.chivecross.cli.settings.HostPort;
+
+/** A keep-alive connection that makes one call at a time. Not thread-safe. */
+final class LoadConnection implements AutoCloseable {
+
+  private static final int TIMEOUT_MILLIS = 10_000;
+  private static final String LENGTH = "content-length:";
+
+  private final Socket socket;
+  private final InputStream in;
+  private final byte[] request;
+
+  LoadConnection(String address, String request) throws IOException {
+    HostPort parsed = HostPort.parse(address);
+    socket = new Socket(parsed.host(), parsed.port());
+    socket.setTcpNoDelay(true);
+    socket.setSoTimeout(TIMEOUT_MILLIS);
+    in = new BufferedInputStream(socket.getInputStream(), 16 * 1024);
+    this.request = request.getBytes(StandardCharsets.US_ASCII);
+  }
+
+  /**
+   * Makes one call and reads its whole answer.
+   *
+   * @return HTTP status
+   * @throws IOException if the connection breaks
+   */
+  int call() throws IOException {
+    socket.getOutputStream().write(request);
+    String statusLine = readLine();
+    long length = 0;
+    for (String line = readLine(); !line.isEmpty(); line = readLine()) {
+      if (line.toLowerCase(Locale.ROOT).startsWith(LENGTH)) {
+        length = Long.parseLong(line.substring(LENGTH.length()).strip());
+      }
+    }
+    in.skipNBytes(length);
+    return Integer.parseInt(statusLine.substring(9, 12));
+  }
+
+  @Override
+  public void close() throws IOException {
+    socket.close();
+  }
+
+  private String readLine() throws IOException {
+    StringBuilder line = new StringBuilder(48);
+    while (true) {
+      int b = in.read();
+      if (b < 0) {
+        throw new EOFException("connection ended");
+      }
+      if (b == '\n') {
+        return line.toString();
+      }
+      if (b != '\r') {
+        line.append((char) b);
+      }
+    }
+  }
+}
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
@@ -18,6 +18,7 @@
 import org.chivecross.cli.entry.http.LocalResponse;
 import org.chivecross.cli.entry.http.LocalRoutes;
 import org.chivecross.cli.entry.metrics.EntryMetrics;
+import org.chivecross.cli.entry.metrics.HeapAllocation;
 import org.chivecross.logic.engine.BalancerEngine;
 import org.chivecross.logic.engine.EnginePreferences;
 import org.chivecross.logic.fileset.FileSetParser;
@@ -119,6 +120,10 @@
             metrics,
             preferences.dataPath());
     metrics.gauge("chivecross_in_flight", "Requests in flight", dataPath::inFlightCount);
+    metrics.counter(
+        "chivecross_allocated_bytes",
+        "Bytes allocated by the live threads",
+        HeapAllocation::allocatedBytes);
     metrics.gauge("chivecross_callers", "Open connections of callers", dataPath::callerCount);
     AdminServer admin =
         new AdminServer(preferences.admin(), adminViews(engine, set, keys, registry));
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/metrics/EntryMetrics.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/metrics/EntryMetrics.java
@@ -3,6 +3,7 @@
 import io.prometheus.metrics.core.datapoints.CounterDataPoint;
 import io.prometheus.metrics.core.datapoints.DistributionDataPoint;
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
@@ -15,6 +16,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.IntFunction;
 import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import org.chivecross.cli.entry.http.ExchangeObserver;
 import org.chivecross.cli.entry.http.ExchangeSummary;
 import org.chivecross.logic.routing.Route;
@@ -77,6 +79,15 @@
         .register(registry);
   }
 
+  /** Adds a counter whose value is read when the metrics are written. */
+  public void counter(String name, String help, LongSupplier value) {
+    CounterWithCallback.builder()
+        .name(name)
+        .help(help)
+        .callback(callback -> callback.call(value.getAsLong()))
+        .register(registry);
+  }
+
   @Override
   public void ended(ExchangeSummary summary) {
     Points point = points.computeIfAbsent(keyOf(summary.route()), Points::new);
