--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
@@ -14,6 +14,7 @@
 import org.chivecross.cli.entry.http.DataPath;
 import org.chivecross.cli.entry.http.LocalRoutes;
 import org.chivecross.cli.entry.metrics.EntryMetrics;
+import org.chivecross.cli.entry.metrics.HeapAllocation;
 import org.chivecross.cli.entry.peer.FleetShare;
 import org.chivecross.cli.entry.peer.LocalShare;
 import org.chivecross.cli.entry.peer.PeerShare;
@@ -79,6 +80,10 @@
             metrics,
             preferences.dataPath());
     metrics.gauge("chivecross_in_flight", "Requests in flight", dataPath::inFlightCount);
+    metrics.counter(
+        "chivecross_allocated_bytes",
+        "Bytes allocated by the live threads",
+        HeapAllocation::allocatedBytes);
     metrics.gauge("chivecross_callers", "Open connections of callers", dataPath::callerCount);
     admin = new AdminServer(preferences.admin(), adminViews(engine, share, keys, registry));
   }
