--- a/chivecross-bench/src/main/java/org/chivecross/cli/experiment/ClusterModel.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/experiment/ClusterModel.java
@@ -11,6 +11,7 @@
 import org.chivecross.logic.engine.BalancerEngine;
 import org.chivecross.logic.engine.EnginePreferences;
 import org.chivecross.model.fileset.FileSet;
+import org.chivecross.model.peer.LeavingMark;
 
 /**
  * Entries and slotted targets of one deployment in virtual time. Each run depends on its scenario,
@@ -30,6 +31,7 @@
   private static final double MEAN_WORK_NANOS = 5.0 * MILLI;
   private static final double FIXED_WORK_FRACTION = 0.5;
   private static final long TICK_NANOS = 5 * MILLI;
+  private static final long PEER_NANOS = 500 * MILLI;
   private static final long WARM_UP_NANOS = 2 * SECOND;
   private static final long LOCAL_ROUND_TRIP_NANOS = 100_000;
   private static final double NOISE_SPEED = 0.1;
@@ -88,6 +90,7 @@
       startNoise(s);
     }
     scheduleTicks();
+    schedulePeerMessages();
     events.after(WARM_UP_NANOS + FAULT_NANOS, this::startFault);
     events.runUntil(WARM_UP_NANOS + scenario.seconds() * SECOND);
     return result;
@@ -239,6 +242,17 @@
         });
   }
 
+  private void schedulePeerMessages() {
+    events.after(
+        PEER_NANOS,
+        () -> {
+          List<LeavingMark> marks = new ArrayList<>();
+          entries.forEach(entry -> marks.addAll(entry.engine().leavingMarks(now())));
+          entries.forEach(entry -> entry.engine().mergeLeavingMarks(marks, now()));
+          schedulePeerMessages();
+        });
+  }
+
   private static double exponential(RandomGenerator random, double mean) {
     return -mean * Math.log(1 - random.nextDouble());
   }
--- a/chivecross-core/src/main/java/org/chivecross/logic/balance/ReportedLoadScore.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/balance/ReportedLoadScore.java
@@ -44,7 +44,7 @@
     double mean = services.meanLoad(service) * candidates.slots(index) * weight;
     long reported = loads.reportNanos(row);
     double load = mean + inFlight;
-    if (reported != TargetTable.NEVER) {
+    if (reported != TargetTable.NEVER && nowNanos >= services.distrustedUntilNanos(service)) {
       double age = nowNanos - reported;
       double fresh = Math.exp(-age / (preferences.reportLatencies() * latency));
       double doubt = loads.doubt(row) * preferences.doubtWeight();
--- a/chivecross-core/src/main/java/org/chivecross/logic/engine/BalancerEngine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/engine/BalancerEngine.java
@@ -14,6 +14,7 @@
 import org.chivecross.logic.balance.TargetPolicy;
 import org.chivecross.logic.balance.TargetPolicyFactory;
 import org.chivecross.logic.balance.TargetSelector;
+import org.chivecross.logic.balance.TrustSystem;
 import org.chivecross.logic.key.KeyRegistry;
 import org.chivecross.logic.leaving.LeavingSystem;
 import org.chivecross.logic.limit.SharedAdmission;
@@ -27,6 +28,7 @@
 import org.chivecross.logic.routing.Route;
 import org.chivecross.model.fileset.FileSet;
 import org.chivecross.model.fileset.RequestClass;
+import org.chivecross.model.peer.LeavingMark;
 import org.chivecross.model.request.LoadReport;
 import org.chivecross.model.table.LatencyTable;
 import org.chivecross.model.table.ServiceTable;
@@ -43,6 +45,8 @@
  */
 public final class BalancerEngine {
 
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
   private final EnginePreferences preferences;
   private final TargetTable targets;
   private final ServiceTable services;
@@ -56,6 +60,7 @@
   private final OutlierSystem outliers;
   private final CandidateSystem candidateSystem;
   private final LoadSystem loads;
+  private final TrustSystem trust;
   private final ProbePlanner probes;
   private final FileSetApplier applier;
   private final EngineReport report;
@@ -96,6 +101,7 @@
     outliers = new OutlierSystem(targets.health());
     candidateSystem = new CandidateSystem(targets);
     loads = new LoadSystem(targets, services);
+    trust = new TrustSystem(targets, services);
     ProbeSystem probeSystem = new ProbeSystem(preferences.targetCapacity());
     probes = new ProbePlanner(targets, services, probeSystem);
     applier = new FileSetApplier(preferences.dataCentre(), targets, services, tenants, probeSystem);
@@ -152,6 +158,7 @@
     }
     for (ServicePlan plan : current.plans()) {
       loads.tick(plan.row(), next[plan.row()], nowNanos);
+      trust.tick(plan.row(), next[plan.row()], nowNanos);
     }
     latencySystem.tick(current.rows(), current.hedgeFractions());
     targetRows.collect(nowNanos);
@@ -204,6 +211,21 @@
     return leaving;
   }
 
+  /** Returns the targets that this entry knows to be leaving, to be told to other entries. */
+  public List<LeavingMark> leavingMarks(long nowNanos) {
+    return report.leavingMarks(topology, nowNanos);
+  }
+
+  /** Takes over what another entry knows of leaving targets; unknown addresses are ignored. */
+  public void mergeLeavingMarks(List<LeavingMark> marks, long nowNanos) {
+    for (LeavingMark mark : marks) {
+      int row = topology.targetRow(mark.target());
+      if (row != TargetSelector.NONE) {
+        leaving.toldByPeer(row, nowNanos - mark.ageMillis() * NANOS_PER_MILLI);
+      }
+    }
+  }
+
   /** Returns {@code ip:port} of a target. */
   public String address(int targetRow) {
     return targets.address(targetRow);
--- a/chivecross-core/src/main/java/org/chivecross/logic/engine/EngineReport.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/engine/EngineReport.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import org.chivecross.logic.balance.CandidateSystem;
 import org.chivecross.logic.balance.Candidates;
+import org.chivecross.model.peer.LeavingMark;
 import org.chivecross.model.request.LoadReport;
 import org.chivecross.model.table.LeavingEvidence;
 import org.chivecross.model.table.ServiceTable;
@@ -52,6 +53,24 @@
     return statuses;
   }
 
+  List<LeavingMark> leavingMarks(Topology topology, long nowNanos) {
+    List<LeavingMark> marks = new ArrayList<>();
+    for (ServicePlan plan : topology.plans()) {
+      for (int row : plan.targets()) {
+        long newest = TargetTable.NEVER;
+        for (LeavingEvidence kind : LeavingEvidence.values()) {
+          if (targets.leaving().stands(row, kind)) {
+            newest = Math.max(newest, targets.leaving().markedNanos(row, kind));
+          }
+        }
+        if (newest != TargetTable.NEVER) {
+          marks.add(new LeavingMark(targets.address(row), ageMillis(newest, nowNanos)));
+        }
+      }
+    }
+    return marks;
+  }
+
   private TargetStatus status(ServicePlan plan, int row, long nowNanos) {
     long reported = targets.loads().reportNanos(row);
     LoadReport load =
--- a/chivecross-core/src/main/java/org/chivecross/logic/engine/TableObserver.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/engine/TableObserver.java
@@ -11,7 +11,7 @@
 /** Writes what the request path sees into the live columns of the tables. Thread-safe. */
 final class TableObserver implements UpstreamObserver {
 
-  private static final int LATE_ANSWER = 4;
+  private static final double LATE_ANSWER = 2.5;
   private static final int LATE_ABANDONED = 2;
 
   private final TargetTable targets;
@@ -56,6 +56,7 @@
     }
     if (waitedNanos > LATE_ABANDONED * usual) {
       targets.loads().suspect(target, nowNanos);
+      targets.loads().compare(target, isContradicted(target, waitedNanos));
     }
   }
 
--- a/chivecross-core/src/main/java/org/chivecross/model/table/ServiceTable.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/table/ServiceTable.java
@@ -26,6 +26,7 @@
   private final AtomicLongArray rateNanos;
   private final AtomicLongArray latencyNanos;
   private final AtomicLongArray meanLoadBits;
+  private final AtomicLongArray distrustedUntilNanos;
 
   /** Creates a table for at most {@code capacity} names. */
   public ServiceTable(int capacity) {
@@ -35,6 +36,7 @@
     rateNanos = new AtomicLongArray(capacity);
     latencyNanos = new AtomicLongArray(capacity);
     meanLoadBits = new AtomicLongArray(capacity);
+    distrustedUntilNanos = new AtomicLongArray(capacity);
   }
 
   /** Returns whether a name has a row. */
@@ -63,6 +65,7 @@
     rateNanos.set(row, TargetTable.NEVER);
     latencyNanos.set(row, 0);
     setMeanLoad(row, 0);
+    distrustedUntilNanos.set(row, TargetTable.NEVER);
     return row;
   }
 
@@ -128,6 +131,16 @@
     return Double.longBitsToDouble(meanLoadBits.get(row));
   }
 
+  /** Ignores the reports of all targets of a service until a time. */
+  public void distrustReports(int row, long untilNanos) {
+    distrustedUntilNanos.set(row, untilNanos);
+  }
+
+  /** Returns until when reports are ignored, or {@link TargetTable#NEVER}. */
+  public long distrustedUntilNanos(int row) {
+    return distrustedUntilNanos.get(row);
+  }
+
   /** Counts a request out. */
   public void leave(int row) {
     inFlight.decrementAndGet(row);
--- a/chivecross-core/src/main/java/org/chivecross/model/table/TargetLoads.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/table/TargetLoads.java
@@ -15,8 +15,8 @@
   private static final int COUNT_BITS = 16;
   private static final int COUNT_MASK = 0xFFFF;
   private static final int LATENCY_SAMPLES = 8;
-  private static final int MOST_DOUBT = 16;
-  private static final int DOUBT_STEP = 4;
+  private static final int MOST_DOUBT = 64;
+  private static final int DOUBT_STEP = 16;
 
   private final AtomicIntegerArray inFlight;
   private final AtomicIntegerArray startsSinceReport;
@@ -155,6 +155,11 @@
     }
   }
 
+  /** Forgets earlier contradictions. */
+  public void believe(int row) {
+    contradictions.set(row, 0);
+  }
+
   /** Returns how little the reports of a target are to be believed, 0 to 1. */
   public double doubt(int row) {
     return (double) contradictions.get(row) / MOST_DOUBT;
