--- a/chivecross-bench/src/main/java/org/chivecross/cli/experiment/NoKeys.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/experiment/NoKeys.java
@@ -5,7 +5,12 @@
 import org.chivecross.model.request.Outcome;
 
 /** Registry for runs without idempotency keys. Stateless. */
-final class NoKeys implements KeyRegistry {
+public final class NoKeys implements KeyRegistry {
+
+  /** Returns a registry. */
+  public static KeyRegistry create() {
+    return new NoKeys();
+  }
 
   @Override
   public KeyClaim claim(String key, long nowNanos) {
--- a/chivecross-core/src/main/java/org/chivecross/logic/balance/TrustSystem.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/balance/TrustSystem.java
@@ -17,7 +17,9 @@
   /** First time for which reports are ignored, in ns. */
   public static final long FIRST_DISTRUST_NANOS = 10_000_000_000L;
 
-  private static final double MOST_MEAN_DOUBT = 0.25;
+  private static final double HIGH_DOUBT = 0.25;
+  private static final int MIN_DOUBTED = 3;
+  private static final int DOUBTED_PART = 4;
   private static final int MAX_DOUBLINGS = 8;
 
   private final TargetLoads loads;
@@ -37,11 +39,13 @@
     if (candidates.size() == 0 || nowNanos < until) {
       return;
     }
-    double doubt = 0;
+    int doubted = 0;
     for (int i = 0; i < candidates.size(); i++) {
-      doubt += loads.doubt(candidates.row(i));
+      if (loads.doubt(candidates.row(i)) >= HIGH_DOUBT) {
+        doubted++;
+      }
     }
-    if (doubt / candidates.size() <= MOST_MEAN_DOUBT) {
+    if (doubted < Math.max(MIN_DOUBTED, candidates.size() / DOUBTED_PART)) {
       forgive(service, until, nowNanos);
       return;
     }
