Start the demo and the fault runs on the platform stand-in

Cause: the entries read their set from the platform and share it. Change: demo and faults.sh pack the set, start the platform stand-in and entries in three data centres.

--- a/chivecross-bench/experiments/faults.sh
+++ b/chivecross-bench/experiments/faults.sh
@@ -29,8 +29,8 @@
 RANDOM=$seed
 export CHIVECROSS_JAVA_OPTIONS="${CHIVECROSS_JAVA_OPTIONS:--Xmx256m}"
 
-start_entry() { # N: starts entry N and keeps its pid
-  start_process "entry-$1.log" "$home/bin/chivecross-entry" --listen "$network.$1:8000" --files "$files"
+start_numbered() { # N: starts entry N and keeps its pid
+  start_entry "$network" "$1" 4
   entry_pid[$1]=$last_pid
 }
 behave() { # TARGET-PREFIX SETTINGS
@@ -41,13 +41,12 @@
 start_process upstream.log "$home/bin/chivecross-standin" upstream --files "$files" --seed "$seed" \
   --control "$network.99:8999" --history "$work/upstream.history"
 wait_for "$control/targets" upstream.log || exit 1
-for n in 1 2 3 4; do start_entry $n; done
-for n in 1 2 3 4; do
-  wait_for "http://$network.$n:8000/chivecross/entries?caller=faults" "entry-$n.log" || exit 1
-done
+start_platform "$network" "$files" || exit 1
+for n in 1 2 3 4; do start_numbered $n; done
+wait_for_entries "$network" 4 || exit 1
 
 "$home/bin/chivecross-load" --files "$files" --rate "$rate" --seconds "$seconds" --seed "$seed" \
-  --entries "$network.1:8000,$network.2:8000,$network.3:8000,$network.4:8000" \
+  --entries "$(entry_list "$network" 4)" \
   --mix read=60,write=35,upload=5 --resends 2 --history "$work/load.history" > "$work/load.out" 2>&1 &
 load_pid=$!
 sleep 4
@@ -59,7 +58,7 @@
   echo "fault: $fault (entry $n, service $group)"
   case "$fault" in
     silence) curl -fs -o /dev/null -X POST "$control/silence" ;;
-    kill) kill -9 "${entry_pid[$n]}"; sleep 0.3; start_entry "$n" ;;
+    kill) kill -9 "${entry_pid[$n]}"; sleep 0.3; start_numbered "$n" ;;
     pause) kill -STOP "${entry_pid[$n]}"; sleep 2; kill -CONT "${entry_pid[$n]}" ;;
     fail-fast) behave "$group.1:" "fail-fast=true"; sleep 0.7; behave "$group.1:" "" ;;
     broken) behave "$group.2:" "broken-body=true"; sleep 0.5; behave "$group.2:" "" ;;
--- a/chivecross-bench/experiments/processes.sh
+++ b/chivecross-bench/experiments/processes.sh
@@ -44,3 +44,40 @@
   cat "$work/$2" >&2
   return 1
 }
+
+# start_platform NETWORK FILES: packs a file set and publishes it on NETWORK.98:8500.
+start_platform() {
+  "$home/bin/chivecross-check" "$2" --pack "$work/packed" > "$work/check.log" 2>&1 \
+    || { cat "$work/check.log" >&2; return 1; }
+  start_process platform.log "$home/bin/chivecross-standin" platform --listen "$1.98:8500" \
+    --packed "$work/packed" --deployment "$deployment"
+}
+
+# start_entry NETWORK N ENTRIES [FLAGS...]: starts entry N of 1 to ENTRIES; entries are spread over
+# the data centres dc1 to dc3.
+start_entry() {
+  local network=$1 n=$2 entries=$3
+  shift 3
+  start_process "entry-$n.log" "$home/bin/chivecross-entry" --listen "$network.$n:8000" \
+    --deployment "$deployment" --data-centre "dc$((1 + (n - 1) % 3))" --platform "http://$network.98:8500" \
+    --peer-listen "$network.$n:7400" --plain-peers --peers "$(peer_list "$network" "$entries")" "$@"
+}
+
+peer_list() { # NETWORK ENTRIES
+  local list=
+  for n in $(seq "$2"); do list="$list,$1.$n:7400"; done
+  echo "${list#,}"
+}
+
+entry_list() { # NETWORK ENTRIES
+  local list=
+  for n in $(seq "$2"); do list="$list,$1.$n:8000"; done
+  echo "${list#,}"
+}
+
+# wait_for_entries NETWORK ENTRIES: waits until every entry serves callers.
+wait_for_entries() {
+  for n in $(seq "$2"); do
+    wait_for "http://$1.$n:8000/chivecross/entries?caller=start" "entry-$n.log" || return 1
+  done
+}
