--- /dev/null
+++ b/chivecross-core/src/test/java/org/chivecross/logic/outlier/OutlierSystemTest.java
@@ -0,0 +1,78 @@
+package org.chivecross.logic.outlier;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import org.chivecross.model.table.TargetHealth;
+import org.chivecross.model.table.TargetTable;
+import org.junit.jupiter.api.Test;
+
+class OutlierSystemTest {
+
+  private final TargetTable targets = new TargetTable(8);
+  private final TargetHealth health = targets.health();
+  private final OutlierSystem system = new OutlierSystem(health);
+  private final int[] rows = new int[6];
+
+  OutlierSystemTest() {
+    for (int i = 0; i < rows.length; i++) {
+      rows[i] = targets.acquire("10.0.0." + i + ":80");
+    }
+  }
+
+  private void fail(int count, long nowNanos) {
+    for (int i = 0; i < count; i++) {
+      for (int n = 0; n < OutlierSystem.FAILURES_IN_ROW; n++) {
+        health.fail(rows[i], nowNanos);
+      }
+    }
+  }
+
+  private long ejected() {
+    return Arrays.stream(rows).filter(health::isEjected).count();
+  }
+
+  @Test
+  void failingMinorityIsEjectedAndComesBackOnRamp() {
+    fail(2, 0);
+    system.tick(rows, 0);
+    assertEquals(2, ejected());
+    system.tick(rows, OutlierSystem.FIRST_EJECTION_NANOS - 1);
+    assertEquals(2, ejected());
+    system.tick(rows, OutlierSystem.FIRST_EJECTION_NANOS);
+    assertEquals(0, ejected());
+    assertEquals(OutlierSystem.FIRST_EJECTION_NANOS, health.servingSinceNanos(rows[0]));
+  }
+
+  @Test
+  void ejectionGivesWayWhenMostLookBad() {
+    fail(3, 0);
+    system.tick(rows, 0);
+    assertEquals(3, ejected());
+    fail(4, 1);
+    system.tick(rows, 1);
+    assertEquals(0, ejected(), "with 4 of 6 bad the fault is more likely our own");
+  }
+
+  @Test
+  void targetThatFailsAgainIsEjectedForLonger() {
+    fail(1, 0);
+    system.tick(rows, 0);
+    long back = OutlierSystem.FIRST_EJECTION_NANOS;
+    system.tick(rows, back);
+    assertFalse(health.isEjected(rows[0]));
+    health.fail(rows[0], back);
+    system.tick(rows, back);
+    assertTrue(health.ejectedUntilNanos(rows[0]) >= back + 2 * OutlierSystem.FIRST_EJECTION_NANOS);
+  }
+
+  @Test
+  void singleTargetIsNeverEjected() {
+    int[] one = {rows[0]};
+    fail(1, 0);
+    system.tick(one, 0);
+    assertFalse(health.isEjected(rows[0]));
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/test/java/org/chivecross/logic/probe/ProbeScheduleTest.java
@@ -0,0 +1,109 @@
+package org.chivecross.logic.probe;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Probes of one target by all entries, over seeded schedules. */
+class ProbeScheduleTest {
+
+  private static final long MILLI = 1_000_000;
+  private static final double BUDGET = 0.02;
+  private static final double PROBE_MILLIS = 6;
+  private static final int SLOTS = 4;
+  private static final int ENTRY_BOUND = 20;
+  private static final int SCHEDULES = 1_000;
+  private static final long RUN_MILLIS = 60_000;
+
+  private final long interval = ProbeBudget.intervalNanos(BUDGET, PROBE_MILLIS, SLOTS, ENTRY_BOUND);
+
+  /** An entry that wants to probe all the time; it may be paused, gone or cut off. */
+  private final class Prober {
+    private ProbeSystem system = new ProbeSystem(1);
+    private long awakeMillis;
+
+    Prober(long nowMillis) {
+      restart(nowMillis);
+    }
+
+    void restart(long nowMillis) {
+      system = new ProbeSystem(1);
+      system.describe(0, interval, true, nowMillis * MILLI);
+    }
+
+    /** Returns the probes that it sends in a burst of tries. */
+    int step(long nowMillis, SplittableRandom random) {
+      if (nowMillis < awakeMillis) {
+        return 0;
+      }
+      switch (random.nextInt(2_000)) {
+        case 0 -> restart(nowMillis);
+        case 1 -> awakeMillis = nowMillis + random.nextInt(10_000);
+        default -> {}
+      }
+      int sent = 0;
+      for (int i = 0; i < 3; i++) {
+        if (system.tryStart(0, nowMillis * MILLI)) {
+          sent++;
+          boolean answered = random.nextInt(4) > 0;
+          if (answered) {
+            system.end(0, nowMillis * MILLI);
+          }
+        }
+      }
+      return sent;
+    }
+  }
+
+  @Test
+  void costNeverPassesTheBudgetInAnySchedule() {
+    for (int seed = 0; seed < SCHEDULES; seed++) {
+      SplittableRandom random = new SplittableRandom(seed);
+      Prober[] probers = new Prober[ENTRY_BOUND];
+      for (int i = 0; i < probers.length; i++) {
+        probers[i] = new Prober(0);
+      }
+      double spentMillis = 0;
+      long now = 0;
+      while (now < RUN_MILLIS) {
+        now += 1 + random.nextInt(200);
+        for (Prober prober : probers) {
+          spentMillis += prober.step(now, random) * PROBE_MILLIS;
+        }
+        assertTrue(
+            spentMillis <= BUDGET * SLOTS * now,
+            "seed " + seed + " at " + now + " ms: " + spentMillis);
+      }
+    }
+  }
+
+  @Test
+  void pauseGivesNoBurst() {
+    ProbeSystem system = new ProbeSystem(1);
+    system.describe(0, interval, true, 0);
+    long late = 100 * interval;
+    assertTrue(system.tryStart(0, late));
+    system.end(0, late);
+    assertFalse(system.tryStart(0, late + interval - 1));
+    assertTrue(system.tryStart(0, late + interval));
+  }
+
+  @Test
+  void oneProbeOfTargetIsInFlightUntilItsDeadline() {
+    ProbeSystem system = new ProbeSystem(1);
+    system.describe(0, 1, true, 0);
+    assertTrue(system.tryStart(0, 10));
+    assertFalse(system.tryStart(0, 20));
+    assertFalse(system.tryStart(0, 9 + ProbeSystem.TIMEOUT_NANOS));
+    assertTrue(system.tryStart(0, 10 + ProbeSystem.TIMEOUT_NANOS));
+    assertFalse(system.end(0, 10 + 2 * ProbeSystem.TIMEOUT_NANOS), "an answer after it is late");
+  }
+
+  @Test
+  void noBudgetMeansNoProbe() {
+    assertEquals(ProbeBudget.NO_PROBES, ProbeBudget.intervalNanos(0, PROBE_MILLIS, SLOTS, 20));
+  }
+}
