--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryMain.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryMain.java
@@ -6,6 +6,7 @@
 import org.chivecross.model.failure.Failure;
 import org.chivecross.model.failure.Result;
 import org.tinylog.Logger;
+import org.tinylog.jul.JulTinylogBridge;
 
 /** Start of {@code chivecross-entry}. */
 public final class EntryMain {
@@ -14,6 +15,7 @@
 
   /** Runs the program and ends the process with its exit code. */
   public static void main(String[] arguments) {
+    JulTinylogBridge.activate();
     ProgramLauncher launcher =
         new ProgramLauncher("chivecross-entry", System.getenv(), System.out, System.err);
     int code = launcher.launch(new EntryOptions(), List.of(arguments), EntryMain::run);
@@ -41,8 +43,11 @@
         return ProgramLauncher.FAILURE;
       }
       EntryProcess entry = ((Result.Success<EntryProcess>) process).value();
-      entry.start();
-      Runtime.getRuntime().addShutdownHook(new Thread(entry::stop, "stop"));
+      if (entry.start() instanceof Result.Failed<Integer> failed) {
+        System.err.println("chivecross-entry: " + failed.failures().get(0).detail());
+        return ProgramLauncher.BAD_SETTING;
+      }
+      StopSignals.handle(entry::requestStop);
       entry.awaitStop();
       return ProgramLauncher.SUCCESS;
     } catch (IOException e) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryPreferences.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryPreferences.java
@@ -1,8 +1,11 @@
 package org.chivecross.cli.entry;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import org.chivecross.cli.entry.admin.AdminSettings;
 import org.chivecross.cli.entry.http.DataPathSettings;
+import org.chivecross.cli.entry.peer.PeerSettings;
 import org.chivecross.model.failure.Failure;
 import org.chivecross.model.failure.Result;
 import org.chivecross.model.failure.Step;
@@ -13,18 +16,51 @@
  * @param listen address for callers
  * @param files directory of the file set
  * @param dataPath limits and time-outs of the data path
+ * @param admin settings of the administration API
+ * @param peers settings towards the platform and the other entries
  */
-record EntryPreferences(InetSocketAddress listen, Path files, DataPathSettings dataPath) {
+record EntryPreferences(
+    InetSocketAddress listen,
+    Path files,
+    DataPathSettings dataPath,
+    AdminSettings admin,
+    PeerSettings peers) {
 
   private static final int MAX_PORT = 65535;
+  private static final int DEFAULT_ADMIN_PORT = 8001;
 
   /** Checks the flags. */
   static Result<EntryPreferences> of(EntryOptions options) {
     return parseAddress("--listen", options.listen())
         .flatMap(
             listen ->
-                Result.success(
-                    new EntryPreferences(listen, options.files(), DataPathSettings.defaults())));
+                admin(options, listen)
+                    .flatMap(
+                        admin ->
+                            PeerSettings.of(options)
+                                .flatMap(peers -> all(options, listen, admin, peers))));
+  }
+
+  private static Result<EntryPreferences> all(
+      EntryOptions options, InetSocketAddress listen, AdminSettings admin, PeerSettings peers) {
+    return Result.success(
+        new EntryPreferences(listen, options.files(), options.dataPath(), admin, peers));
+  }
+
+  private static Result<AdminSettings> admin(EntryOptions options, InetSocketAddress listen) {
+    Result<InetSocketAddress> address =
+        options.adminListen().isEmpty()
+            ? Result.success(defaultAdminAddress(listen))
+            : parseAddress("--admin-listen", options.adminListen());
+    return address.flatMap(listenAdmin -> AdminSettings.of(listenAdmin, options.adminToken()));
+  }
+
+  private static InetSocketAddress defaultAdminAddress(InetSocketAddress listen) {
+    int port = listen.getPort() == 0 ? 0 : DEFAULT_ADMIN_PORT;
+    InetAddress host = listen.getAddress();
+    return host != null && host.isLoopbackAddress()
+        ? new InetSocketAddress(host, port)
+        : new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
   }
 
   private static Result<InetSocketAddress> parseAddress(String flag, String text) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
@@ -9,6 +9,7 @@
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -28,15 +29,14 @@
   private @Nullable FilterChainContext parkedReader;
   private boolean requestComplete;
   private boolean headReceived;
-  private boolean responseComplete;
-  private boolean readerDone;
-  private boolean reusable;
+  private boolean suspect;
+  private long sentNanos;
   private boolean over;
 
   Attempt(Exchange exchange, Decision.Send order, long startedNanos) {
+    this.startedNanos = startedNanos;
     this.exchange = exchange;
     this.order = order;
-    this.startedNanos = startedNanos;
   }
 
   Exchange exchange() {
@@ -55,16 +55,32 @@
     return order;
   }
 
-  long startedNanos() {
-    return startedNanos;
+  /** Returns the monotonic time at which the head was written; 0 before that. */
+  long sentNanos() {
+    return sentNanos;
+  }
+
+  /** Returns when waiting for a connection ends; {@code Long.MAX_VALUE} when it doesn't wait. */
+  long connectTimeout(long timeoutNanos) {
+    return over || packet != null ? Long.MAX_VALUE : startedNanos + timeoutNanos;
+  }
+
+  /** Returns true once, when no byte of a response came for {@code silenceNanos}. */
+  boolean becomesSuspect(long silenceNanos, long nowNanos) {
+    if (suspect || over || headReceived || packet == null || nowNanos - sentNanos < silenceNanos) {
+      return false;
+    }
+    suspect = true;
+    return true;
   }
 
   boolean isOver() {
     return over;
   }
 
-  boolean hasConnection() {
-    return upstream != null;
+  /** Returns whether a byte of the request may have left. */
+  boolean isSent() {
+    return packet != null;
   }
 
   boolean headReceived() {
@@ -76,9 +92,10 @@
   }
 
   /** Binds the connection on which the request will be sent. */
-  void bind(UpstreamConnection connection, HttpRequestPacket head) {
+  void bind(UpstreamConnection connection, HttpRequestPacket head, long nowNanos) {
     upstream = connection;
     packet = head;
+    sentNanos = nowNanos;
     connection.use(this);
   }
 
@@ -130,19 +147,20 @@
   }
 
   /** The whole response was read; the connection may serve others when nothing else follows. */
-  void responseEnded(boolean keepAlive) {
-    responseComplete = true;
-    reusable = keepAlive && requestComplete;
+  void responseEnded(HttpResponsePacket head) {
     over = true;
-    settle();
-  }
-
-  /** The read that brought the end of the response was processed to its last byte. */
-  void readingDone() {
-    synchronized (exchange.lock()) {
-      readerDone = true;
-      settle();
+    UpstreamConnection connection = upstream;
+    upstream = null;
+    if (connection == null) {
+      return;
     }
+    boolean reusable = head.getProcessingState().isKeepAlive() && requestComplete;
+    if (!reusable || SurplusAwareEncoding.isMarked(head)) {
+      connection.close();
+      return;
+    }
+    connection.use(null);
+    connection.pool().release(connection);
   }
 
   /** Ends the attempt; its connection is closed, so that nothing late can reach anyone else. */
@@ -160,20 +178,6 @@
     }
   }
 
-  private void settle() {
-    UpstreamConnection connection = upstream;
-    if (connection == null || !responseComplete || (reusable && !readerDone)) {
-      return;
-    }
-    upstream = null;
-    if (!reusable) {
-      connection.close();
-      return;
-    }
-    connection.use(null);
-    connection.pool().release(connection);
-  }
-
   /** Closes the connection when a write fails; the close is what ends the attempt. */
   private final class WriteFailure
       extends EmptyCompletionHandler<WriteResult<HttpContent, SocketAddress>> {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
@@ -14,6 +14,7 @@
 import org.glassfish.grizzly.http.Protocol;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.nio.NIOConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 
 /**
  * Response to one request of a caller. Guarded by the lock of the exchange.
@@ -28,15 +29,19 @@
   private static final CompletionHandler<WriteResult<HttpResponsePacket, SocketAddress>>
       ACKNOWLEDGED = new EmptyCompletionHandler<>();
 
+  private final CallerConnection caller;
   private final NIOConnection connection;
   private final HttpRequestPacket request;
   private final HttpResponsePacket packet;
   private boolean closeAfter;
+  private boolean lingering;
 
-  CallerResponse(NIOConnection connection, HttpRequestPacket request) {
-    this.connection = connection;
+  CallerResponse(CallerConnection caller, HttpRequestPacket request) {
+    this.caller = caller;
+    connection = caller.connection();
     this.request = request;
     packet = request.getResponse();
+    closeAfter = HopHeaders.of(request.getHeaders()).contains("close");
   }
 
   /** Makes this response the last one of its connection. */
@@ -44,6 +49,12 @@
     closeAfter = true;
   }
 
+  /** Makes this response the last one, although the caller is still sending. */
+  void closeWhileReceiving() {
+    closeAfter = true;
+    lingering = true;
+  }
+
   /** Prepares the head of a relayed response; it goes out with the first part. */
   void relayHead(HttpResponsePacket upstream) {
     packet.setStatus(upstream.getStatus());
@@ -64,8 +75,10 @@
   /** Writes a part of a relayed body. */
   void write(Buffer content, boolean last) {
     HttpContent part = packet.httpContentBuilder().content(content).last(last).build();
-    if (last && isLastOfConnection()) {
-      connection.write(part, new CloseWhenWritten());
+    if (last && packet.isCommitted() && !packet.isChunked() && !content.hasRemaining()) {
+      endWithoutBytes();
+    } else if (last && isLastOfConnection()) {
+      connection.write(part, new CloseWhenWritten<>());
     } else {
       connection.write(part, WRITTEN);
     }
@@ -73,7 +86,7 @@
 
   /** Answers without an upstream. */
   void answer(LocalResponse answer) {
-    byte[] body = answer.bodyBytes();
+    byte[] body = answer.body();
     packet.setStatus(answer.status());
     answer.headers().forEach(packet::setHeader);
     packet.setContentType(answer.contentType());
@@ -131,6 +144,17 @@
     return closeAfter || !request.getProcessingState().isKeepAlive();
   }
 
+  /** The codec writes nothing for such a part, so the end is queued behind the parts before it. */
+  private void endWithoutBytes() {
+    if (isLastOfConnection()) {
+      TCPNIOTransport transport = (TCPNIOTransport) connection.getTransport();
+      transport
+          .getAsyncQueueIO()
+          .getWriter()
+          .write(connection, null, Buffers.EMPTY_BUFFER, new CloseWhenWritten<>());
+    }
+  }
+
   private boolean mayChunk() {
     return request.getProtocol() == Protocol.HTTP_1_1;
   }
@@ -143,12 +167,16 @@
   }
 
   /** Closes the connection when the last part was handed to the socket. */
-  private final class CloseWhenWritten
-      extends EmptyCompletionHandler<WriteResult<HttpContent, SocketAddress>> {
+  private final class CloseWhenWritten<M>
+      extends EmptyCompletionHandler<WriteResult<M, SocketAddress>> {
 
     @Override
-    public void completed(WriteResult<HttpContent, SocketAddress> result) {
-      connection.closeSilently();
+    public void completed(WriteResult<M, SocketAddress> result) {
+      if (lingering) {
+        caller.linger(System.nanoTime());
+      } else {
+        connection.closeSilently();
+      }
     }
 
     @Override
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
@@ -22,7 +22,7 @@
     this.caller = caller;
     this.request = request;
     this.handler = handler;
-    response = new CallerResponse(caller.connection(), request);
+    response = new CallerResponse(caller, request);
   }
 
   @Override
@@ -43,6 +43,13 @@
     return false;
   }
 
+  @Override
+  public void bodyBroken() {
+    response.closeAfterwards();
+    answer(
+        LocalResponse.text(400, Map.of(), "application/json", "{\"error\":\"malformed body\"}\n"));
+  }
+
   @Override
   public synchronized void callerClosed() {
     over = true;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.chivecross.model.failure.Failure;
 import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.ConnectionKind;
 import org.glassfish.grizzly.Connection;
@@ -32,11 +33,13 @@
     void failed(ConnectionFault fault);
   }
 
+  private static final String TARGET_PEER = "target ";
+
   private final TCPNIOTransport transport;
   private final UpstreamAddresses addresses;
   private final DataPathSettings settings;
   private final TCPNIOConnectorHandler connector;
-  private final UpstreamFilter filter;
+  private final UpstreamRegistry upstreams = new UpstreamRegistry();
   private final Map<InetSocketAddress, UpstreamPool> pools = new ConcurrentHashMap<>();
 
   UpstreamClient(
@@ -44,12 +47,11 @@
     this.transport = transport;
     this.addresses = addresses;
     this.settings = settings;
-    filter = new UpstreamFilter();
     FilterChain chain =
         FilterChainBuilder.stateless()
             .add(new TransportFilter())
-            .add(new StrictClientFilter(settings.maxHeadBytes()))
-            .add(filter)
+            .add(new StrictClientFilter(settings.maxHeadBytes(), upstreams))
+            .add(new UpstreamFilter(upstreams))
             .build();
     connector = TCPNIOConnectorHandler.builder(transport).processor(chain).build();
   }
@@ -98,6 +100,20 @@
     all.forEach(pool -> pool.closeIdle(idleNanos, nowNanos));
   }
 
+  /** Returns a failure that names a target by its address instead of its row. */
+  Failure withAddress(Failure failure) {
+    if (!failure.peer().startsWith(TARGET_PEER)) {
+      return failure;
+    }
+    int target = Integer.parseInt(failure.peer().substring(TARGET_PEER.length()));
+    String peer =
+        addresses
+            .address(target)
+            .map(address -> address.getHostString() + ":" + address.getPort())
+            .orElse(failure.peer());
+    return new Failure(failure.step(), peer, failure.detail());
+  }
+
   private UpstreamPool poolOf(InetSocketAddress address) {
     return pools.computeIfAbsent(
         address,
@@ -121,7 +137,7 @@
     public void completed(Connection connection) {
       UpstreamConnection upstream =
           new UpstreamConnection((NIOConnection) connection, pool, System.nanoTime());
-      filter.attach(upstream);
+      upstreams.add(upstream);
       handler.acquired(upstream);
     }
 
