Own idempotency keys in the entry: query, cancel, run for others

Cause: entries refused every keyed write, since no records were kept. The window may change with the file set: KeyPrefixIssuer takes it for each prefix. Ended records are dropped in place. A body too long to be passed is told as unknown, not as not-run, since the owner may have run an earlier copy.

--- a/chivecross-core/src/main/java/org/chivecross/logic/key/KeyRecords.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/key/KeyRecords.java
@@ -126,15 +126,16 @@
     if (nowMillis < earliestEndMillis) {
       return;
     }
-    KeyRecords kept = new KeyRecords(capacity);
+    earliestEndMillis = Long.MAX_VALUE;
     for (int row = 0; row <= mask; row++) {
-      if (states[row] == RowState.EMPTY || isDroppable(row, nowMillis)) {
-        continue;
+      // Removing moves a later row up, which is looked at next.
+      while (states[row] != RowState.EMPTY && isDroppable(row, nowMillis)) {
+        remove(row);
+      }
+      if (states[row] != RowState.EMPTY) {
+        earliestEndMillis = Math.min(earliestEndMillis, endMillis[row]);
       }
-      kept.add(new KeyDigest(highs[row], lows[row]), state(row), endMillis[row], nowMillis);
-      kept.statuses[kept.find(new KeyDigest(highs[row], lows[row]))] = statuses[row];
     }
-    copy(kept);
   }
 
   private boolean isDroppable(int row, long nowMillis) {
@@ -143,16 +144,6 @@
     return !inFlight && endMillis[row] <= nowMillis;
   }
 
-  private void copy(KeyRecords other) {
-    System.arraycopy(other.highs, 0, highs, 0, highs.length);
-    System.arraycopy(other.lows, 0, lows, 0, lows.length);
-    System.arraycopy(other.endMillis, 0, endMillis, 0, endMillis.length);
-    System.arraycopy(other.states, 0, states, 0, states.length);
-    System.arraycopy(other.statuses, 0, statuses, 0, statuses.length);
-    size = other.size;
-    earliestEndMillis = other.earliestEndMillis;
-  }
-
   private void move(int from, int to) {
     highs[to] = highs[from];
     lows[to] = lows[from];
--- a/chivecross-core/src/test/java/org/chivecross/logic/key/KeyRecordTableTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/key/KeyRecordTableTest.java
@@ -17,9 +17,9 @@
   private static final List<Outcome> OUTCOMES = List.of(Outcome.values());
   private static final KeyClaim RUN = new KeyClaim.Run();
 
-  private final KeyPrefixIssuer issuer = new KeyPrefixIssuer(-7, START, 1000);
+  private final KeyPrefixIssuer issuer = new KeyPrefixIssuer(-7, START);
   private final KeyRecordTable table = new KeyRecordTable(issuer, 16);
-  private final String key = issuer.prefix(START) + "a";
+  private final String key = issuer.prefix(1000, START) + "a";
 
   @Test
   void runsAKeyOnce() {
@@ -62,11 +62,11 @@
 
   @Test
   void refusesForeignForgedAndMalformedKeys() {
-    String foreign = new KeyPrefixIssuer(9, START, 1000).prefix(START) + "a";
+    String foreign = new KeyPrefixIssuer(9, START).prefix(1000, START) + "a";
     assertEquals(new KeyClaim.Foreign(9), table.claim(foreign, START));
-    String future = issuer.prefix(START + 50 * MILLI) + "a";
+    String future = issuer.prefix(1000, START + 50 * MILLI) + "a";
     assertInstanceOf(KeyClaim.Malformed.class, table.claim(future, START));
-    String longer = new KeyPrefixIssuer(-7, START, 2000).prefix(START) + "a";
+    String longer = new KeyPrefixIssuer(-7, START).prefix(2000, START) + "a";
     assertInstanceOf(KeyClaim.Malformed.class, table.claim(longer, START));
     assertInstanceOf(KeyClaim.Malformed.class, table.claim(key + "x".repeat(64), START));
     assertInstanceOf(KeyClaim.Malformed.class, table.claim("a", START));
@@ -76,7 +76,7 @@
   void refusesWhenFullAndKeepsLiveRecords() {
     int refused = 0;
     for (int i = 0; i < 200; i++) {
-      String other = issuer.prefix(START) + i;
+      String other = issuer.prefix(1000, START) + i;
       if (table.claim(other, START) instanceof KeyClaim.TableFull) {
         refused++;
         assertEquals(RUN, table.query(other, START));
@@ -99,13 +99,29 @@
     assertEquals(new KeyClaim.OutsideWindow(), table.claim(key, START + 2000 * MILLI));
   }
 
+  @Test
+  void dropsOnlyEndedRecords() {
+    KeyRecordTable large = new KeyRecordTable(issuer, 4096);
+    for (int i = 0; i < 3000; i++) {
+      String other = issuer.prefix(i % 2 == 0 ? 10 : 1000, START) + i;
+      large.claim(other, START);
+      large.finish(other, 200, Outcome.ANSWERED, START);
+    }
+    large.expire(START + 10 * MILLI);
+    assertEquals(1500, large.size());
+    for (int i = 1; i < 3000; i += 2) {
+      KeyClaim claim = large.query(issuer.prefix(1000, START) + i, START + 10 * MILLI);
+      assertEquals(new KeyClaim.Finished(200, Outcome.ANSWERED), claim);
+    }
+  }
+
   @Test
   void agreesWithAMapUnderRandomUse() {
     KeyRecordTable large = new KeyRecordTable(issuer, 4096);
     Map<String, KeyClaim> model = new HashMap<>();
     SplittableRandom random = new SplittableRandom(11);
     for (int i = 0; i < 50_000; i++) {
-      String other = issuer.prefix(START) + random.nextInt(1500);
+      String other = issuer.prefix(1000, START) + random.nextInt(1500);
       KeyClaim expected = model.getOrDefault(other, RUN);
       assertEquals(expected, large.claim(other, START));
       Outcome outcome = OUTCOMES.get(random.nextInt(OUTCOMES.size()));
--- a/chivecross-core/src/test/java/org/chivecross/logic/session/SessionEntry.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/session/SessionEntry.java
@@ -8,7 +8,7 @@
 /** One entry of a virtual fleet. */
 final class SessionEntry {
 
-  private static final long WINDOW_MILLIS = 60_000;
+  static final long WINDOW_MILLIS = 60_000;
 
   final String name;
   final KeyPrefixIssuer issuer;
@@ -19,7 +19,7 @@
 
   SessionEntry(int index, FleetSetup setup) {
     name = "e" + index;
-    issuer = new KeyPrefixIssuer(index + 1, 0, WINDOW_MILLIS);
+    issuer = new KeyPrefixIssuer(index + 1, 0);
     keys = setup.keyDecorator().apply(new KeyRecordTable(issuer, setup.keyCapacity()));
     machines = setup.machines().apply(audit.wrap(setup.policies().apply(index), keys));
   }
--- a/chivecross-core/src/test/java/org/chivecross/logic/session/VirtualFleet.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/session/VirtualFleet.java
@@ -378,6 +378,6 @@
 
   private String key(String name) {
     String[] parts = name.split("/", -1);
-    return entry(parts[0]).issuer.prefix(0) + parts[1];
+    return entry(parts[0]).issuer.prefix(SessionEntry.WINDOW_MILLIS, 0) + parts[1];
   }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
@@ -13,6 +13,7 @@
 import org.chivecross.cli.entry.directory.DirectoryHandler;
 import org.chivecross.cli.entry.http.DataPath;
 import org.chivecross.cli.entry.http.LocalRoutes;
+import org.chivecross.cli.entry.key.OutcomeHandler;
 import org.chivecross.cli.entry.metrics.EntryMetrics;
 import org.chivecross.cli.entry.peer.FleetShare;
 import org.chivecross.cli.entry.peer.LocalShare;
@@ -28,7 +29,6 @@
 import org.chivecross.model.failure.Result;
 import org.chivecross.model.fileset.Deployment;
 import org.chivecross.model.fileset.FileSet;
-import org.chivecross.model.peer.KeyAnswer;
 import org.tinylog.Logger;
 
 /**
@@ -43,7 +43,7 @@
   private static final long TIMER_PERIOD_MILLIS = 2;
   private static final long ENGINE_PERIOD_MILLIS = 5;
   private static final long IDLE_PERIOD_MILLIS = 100;
-  private static final int UNAVAILABLE = 503;
+  private static final long KEY_PERIOD_MILLIS = 1_000;
 
   private final EntryPreferences preferences;
   private final BalancerEngine engine;
@@ -53,6 +53,7 @@
   private final FleetShare share;
   private final DrainSystem drain;
   private final CountDownLatch stopped = new CountDownLatch(1);
+  private final EntryKeys keys;
   private boolean serving;
 
   /** Creates an entry around its share. */
@@ -60,27 +61,35 @@
       EntryPreferences preferences,
       BalancerEngine engine,
       FleetShare share,
-      EngineAddresses addresses) {
+      EngineAddresses addresses,
+      EntryKeys keys) {
     this.preferences = preferences;
+    this.keys = keys;
     this.engine = engine;
     this.share = share;
     drain = new DrainSystem(preferences.peers().stopDeadline().toMillis());
-    NoKeys keys = new NoKeys();
     LocalRoutes routes =
-        new LocalRoutes(Map.of("/chivecross/entries", new DirectoryHandler(share::view, () -> "")));
+        new LocalRoutes(
+            Map.of(
+                "/chivecross/entries",
+                new DirectoryHandler(share::view, () -> keys.prefix(share.view())),
+                OutcomeHandler.PATH,
+                new OutcomeHandler(keys.records(), share.ownerCalls(), System::nanoTime)));
     PrometheusRegistry registry = new PrometheusRegistry();
     EntryMetrics metrics = new EntryMetrics(registry, engine::tenantName);
     dataPath =
         new DataPath(
-            engine.policies(keys),
+            engine.policies(keys.records()),
             share.ownerCalls(),
             addresses,
             routes,
             metrics,
             preferences.dataPath());
     metrics.gauge("chivecross_in_flight", "Requests in flight", dataPath::inFlightCount);
+    metrics.gauge("chivecross_key_records", "Records of keys", keys.records()::size);
     metrics.gauge("chivecross_callers", "Open connections of callers", dataPath::callerCount);
-    admin = new AdminServer(preferences.admin(), adminViews(engine, share, keys, registry));
+    admin =
+        new AdminServer(preferences.admin(), adminViews(engine, share, keys.records(), registry));
   }
 
   /**
@@ -96,6 +105,7 @@
             EnginePreferences.of(preferences.listen().toString(), preferences.peers().dataCentre()),
             new SplittableRandom(incarnation));
     EngineAddresses addresses = new EngineAddresses(engine);
+    EntryKeys keys = new EntryKeys(incarnation, System.nanoTime());
     if (preferences.peers().platform().isPresent()) {
       FleetShare share =
           new PeerShare(
@@ -103,9 +113,8 @@
               incarnation,
               (version, set) -> apply(set, engine, addresses),
               vms -> {},
-              (call, remaining, answer) ->
-                  answer.accept(new KeyAnswer(UNAVAILABLE, List.of(), new byte[0])));
-      return Result.success(new EntryProcess(preferences, engine, share, addresses));
+              keys.service());
+      return Result.success(new EntryProcess(preferences, engine, share, addresses, keys));
     }
     return new FileSetParser()
         .parse(FileSetReader.read(preferences.files()))
@@ -113,7 +122,7 @@
             set -> {
               apply(set, engine, addresses);
               FleetShare share = new LocalShare(incarnation, preferences.peers().dataCentre(), set);
-              return Result.success(new EntryProcess(preferences, engine, share, addresses));
+              return Result.success(new EntryProcess(preferences, engine, share, addresses, keys));
             });
   }
 
@@ -131,6 +140,7 @@
     Logger.info("serving the administration API at {}", admin.start());
     ticker.every(TIMER_PERIOD_MILLIS, List.of(dataPath::tick));
     ticker.every(ENGINE_PERIOD_MILLIS, List.of(share::tick, this::serve, engine::tick));
+    ticker.every(KEY_PERIOD_MILLIS, List.of(keys.records()::expire));
     ticker.every(IDLE_PERIOD_MILLIS, List.of(dataPath::closeIdle, this::drain));
     return port;
   }
@@ -161,6 +171,7 @@
     try {
       InetSocketAddress address = dataPath.start(preferences.listen());
       serving = true;
+      keys.serving(address);
       share.serving(address);
       Logger.info("serving callers at {}", address);
     } catch (IOException e) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -344,7 +344,7 @@
     long now = System.nanoTime();
     long remaining = RequestHeads.remainingMillis(request, route, clock.arrivedNanos(), now);
     if (!body.isComplete()) {
-      answer(OwnerPass.tooLong(incarnation), Outcome.NOT_RUN);
+      answer(OwnerPass.tooLong(incarnation), Outcome.UNKNOWN);
       return;
     }
     KeyCall call = OwnerPass.toCall(request, body.wholeBytes());
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/OwnerPass.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/OwnerPass.java
@@ -58,11 +58,14 @@
         UNAVAILABLE, Outcome.UNKNOWN, failure, OptionalLong.of(RETRY_AFTER_MILLIS));
   }
 
-  /** Returns the answer to a request whose body can't be passed; it was not run. */
+  /**
+   * Returns the answer to a request whose body is too long to be passed. The owner may have run an
+   * earlier copy, so nothing is known.
+   */
   static LocalResponse tooLong(long incarnation) {
     Failure failure =
         new Failure(Step.KEY_LOOKUP, peer(incarnation), "body is too long to be passed");
-    return ProblemAnswers.of(CONTENT_TOO_LARGE, Outcome.NOT_RUN, failure, OptionalLong.empty());
+    return ProblemAnswers.of(CONTENT_TOO_LARGE, Outcome.UNKNOWN, failure, OptionalLong.empty());
   }
 
   private static String peer(long incarnation) {
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/key/LoopbackRunner.java
@@ -0,0 +1,122 @@
+package org.chivecross.cli.entry.key;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.chivecross.cli.entry.http.ProblemAnswers;
+import org.chivecross.model.failure.Failure;
+import org.chivecross.model.failure.Step;
+import org.chivecross.model.peer.HeaderField;
+import org.chivecross.model.peer.KeyAnswer;
+import org.chivecross.model.peer.KeyCall;
+import org.chivecross.model.request.Outcome;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+
+/**
+ * Runs passed requests by sending them to this entry's own port for callers, so that they take the
+ * same way as all others: routing, admission, key, deadline. Safe for use by many threads.
+ */
+public final class LoopbackRunner implements KeyCallRunner {
+
+  private static final String RESTRICTED = "jdk.httpclient.allowRestrictedHeaders";
+  private static final String DEADLINE = "Chivecross-Deadline-Ms";
+  private static final int BAD_GATEWAY = 502;
+
+  /** Headers that the client sets itself. */
+  private static final Set<String> OWN_HEADERS =
+      Set.of("content-length", "transfer-encoding", "connection", "expect", "upgrade", "te");
+
+  private final Supplier<Optional<InetSocketAddress>> address;
+  private final HttpClient client;
+
+  /**
+   * Creates a runner.
+   *
+   * @param address where this entry serves callers; empty while it doesn't
+   */
+  public LoopbackRunner(Supplier<Optional<InetSocketAddress>> address) {
+    this.address = address;
+    // The passed request keeps its host, by which it is routed.
+    System.setProperty(RESTRICTED, "host");
+    client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  }
+
+  @Override
+  public void run(KeyCall call, long remainingMillis, Consumer<KeyAnswer> answer) {
+    Optional<InetSocketAddress> own = address.get();
+    if (own.isEmpty()) {
+      answer.accept(KeyAnswers.toPeer(KeyReports.unknown("the owner doesn't serve callers")));
+      return;
+    }
+    try {
+      client
+          .sendAsync(request(call, own.get(), remainingMillis), this::handlerOf)
+          .whenComplete((response, error) -> answer.accept(answerOf(response, error)));
+    } catch (IllegalArgumentException e) {
+      Logger.error("step={} peer=local passed request is refused: {}", Step.KEY_LOOKUP, e);
+      answer.accept(KeyAnswers.toPeer(KeyReports.unknown(String.valueOf(e.getMessage()))));
+    }
+  }
+
+  private static HttpRequest request(KeyCall call, InetSocketAddress own, long remainingMillis) {
+    String host = own.getAddress().isAnyLocalAddress() ? "127.0.0.1" : own.getHostString();
+    URI uri = URI.create("http://" + host + ":" + own.getPort() + call.target());
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(uri)
+            .method(call.method(), HttpRequest.BodyPublishers.ofByteArray(call.body()))
+            .timeout(Duration.ofMillis(Math.max(1, remainingMillis)));
+    for (HeaderField field : call.headers()) {
+      String name = field.name().toLowerCase(Locale.ROOT);
+      if (!OWN_HEADERS.contains(name) && !name.equalsIgnoreCase(DEADLINE)) {
+        request.header(field.name(), field.value());
+      }
+    }
+    return request.header(DEADLINE, Long.toString(remainingMillis)).build();
+  }
+
+  /** Reads bodies that can be passed and drops those that are known to be too long. */
+  private HttpResponse.BodySubscriber<byte[]> handlerOf(HttpResponse.ResponseInfo info) {
+    OptionalLong length = info.headers().firstValueAsLong("content-length");
+    if (length.isPresent() && length.getAsLong() > KeyCall.MAX_BODY_BYTES) {
+      return HttpResponse.BodySubscribers.replacing(new byte[KeyCall.MAX_BODY_BYTES + 1]);
+    }
+    return HttpResponse.BodySubscribers.ofByteArray();
+  }
+
+  private static KeyAnswer answerOf(
+      @Nullable HttpResponse<byte[]> response, @Nullable Throwable error) {
+    if (response == null) {
+      return KeyAnswers.toPeer(KeyReports.unknown("the owner got no answer: " + error));
+    }
+    if (response.body().length > KeyCall.MAX_BODY_BYTES) {
+      Failure failure =
+          new Failure(
+              Step.RELAY_RESPONSE, Failure.LOCAL, "an answer too long to be passed on came");
+      return KeyAnswers.toPeer(
+          ProblemAnswers.of(BAD_GATEWAY, Outcome.UNKNOWN, failure, OptionalLong.empty()));
+    }
+    List<HeaderField> fields = new ArrayList<>();
+    response
+        .headers()
+        .map()
+        .forEach(
+            (name, values) -> {
+              if (!OWN_HEADERS.contains(name.toLowerCase(Locale.ROOT))) {
+                values.forEach(value -> fields.add(new HeaderField(name, value)));
+              }
+            });
+    return new KeyAnswer(response.statusCode(), fields, response.body());
+  }
+}
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/OpenApiTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/OpenApiTest.java
@@ -58,7 +58,12 @@
     server =
         new AdminServer(
             ((Result.Success<AdminSettings>) settings).value(),
-            new EntryAdminViews(engine, () -> set, new NoKeys(), new PrometheusRegistry(), () -> 1)
+            new EntryAdminViews(
+                    engine,
+                    () -> set,
+                    new EntryKeys(1, 0).records(),
+                    new PrometheusRegistry(),
+                    () -> 1)
                 .views(() -> ReadinessStatus.of(List.of()), () -> config, List::of, List::of));
   }
 
