--- /dev/null
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/experiment/RealFleet.java
@@ -0,0 +1,177 @@
+package org.chivecross.cli.experiment;
+
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Real entry processes on loopback. Not thread-safe. */
+final class RealFleet implements AutoCloseable {
+
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+  private static final int DATA_CENTRES = 3;
+
+  /** One process and its ports. */
+  record RealEntry(Process process, int listen, int admin, int peer) {}
+
+  private final HttpClient http = HttpClient.newBuilder().connectTimeout(TIMEOUT).build();
+  private final List<RealEntry> entries = new ArrayList<>();
+  private final Path logs;
+
+  RealFleet(Path logs) {
+    this.logs = logs;
+  }
+
+  /**
+   * Starts entries; only those before {@code reaching} get the platform's true address.
+   *
+   * @throws IOException if a process can't be started
+   */
+  void start(int count, int reaching, int platformPort, List<String> security) throws IOException {
+    List<Integer> ports = freePorts(3 * count);
+    StringBuilder peers = new StringBuilder();
+    for (int i = 0; i < Math.min(count, 5); i++) {
+      peers.append(i == 0 ? "" : ",").append("127.0.0.1:").append(ports.get(3 * i + 2));
+    }
+    int closedPort = freePorts(1).get(0);
+    for (int i = 0; i < count; i++) {
+      List<String> command =
+          new ArrayList<>(
+              List.of(
+                  ProcessHandle.current().info().command().orElse("java"),
+                  "-Xmx96m",
+                  "-XX:+UseSerialGC",
+                  "-cp",
+                  System.getProperty("java.class.path"),
+                  "org.chivecross.cli.entry.EntryMain",
+                  "--platform",
+                  "http://127.0.0.1:" + (i < reaching ? platformPort : closedPort),
+                  "--deployment",
+                  "pulpwood",
+                  "--data-centre",
+                  "dc" + i % DATA_CENTRES,
+                  "--entry-bound",
+                  Integer.toString(count),
+                  "--listen",
+                  "127.0.0.1:" + ports.get(3 * i),
+                  "--admin-listen",
+                  "127.0.0.1:" + ports.get(3 * i + 1),
+                  "--peer-listen",
+                  "127.0.0.1:" + ports.get(3 * i + 2),
+                  "--peers",
+                  peers.toString()));
+      command.addAll(security);
+      Process process =
+          new ProcessBuilder(command)
+              .redirectErrorStream(true)
+              .redirectOutput(logs.resolve("entry" + i + ".log").toFile())
+              .start();
+      entries.add(
+          new RealEntry(process, ports.get(3 * i), ports.get(3 * i + 1), ports.get(3 * i + 2)));
+    }
+  }
+
+  List<RealEntry> entries() {
+    return entries;
+  }
+
+  /** Returns the body, or an empty text when there is no answer. */
+  String get(int port, String path) {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+            .timeout(TIMEOUT)
+            .build();
+    try {
+      return http.send(request, HttpResponse.BodyHandlers.ofString()).body();
+    } catch (IOException e) {
+      return "";
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return "";
+    }
+  }
+
+  /** Waits until each of the entries shows a text on a path, and returns the time in ms. */
+  long awaitAll(List<RealEntry> waited, String path, String text, long limitMillis)
+      throws InterruptedException {
+    long start = System.nanoTime();
+    List<RealEntry> left = new ArrayList<>(waited);
+    while (!left.isEmpty()) {
+      left.removeIf(entry -> get(entry.admin(), path).contains(text));
+      long millis = (System.nanoTime() - start) / 1_000_000;
+      if (left.isEmpty() || millis > limitMillis) {
+        return left.isEmpty() ? millis : -1;
+      }
+      Thread.sleep(10);
+    }
+    return 0;
+  }
+
+  /** Returns the CPU time of all processes, in ms. */
+  long cpuMillis() {
+    return entries.stream()
+        .mapToLong(
+            entry ->
+                entry
+                    .process()
+                    .toHandle()
+                    .info()
+                    .totalCpuDuration()
+                    .map(Duration::toMillis)
+                    .orElse(0L))
+        .sum();
+  }
+
+  /** Returns a gauge summed over all entries. */
+  double metric(String name) {
+    double sum = 0;
+    for (RealEntry entry : entries) {
+      for (String line : get(entry.admin(), "/metrics").split("\n", -1)) {
+        if (line.startsWith(name + " ")) {
+          sum += Double.parseDouble(line.substring(name.length() + 1));
+        }
+      }
+    }
+    return sum;
+  }
+
+  /** Returns the largest resident set of a process, in MB. */
+  long residentMegabytes() throws IOException {
+    long largest = 0;
+    for (RealEntry entry : entries) {
+      Path status = Path.of("/proc/" + entry.process().pid() + "/status");
+      for (String line : Files.readAllLines(status)) {
+        if (line.startsWith("VmRSS:")) {
+          largest = Math.max(largest, Long.parseLong(line.replaceAll("\\D", "")) / 1024);
+        }
+      }
+    }
+    return largest;
+  }
+
+  @Override
+  public void close() {
+    entries.forEach(entry -> entry.process().destroyForcibly());
+  }
+
+  private static List<Integer> freePorts(int count) throws IOException {
+    List<ServerSocket> sockets = new ArrayList<>();
+    List<Integer> ports = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      ServerSocket socket = new ServerSocket(0);
+      sockets.add(socket);
+      ports.add(socket.getLocalPort());
+    }
+    for (ServerSocket socket : sockets) {
+      socket.close();
+    }
+    return ports;
+  }
+}
--- a/chivecross-core/src/main/java/org/chivecross/logic/config/PlatformReads.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/config/PlatformReads.java
@@ -14,6 +14,7 @@
   private static final long WATCH_GRACE_NANOS = TimeUnit.SECONDS.toNanos(5);
   private static final long MIN_BACKOFF_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
   private static final long MAX_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(15);
+  private static final long FIRST_WATCH_NANOS = TimeUnit.SECONDS.toNanos(2);
   private static final double JITTER = 0.2;
 
   private final ConfigPreferences preferences;
@@ -52,8 +53,10 @@
   void tick(boolean isReader, long revision, long nowNanos) {
     if (!started) {
       started = true;
-      nextReadNanos = nowNanos + random.nextLong(MIN_BACKOFF_NANOS);
-      nextWatchNanos = nextReadNanos + MIN_BACKOFF_NANOS;
+      // Peers are asked first, so that many entries that start together spare the platform.
+      boolean alone = preferences.loneStartNanos() == 0;
+      nextReadNanos = nowNanos + (alone ? 0 : random.nextLong(preferences.directReadNanos()));
+      nextWatchNanos = nowNanos + (alone ? 0 : FIRST_WATCH_NANOS);
     }
     reader = isReader;
     long watchLimit = TimeUnit.MILLISECONDS.toNanos(preferences.watchMillis()) + WATCH_GRACE_NANOS;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
@@ -29,6 +29,7 @@
 import org.chivecross.model.fileset.Deployment;
 import org.chivecross.model.fileset.FileSet;
 import org.chivecross.model.peer.KeyAnswer;
+import org.chivecross.wire.PeerTraffic;
 import org.tinylog.Logger;
 
 /**
@@ -80,6 +81,7 @@
             preferences.dataPath());
     metrics.gauge("chivecross_in_flight", "Requests in flight", dataPath::inFlightCount);
     metrics.gauge("chivecross_callers", "Open connections of callers", dataPath::callerCount);
+    addShareGauges(metrics, share);
     admin = new AdminServer(preferences.admin(), adminViews(engine, share, keys, registry));
   }
 
@@ -193,6 +195,29 @@
     addresses.apply(set);
   }
 
+  private static void addShareGauges(EntryMetrics metrics, FleetShare share) {
+    PeerTraffic traffic = share.traffic();
+    metrics.gauge("chivecross_peer_sent_bytes", "Bytes sent to entries", traffic::bytesSent);
+    metrics.gauge(
+        "chivecross_peer_received_bytes", "Bytes received from entries", traffic::bytesReceived);
+    metrics.gauge(
+        "chivecross_peer_messages_refused", "Bad messages of entries", traffic::messagesRefused);
+    metrics.gauge(
+        "chivecross_peer_messages_dropped", "Messages not sent", traffic::messagesDropped);
+    metrics.gauge(
+        "chivecross_platform_calls",
+        "Calls of the configuration service",
+        () -> share.view().config().platformCalls());
+    metrics.gauge(
+        "chivecross_platform_silent_watches",
+        "Watches without an answer in time",
+        () -> share.view().config().silentWatches());
+    metrics.gauge(
+        "chivecross_platform_stale_reads",
+        "Reads that gave an older revision",
+        () -> share.view().config().staleReads());
+  }
+
   private static AdminViews adminViews(
       BalancerEngine engine, FleetShare share, KeyRegistry keys, PrometheusRegistry metrics) {
     Deployment nothing = new Deployment("", 1, 0, 0, List.of(), List.of());
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/metrics/EntryMetrics.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/metrics/EntryMetrics.java
@@ -14,7 +14,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.IntFunction;
-import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import org.chivecross.cli.entry.http.ExchangeObserver;
 import org.chivecross.cli.entry.http.ExchangeSummary;
 import org.chivecross.logic.routing.Route;
@@ -69,11 +69,11 @@
   }
 
   /** Adds a gauge whose value is read when the metrics are written. */
-  public void gauge(String name, String help, IntSupplier value) {
+  public void gauge(String name, String help, LongSupplier value) {
     GaugeWithCallback.builder()
         .name(name)
         .help(help)
-        .callback(callback -> callback.call(value.getAsInt()))
+        .callback(callback -> callback.call(value.getAsLong()))
         .register(registry);
   }
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/peer/FleetShare.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/peer/FleetShare.java
@@ -6,6 +6,7 @@
 import org.chivecross.logic.key.OwnerCalls;
 import org.chivecross.logic.peer.NodeView;
 import org.chivecross.model.failure.Result;
+import org.chivecross.wire.PeerTraffic;
 
 /**
  * What one entry shares with all others. One thread calls {@link #tick}; all other methods are safe
@@ -31,6 +32,9 @@
   /** Returns the calls to owners of keys. */
   OwnerCalls ownerCalls();
 
+  /** Returns the counters of the traffic between entries. */
+  PeerTraffic traffic();
+
   /** This entry takes no new callers from now on. */
   void startLeaving();
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/peer/LocalShare.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/peer/LocalShare.java
@@ -15,6 +15,7 @@
 import org.chivecross.model.peer.EntryMarks;
 import org.chivecross.model.peer.EntryMember;
 import org.chivecross.model.peer.MemberState;
+import org.chivecross.wire.PeerTraffic;
 
 /**
  * Share of an entry that runs alone on a file set from a directory. Safe for use by many threads.
@@ -24,6 +25,7 @@
   private static final EntryMarks READY = new EntryMarks(false, true, false, false);
 
   private final ConfigView config;
+  private final PeerTraffic traffic = new PeerTraffic();
   private final Instant since = Instant.now();
   private volatile EntryMember self;
   private volatile boolean leaving;
@@ -86,6 +88,11 @@
         done.accept(Result.failed(Step.CONNECT, "unknown owner", "this entry runs alone"));
   }
 
+  @Override
+  public PeerTraffic traffic() {
+    return traffic;
+  }
+
   @Override
   public void startLeaving() {
     leaving = true;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/peer/PeerShare.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/peer/PeerShare.java
@@ -161,7 +161,7 @@
     return ownerCalls;
   }
 
-  /** Returns the counters of the traffic between entries. */
+  @Override
   public PeerTraffic traffic() {
     return traffic;
   }
