Let peers offer a set before its files are read from the platform

Change: an entry that is no reader waits 0.5 s for an offer of a peer; a test runs three shares with real sockets and the platform stand-in.

--- /dev/null
+++ b/chivecross-bench/src/test/java/org/chivecross/cli/standin/platform/PeerShareTest.java
@@ -0,0 +1,192 @@
+package org.chivecross.cli.standin.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+import org.chivecross.cli.entry.peer.PeerSettings;
+import org.chivecross.cli.entry.peer.PeerShare;
+import org.chivecross.cli.entry.peer.ShareStatus;
+import org.chivecross.cli.settings.HostPort;
+import org.chivecross.logic.directory.EntryDirectory;
+import org.chivecross.logic.manifest.ManifestCodec;
+import org.chivecross.model.failure.Result;
+import org.chivecross.model.manifest.ConfigVersion;
+import org.chivecross.model.manifest.Manifest;
+import org.chivecross.model.manifest.ManifestFile;
+import org.chivecross.wire.PeerSecurity;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Shares of three entries with real sockets and the platform stand-in. */
+class PeerShareTest {
+
+  private static final String DEPLOYMENT = "pulpwood";
+  private static final Path FILES = Path.of("..", "examples", "pulpwood");
+  private static final long LIMIT_NANOS = 60_000_000_000L;
+
+  private final List<PeerShare> shares = new ArrayList<>();
+  private final List<String> peers = new ArrayList<>();
+
+  @TempDir private Path packed;
+  private PlatformStandin platform;
+  private int platformPort;
+
+  @BeforeEach
+  void startPlatform() throws IOException {
+    Files.createDirectories(packed.resolve("files"));
+    publish(Map.of());
+    platform =
+        new PlatformStandin(
+            new PlatformSettings(packed, DEPLOYMENT, new HostPort("127.0.0.1", 0), ""));
+    platformPort = platform.start();
+  }
+
+  @AfterEach
+  void stopAll() {
+    shares.forEach(PeerShare::stop);
+    platform.close();
+  }
+
+  private void publish(Map<String, String> extra) throws IOException {
+    Map<String, byte[]> contents = new HashMap<>();
+    try (Stream<Path> files = Files.walk(FILES)) {
+      for (Path file : files.filter(Files::isRegularFile).toList()) {
+        contents.put(FILES.relativize(file).toString(), Files.readAllBytes(file));
+      }
+    }
+    extra.forEach((name, text) -> contents.put(name, text.getBytes(StandardCharsets.UTF_8)));
+    ManifestCodec codec = new ManifestCodec();
+    Manifest manifest = codec.describe(DEPLOYMENT, 0, contents);
+    for (ManifestFile file : manifest.files()) {
+      Files.write(packed.resolve("files").resolve(file.sha256()), contents.get(file.name()));
+    }
+    Path next = Files.write(packed.resolve("next"), codec.write(manifest));
+    Files.move(next, packed.resolve("manifest"), StandardCopyOption.ATOMIC_MOVE);
+  }
+
+  private void control(String parameters) throws IOException, InterruptedException {
+    URI uri = URI.create("http://127.0.0.1:" + platformPort + "/control?" + parameters);
+    HttpRequest request =
+        HttpRequest.newBuilder(uri).POST(HttpRequest.BodyPublishers.noBody()).build();
+    HttpClient.newHttpClient().send(request, HttpResponse.BodyHandlers.discarding());
+  }
+
+  private PeerShare start(long incarnation) {
+    PeerSettings settings =
+        new PeerSettings(
+            Optional.of(URI.create("http://127.0.0.1:" + platformPort)),
+            DEPLOYMENT,
+            "dc" + incarnation,
+            new InetSocketAddress("127.0.0.1", 0),
+            "",
+            "",
+            peers,
+            3,
+            PeerSecurity.plain(),
+            Duration.ofSeconds(1));
+    PeerShare share =
+        new PeerShare(
+            settings, incarnation, (version, set) -> {}, vms -> {}, (call, left, answer) -> {});
+    Result<Integer> port = share.start();
+    share.serving(new InetSocketAddress("127.0.0.1", 1_000 + (int) incarnation));
+    peers.add("127.0.0.1:" + ((Result.Success<Integer>) port).value());
+    shares.add(share);
+    return share;
+  }
+
+  private void tickUntil(BooleanSupplier reached) throws InterruptedException {
+    long start = System.nanoTime();
+    while (!reached.getAsBoolean()) {
+      assertTrue(System.nanoTime() - start < LIMIT_NANOS, () -> "not reached: " + state());
+      for (PeerShare share : shares) {
+        share.tick(System.nanoTime());
+      }
+      Thread.sleep(2);
+    }
+  }
+
+  private String state() {
+    List<Object> views = new ArrayList<>();
+    shares.forEach(share -> views.add(ShareStatus.members(share.view())));
+    shares.forEach(share -> views.add(share.view().waitingFor()));
+    return views.toString();
+  }
+
+  private ConfigVersion inForce(PeerShare share) {
+    return share.view().config().inForce();
+  }
+
+  private boolean allInForceAfter(ConfigVersion version) {
+    return shares.stream().allMatch(share -> inForce(share).isNewerThan(version));
+  }
+
+  private boolean allNamed(int count) {
+    EntryDirectory directory = new EntryDirectory();
+    return shares.stream()
+        .allMatch(
+            share -> directory.answer("caller", "dc1", share.view()).addresses().size() == count);
+  }
+
+  @Test
+  void entriesAgreeAndAnEntryStartedWithAStalePlatformTakesThePeersVersion() throws Exception {
+    start(1);
+    tickUntil(() -> shares.get(0).view().ready());
+    start(2);
+    tickUntil(() -> allNamed(2));
+    ConfigVersion first = inForce(shares.get(0));
+
+    publish(
+        Map.of(
+            "tenants/more.yaml",
+            Files.readString(tenantFile()).replaceFirst("name: \\S+", "name: more")));
+    tickUntil(() -> allInForceAfter(first));
+    ConfigVersion second = inForce(shares.get(0));
+
+    control("down=true");
+    PeerShare third = start(3);
+    tickUntil(() -> third.view().ready() && allNamed(3));
+    assertEquals(second, inForce(third));
+  }
+
+  @Test
+  void refusedSetIsVisibleOnEveryEntryAndTheOldOneStays() throws Exception {
+    start(1);
+    tickUntil(() -> shares.get(0).view().ready());
+    start(2);
+    tickUntil(() -> allNamed(2));
+    ConfigVersion first = inForce(shares.get(0));
+    publish(Map.of("tenants/bad.yaml", "name: [\n"));
+    tickUntil(
+        () -> shares.stream().noneMatch(share -> share.view().config().rejection().isEmpty()));
+    for (PeerShare share : shares) {
+      assertEquals(first, inForce(share));
+      assertTrue(share.view().config().rejection().toString().contains("tenants/bad.yaml"));
+    }
+  }
+
+  private static Path tenantFile() throws IOException {
+    try (Stream<Path> files = Files.list(FILES.resolve("tenants"))) {
+      return files.findFirst().orElseThrow();
+    }
+  }
+}
--- a/chivecross-core/src/main/java/org/chivecross/logic/config/ConfigSystem.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/config/ConfigSystem.java
@@ -38,6 +38,7 @@
   private static final String PLATFORM = "platform";
   private static final int MAX_REQUESTS = 8;
   private static final long STALL_NANOS = 4_000_000_000L;
+  private static final long PEERS_FIRST_NANOS = 500_000_000L;
   private static final long DEFER_NANOS = 2_000_000_000L;
 
   /** A request on its way: when it was sent and where to. */
@@ -66,6 +67,7 @@
   private @Nullable MemberView readersOf;
   private boolean reader;
   private long progressNanos;
+  private long fetchStartNanos;
   private long inForceSinceNanos;
   private long staleReads;
   private List<Failure> failures = List.of();
@@ -219,6 +221,7 @@
     abandonFetch();
     fetch = new SetFetch(best, deployment, known());
     progressNanos = nowNanos;
+    fetchStartNanos = nowNanos;
     if (best.equals(platformVersion) && platformManifest != null) {
       fetch.manifest(platformManifest, PLATFORM, codec);
     }
@@ -274,7 +277,9 @@
     if (requests.containsKey(file.sha256()) || requestFromPeer(file.sha256(), nowNanos)) {
       return;
     }
-    if (budget.tryTake(nowNanos)) {
+    // A reader fetches at once; the others give it time to offer the set to them.
+    boolean early = !reader && nowNanos - fetchStartNanos < PEERS_FIRST_NANOS;
+    if (!early && budget.tryTake(nowNanos)) {
       requests.put(file.sha256(), new Request(nowNanos, PLATFORM));
       platform.readFile(file.key(), file.sha256());
     }
