Tell all seven properties in features

Cause: budget, leaving, graceful stops and versions had no feature. Change: 13 scenarios over the engine's probes and leaving marks, DrainSystem and ConfigStore.

--- a/chivecross-core/src/test/java/org/chivecross/features/FeaturesTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/features/FeaturesTest.java
@@ -9,6 +9,8 @@
 @Suite
 @IncludeEngines("cucumber")
 @SelectPackages("features")
-@ConfigurationParameter(key = "cucumber.glue", value = "org.chivecross.logic.session")
+@ConfigurationParameter(
+    key = "cucumber.glue",
+    value = "org.chivecross.logic.session,org.chivecross.logic.config")
 @ConfigurationParameter(key = "cucumber.publish.quiet", value = "true")
 class FeaturesTest {}
--- a/chivecross-core/src/test/java/org/chivecross/logic/session/DeploymentFixture.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/session/DeploymentFixture.java
@@ -8,7 +8,6 @@
 import org.chivecross.logic.engine.BalancerEngine;
 import org.chivecross.logic.engine.EnginePreferences;
 import org.chivecross.logic.request.FakePolicies;
-import org.chivecross.logic.request.RequestPolicies;
 import org.chivecross.model.fileset.ClassPolicy;
 import org.chivecross.model.fileset.Deployment;
 import org.chivecross.model.fileset.FileSet;
@@ -29,22 +28,28 @@
 
   /** Returns the setup of {@code cooperative} or {@code prairie}; both run the real engine. */
   static FleetSetup setup(String deployment, int entries) {
-    FileSet set =
-        switch (deployment) {
-          case "cooperative" -> set(deployment, 4, 300, 16, 8, 6);
-          case "prairie" -> set(deployment, 6, 320, 17, 9, 6);
-          default -> throw new IllegalArgumentException("unknown deployment " + deployment);
-        };
-    return FleetSetup.of(entries).withPolicies(index -> engine(set, index));
+    FileSet set = fileSet(deployment);
+    return FleetSetup.of(entries)
+        .withPolicies(index -> engine(set, index).policies(new FakePolicies().policies().keys()));
   }
 
-  private static RequestPolicies engine(FileSet set, int index) {
+  /** Returns the file set of a deployment; its probe budget is 1 % and its entry bound 20. */
+  static FileSet fileSet(String deployment) {
+    return switch (deployment) {
+      case "cooperative" -> set(deployment, 4, 300, 16, 8, 6);
+      case "prairie" -> set(deployment, 6, 320, 17, 9, 6);
+      default -> throw new IllegalArgumentException("unknown deployment " + deployment);
+    };
+  }
+
+  /** Returns an engine that runs a file set from time 0. */
+  static BalancerEngine engine(FileSet set, int index) {
     BalancerEngine engine =
         new BalancerEngine(
             new EnginePreferences("e" + index, "dc0", 64, 8, 4096), new SplittableRandom(index));
     engine.apply(set, 0);
     engine.tick(0);
-    return engine.policies(new FakePolicies().policies().keys());
+    return engine;
   }
 
   private static FileSet set(
