--- a/chivecross-core/src/main/java/org/chivecross/logic/request/Arrival.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/Arrival.java
@@ -41,6 +41,19 @@
    */
   record Stop(Decision decision) implements Step {}
 
+  /** Refuses a request that no rule matches; an earlier copy of a key may have had a rule. */
+  Decision noRoute(RequestHead head, Optional<NotRunProof> proof, long nowNanos) {
+    boolean mayHaveRun = head.idempotencyKey().filter(key -> mayHaveRun(key, nowNanos)).isPresent();
+    return refusals.noRoute(mayHaveRun ? Optional.empty() : proof, head);
+  }
+
+  private boolean mayHaveRun(String key, long nowNanos) {
+    KeyClaim claim = keys.query(key, nowNanos);
+    return !(claim instanceof KeyClaim.Run
+        || claim instanceof KeyClaim.Fenced
+        || claim instanceof KeyClaim.Malformed);
+  }
+
   Step claim(Route route, RequestHead head, Optional<NotRunProof> proof, long nowNanos) {
     long deadline = deadlineNanos(route, head, nowNanos);
     RequestContext plain = new RequestContext(route, head, deadline, Optional.empty());
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/PolicyRequestMachine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/PolicyRequestMachine.java
@@ -49,11 +49,11 @@
       return new Decision.Finish();
     }
     Optional<Route> route = policies.router().route(head.method(), head.host(), head.path());
+    Arrival arrival = new Arrival(policies.keys(), refusals);
     if (route.isEmpty()) {
       state = new RequestState.Done();
-      return refusals.noRoute(proof(), head);
+      return arrival.noRoute(head, proof(), nowNanos);
     }
-    Arrival arrival = new Arrival(policies.keys(), refusals);
     Arrival.Step step = arrival.claim(route.get(), head, proof(), nowNanos);
     if (step instanceof Arrival.Stop stop) {
       state = new RequestState.Done();
--- a/chivecross-core/src/test/java/org/chivecross/logic/request/PolicyRequestMachineTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/request/PolicyRequestMachineTest.java
@@ -46,10 +46,16 @@
   }
 
   @Test
-  void refusesWithoutRouteOrTarget() {
+  void refusesWithoutRoute() {
     assertAnswer(404, Outcome.NOT_RUN, arrive("/nowhere", 0));
   }
 
+  @Test
+  void knownKeyWithoutRouteMayHaveRun() {
+    fakes.claim = new KeyClaim.Finished(201, Outcome.ANSWERED);
+    assertAnswer(404, Outcome.UNKNOWN, arrive("/nowhere", 0));
+  }
+
   @Test
   void refusesAtOnceWithoutTarget() {
     fakes.targets = 0;
--- a/chivecross-core/src/test/java/org/chivecross/logic/session/FaultScheduleTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/session/FaultScheduleTest.java
@@ -15,6 +15,7 @@
 class FaultScheduleTest {
 
   private static final int SCHEDULES = 1500;
+  private static final int ENGINE_SCHEDULES = 300;
 
   @Test
   void noScheduleBreaksARule() {
@@ -35,6 +36,20 @@
     }
   }
 
+  @Test
+  void noScheduleBreaksARuleOnTheEngine() {
+    List<String> found = new ArrayList<>();
+    for (long seed = 0; seed < ENGINE_SCHEDULES; seed++) {
+      String deployment = seed % 2 == 0 ? "cooperative" : "prairie";
+      FaultSchedule schedule = new FaultSchedule(seed, DeploymentFixture.setup(deployment, 3));
+      for (String violation : schedule.run()) {
+        found.add("seed " + seed + ": " + violation + " after " + schedule.commands());
+      }
+    }
+    System.out.println("FaultScheduleTest: " + ENGINE_SCHEDULES + " schedules on the engine");
+    assertEquals(List.of(), found.subList(0, Math.min(3, found.size())));
+  }
+
   private static void countOutcomes(FaultSchedule schedule, Map<String, Integer> outcomes) {
     for (String line : schedule.fleet().recorder().lines()) {
       if (line.startsWith("caller: ")) {
