Hand out keys of the entry that a caller is sent to

Cause: the directory's answer carried a key prefix of the entry that answered, not of the entry it put first. Change: sequences of membership claims follow the uptime in ms; PeerKeyPrefixes estimates an owner's uptime from them, never above the truth, and makes prefixes for it. Claims are renewed hourly. Ruled out: redirects to the first entry (callers without redirects would break), a prefix fetched over the peer protocol (a wait on each directory answer).

--- a/chivecross-bench/src/main/java/org/chivecross/cli/load/CallerDirectory.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/load/CallerDirectory.java
@@ -97,6 +97,7 @@
       }
       long lifetime = TimeUnit.MILLISECONDS.toNanos(body.path("lifetimeMillis").asLong());
       answer = new DirectoryAnswer(entries, body.path("keyPrefix").asText(""), nowNanos + lifetime);
+      nextSeed = 0;
       renewNanos = nowNanos + lifetime / 2;
     } catch (IOException e) {
       Logger.warn("directory of caller {}: {}", caller, e.toString());
--- a/chivecross-bench/src/main/java/org/chivecross/cli/standin/upstream/BehaviourControl.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/standin/upstream/BehaviourControl.java
@@ -13,7 +13,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.chivecross.cli.history.HistoryWriter;
 import org.chivecross.cli.settings.HostPort;
+import org.chivecross.model.history.HistoryEvent;
 
 /**
  * Endpoint by which tests and experiments change the behaviour of targets.
@@ -30,12 +32,15 @@
   private final HttpServer server;
   private final Collection<SlottedTarget> targets;
   private final Runnable silence;
+  private final HistoryWriter history;
 
-  BehaviourControl(HostPort address, Collection<SlottedTarget> targets, Runnable silence)
+  BehaviourControl(
+      HostPort address, Collection<SlottedTarget> targets, Runnable silence, HistoryWriter history)
       throws IOException {
     server = HttpServer.create(new InetSocketAddress(address.host(), address.port()), 0);
     this.targets = List.copyOf(targets);
     this.silence = silence;
+    this.history = history;
     server.createContext("/behaviour", this::changeBehaviour);
     server.createContext("/silence", this::silenceConnections);
     server.createContext("/targets", this::listTargets);
@@ -66,6 +71,7 @@
     int changed = 0;
     for (SlottedTarget target : targets) {
       if (target.address().startsWith(prefix)) {
+        recordLeaving(target, behaviour);
         target.setBehaviour(behaviour);
         changed++;
       }
@@ -73,6 +79,17 @@
     answer(exchange, OK, changed + " targets changed\n");
   }
 
+  private void recordLeaving(SlottedTarget target, Behaviour next) {
+    if (next.leaving() == target.behaviour().leaving()) {
+      return;
+    }
+    if (next.leaving()) {
+      history.write((at, by) -> new HistoryEvent.Leaving(at, by, target.address()));
+    } else {
+      history.write((at, by) -> new HistoryEvent.Back(at, by, target.address()));
+    }
+  }
+
   private void silenceConnections(HttpExchange exchange) throws IOException {
     silence.run();
     answer(exchange, OK, "open connections are silent\n");
--- a/chivecross-bench/src/main/java/org/chivecross/cli/standin/upstream/UpstreamStandin.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/standin/upstream/UpstreamStandin.java
@@ -84,7 +84,8 @@
         new BehaviourControl(
             HostPort.parse(preferences.control()),
             targets.values(),
-            filter::silenceOpenConnections);
+            filter::silenceOpenConnections,
+            history);
     control.start();
     return new UpstreamStandin(transport, timer, control, history);
   }
--- a/chivecross-core/src/main/java/org/chivecross/logic/directory/EntryDirectory.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/directory/EntryDirectory.java
@@ -56,7 +56,7 @@
     preferLeastHandedOut(entries, distance);
     count(entries.get(0).incarnation());
     List<String> addresses = entries.stream().map(EntryMember::clientAddress).toList();
-    return new DirectoryAnswer(addresses, lifetimeMillis(view));
+    return new DirectoryAnswer(addresses, entries.get(0).incarnation(), lifetimeMillis(view));
   }
 
   /** Returns the longest lifetime that an answer may have, in ms. */
--- a/chivecross-core/src/main/java/org/chivecross/logic/key/KeyPrefixIssuer.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/key/KeyPrefixIssuer.java
@@ -36,8 +36,18 @@
    * @param windowMillis time for which this process answers for such keys, in ms
    */
   public String prefix(long windowMillis, long nowNanos) {
+    allowWindow(windowMillis);
+    return format(incarnation, millis(nowNanos), windowMillis);
+  }
+
+  /** Accepts keys with a window up to this length from now on, whoever handed them out. */
+  public void allowWindow(long windowMillis) {
     longestWindowMillis.accumulateAndGet(windowMillis, Math::max);
-    return String.format(Locale.ROOT, "%016x-%x-%x-", incarnation, millis(nowNanos), windowMillis);
+  }
+
+  /** Returns the prefix of an incarnation that was up for {@code issuedMillis}. */
+  static String format(long incarnation, long issuedMillis, long windowMillis) {
+    return String.format(Locale.ROOT, "%016x-%x-%x-", incarnation, issuedMillis, windowMillis);
   }
 
   /** Returns whether a key carries a prefix that this issuer can have issued by now. */
--- a/chivecross-core/src/main/java/org/chivecross/logic/membership/MembershipSystem.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/membership/MembershipSystem.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.chivecross.logic.peer.PeerOutbox;
@@ -32,6 +33,7 @@
   private static final long REFRESH_NANOS = 2_000_000_000L;
   private static final long SYNC_PERIOD_NANOS = 5_000_000_000L;
   private static final long FLUSH_PERIOD_NANOS = 20_000_000L;
+  private static final long RENEWAL_PERIOD_NANOS = TimeUnit.HOURS.toNanos(1);
   private static final long AGING_PERIOD_NANOS = 100_000_000L;
   private static final int MISMATCHES_BEFORE_SYNC = 3 * 4;
   private static final int CONTACTS_PER_PERIOD = 3;
@@ -54,6 +56,8 @@
   private boolean fresh = true;
   private long refreshUntilNanos;
   private long lastTickNanos;
+  private long startedNanos;
+  private long nextRenewalNanos;
   private long nextProbeNanos;
   private long nextContactNanos;
   private long nextSyncNanos;
@@ -96,14 +100,14 @@
   /** Replaces what this entry says of itself and tells the others. */
   public void mark(EntryMarks marks) {
     if (!marks.equals(self.marks())) {
-      renewSelf(self.sequence() + 1, marks);
+      renewSelf(nextSequence(self.sequence()), marks);
     }
   }
 
   /** Replaces the address for callers and tells the others. */
   public void serveAt(String clientAddress) {
     self = self.servingAt(clientAddress);
-    renewSelf(self.sequence() + 1, self.marks());
+    renewSelf(nextSequence(self.sequence()), self.marks());
   }
 
   /** Tells the neighbours that this process ends now. */
@@ -130,6 +134,10 @@
       nextProbeNanos = nowNanos + preferences.probePeriodNanos();
       probes.probe(neighbours().successors(), nowNanos);
     }
+    if (nowNanos >= nextRenewalNanos) {
+      nextRenewalNanos = nowNanos + RENEWAL_PERIOD_NANOS;
+      renewSelf(nextSequence(self.sequence()), self.marks());
+    }
     if (nowNanos >= nextAgingNanos) {
       nextAgingNanos = nowNanos + AGING_PERIOD_NANOS;
       buryAndForget(nowNanos);
@@ -173,6 +181,8 @@
 
   private void start(long nowNanos) {
     started = true;
+    startedNanos = nowNanos;
+    nextRenewalNanos = nowNanos + RENEWAL_PERIOD_NANOS;
     nextProbeNanos = nowNanos + random.nextLong(preferences.probePeriodNanos());
     nextContactNanos = nowNanos + preferences.rejoinPeriodNanos() / 2;
     contact(CONTACTS_AT_START, nowNanos);
@@ -185,7 +195,7 @@
         table.postponeState(row, gapNanos);
       }
     }
-    renewSelf(self.sequence() + 1, self.marks());
+    renewSelf(nextSequence(self.sequence()), self.marks());
     fresh = liveOthers() == 0;
     refreshUntilNanos = nowNanos + REFRESH_NANOS;
     List<EntryMember> asked = new ArrayList<>(neighbours().all());
@@ -274,8 +284,19 @@
 
   private void refute(EntryMember claim) {
     if (claim.overrides(self)) {
-      renewSelf(claim.sequence() + 1, self.marks());
+      renewSelf(nextSequence(claim.sequence()), self.marks());
+    }
+  }
+
+  /**
+   * Sequences follow the time since the start in ms, so that others can tell from the latest claim
+   * for how long this entry has been up at least.
+   */
+  private long nextSequence(long above) {
+    if (!started) {
+      return above + 1;
     }
+    return Math.max(above + 1, TimeUnit.NANOSECONDS.toMillis(lastTickNanos - startedNanos));
   }
 
   private void renewSelf(long sequence, EntryMarks marks) {
--- a/chivecross-core/src/main/java/org/chivecross/model/peer/EntryMember.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/peer/EntryMember.java
@@ -11,7 +11,7 @@
  * @param peerAddress {@code ip:port} for other entries
  * @param clientAddress {@code ip:port} for callers
  * @param dataCentre data centre from its settings
- * @param sequence number that only the entry itself raises
+ * @param sequence number that only the entry itself raises, to at least the ms since its start
  * @param state belief about it
  * @param marks what it says of itself
  */
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryKeys.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryKeys.java
@@ -7,6 +7,7 @@
 import org.chivecross.logic.key.KeyPrefixIssuer;
 import org.chivecross.logic.key.KeyRecordTable;
 import org.chivecross.logic.key.OwnedKeyHandler;
+import org.chivecross.logic.key.PeerKeyPrefixes;
 import org.chivecross.logic.peer.NodeView;
 import org.chivecross.model.fileset.Deployment;
 
@@ -16,6 +17,7 @@
   private static final int RECORDS = 131_072;
 
   private final KeyPrefixIssuer issuer;
+  private final PeerKeyPrefixes peers = new PeerKeyPrefixes();
   private final KeyRecordTable records;
   private final OwnedKeyHandler service;
   private volatile Optional<InetSocketAddress> address = Optional.empty();
@@ -39,14 +41,35 @@
     address = Optional.of(callerAddress);
   }
 
-  /** Returns a prefix for a caller; empty while no file set states a window. */
-  String prefix(NodeView view) {
-    long windowMillis =
-        view.config()
-            .fileSet()
-            .map(set -> set.deployment())
-            .map(Deployment::keyWindowMillis)
-            .orElse(0);
-    return windowMillis == 0 ? "" : issuer.prefix(windowMillis, System.nanoTime());
+  /** Takes in what this entry knows of the others; called by one thread each tick. */
+  void observe(NodeView view, long nowNanos) {
+    issuer.allowWindow(windowMillis(view));
+    peers.observe(view.members(), nowNanos);
+  }
+
+  /**
+   * Returns a prefix for a caller that is sent to an entry: one of that entry where its uptime is
+   * known, else one of this entry; empty while no file set states a window.
+   */
+  String prefix(NodeView view, long incarnation) {
+    long windowMillis = windowMillis(view);
+    if (windowMillis == 0) {
+      return "";
+    }
+    long nowNanos = System.nanoTime();
+    if (incarnation == issuer.incarnation()) {
+      return issuer.prefix(windowMillis, nowNanos);
+    }
+    return peers
+        .prefix(incarnation, windowMillis, nowNanos)
+        .orElseGet(() -> issuer.prefix(windowMillis, nowNanos));
+  }
+
+  private static long windowMillis(NodeView view) {
+    return view.config()
+        .fileSet()
+        .map(set -> set.deployment())
+        .map(Deployment::keyWindowMillis)
+        .orElse(0);
   }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
@@ -74,7 +74,7 @@
         new LocalRoutes(
             Map.of(
                 "/chivecross/entries",
-                new DirectoryHandler(share::view, () -> keys.prefix(share.view())),
+                new DirectoryHandler(share::view, first -> keys.prefix(share.view(), first)),
                 OutcomeHandler.PATH,
                 new OutcomeHandler(keys.records(), share.ownerCalls(), System::nanoTime)));
     PrometheusRegistry registry = new PrometheusRegistry();
@@ -146,7 +146,8 @@
     }
     Logger.info("serving the administration API at {}", admin.start());
     ticker.every(TIMER_PERIOD_MILLIS, List.of(dataPath::tick));
-    ticker.every(ENGINE_PERIOD_MILLIS, List.of(share::tick, this::serve, engine::tick));
+    ticker.every(
+        ENGINE_PERIOD_MILLIS, List.of(share::tick, this::serve, this::observe, engine::tick));
     ticker.every(KEY_PERIOD_MILLIS, List.of(keys.records()::expire));
     ticker.every(IDLE_PERIOD_MILLIS, List.of(dataPath::closeIdle, this::drain));
     return port;
@@ -187,6 +188,10 @@
     }
   }
 
+  private void observe(long nowNanos) {
+    keys.observe(share.view(), nowNanos);
+  }
+
   private void drain(long nowNanos) {
     DrainSystem.Phase phase = drain.tick(dataPath.isDrained(), nowNanos);
     if (phase == DrainSystem.Phase.FINISHED || phase == DrainSystem.Phase.CUT) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/directory/DirectoryHandler.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/directory/DirectoryHandler.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.LongFunction;
 import java.util.function.Supplier;
 import org.chivecross.cli.entry.http.LocalHandler;
 import org.chivecross.cli.entry.http.LocalRequest;
@@ -24,15 +25,15 @@
   private final EntryDirectory directory = new EntryDirectory();
   private final JsonMapper mapper = JsonMapper.builder().build();
   private final Supplier<NodeView> view;
-  private final Supplier<String> keyPrefixes;
+  private final LongFunction<String> keyPrefixes;
 
   /**
    * Creates a handler.
    *
    * @param view what this entry knows
-   * @param keyPrefixes prefixes of keys that this incarnation owns
+   * @param keyPrefixes prefix of keys that an incarnation owns; empty when none can be given
    */
-  public DirectoryHandler(Supplier<NodeView> view, Supplier<String> keyPrefixes) {
+  public DirectoryHandler(Supplier<NodeView> view, LongFunction<String> keyPrefixes) {
     this.view = view;
     this.keyPrefixes = keyPrefixes;
   }
@@ -59,7 +60,10 @@
   private String json(DirectoryAnswer answer) {
     try {
       return mapper.writeValueAsString(
-          new Body(answer.addresses(), keyPrefixes.get(), answer.lifetimeMillis()));
+          new Body(
+              answer.addresses(),
+              keyPrefixes.apply(answer.firstIncarnation()),
+              answer.lifetimeMillis()));
     } catch (JsonProcessingException e) {
       throw new IllegalStateException("an answer is always writable", e);
     }
