Probe marked targets for real, refuse beyond limits at once

Cause: an entry never sent the probes that the engine asks for, so a target marked after refused connections stayed out for good, and with all of them refusing a service would have been lost. Change: HealthProber sends them within the budget and exports probes, bytes and slot time beside it; refused connections give way when more than half of the targets refuse; the platform's list of VMs reaches the engine; a request beyond a limit of its tenant or service is LIMITED at once instead of polling in a queue until near its deadline.

--- a/chivecross-core/src/main/java/org/chivecross/logic/balance/CandidateSystem.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/balance/CandidateSystem.java
@@ -1,12 +1,14 @@
 package org.chivecross.logic.balance;
 
 import java.util.Arrays;
+import org.chivecross.model.table.LeavingEvidence;
 import org.chivecross.model.table.TargetTable;
 
 /**
  * Decides which targets may take new work and with what weight, and publishes it for the request
  * path. A target that is leaving takes none; one that is ejected takes none while others are left;
- * one that began to serve a short time ago takes less.
+ * one that began to serve a short time ago takes less. Refused connections count as leaving only
+ * while they are seen at no more than half of the targets.
  *
  * <p>Not thread-safe: runs in the tick.
  */
@@ -35,6 +37,7 @@
    * @param old view of the last tick; returned again when nothing changed
    */
   public Candidates candidates(int[] rows, long[] extraNanos, Candidates old, long nowNanos) {
+    releaseMostlyRefused(rows, nowNanos);
     int usable = 0;
     for (int row : rows) {
       if (isUsable(row)) {
@@ -80,6 +83,23 @@
     return Math.rint(weight * WEIGHT_STEPS) / WEIGHT_STEPS;
   }
 
+  /** When most targets refuse connections, the fault is more likely on the own side. */
+  private void releaseMostlyRefused(int[] rows, long nowNanos) {
+    int refused = 0;
+    for (int row : rows) {
+      if (targets.leaving().stands(row, LeavingEvidence.REFUSED_CONNECTIONS)) {
+        refused++;
+      }
+    }
+    if (refused <= rows.length / 2) {
+      return;
+    }
+    for (int row : rows) {
+      targets.leaving().contradict(row, LeavingEvidence.REFUSED_CONNECTIONS, nowNanos);
+      targets.health().resetRefusals(row);
+    }
+  }
+
   private boolean isUsable(int row) {
     return !targets.leaving().isLeaving(row) && !targets.health().isEjected(row);
   }
--- a/chivecross-core/src/main/java/org/chivecross/logic/engine/BalancerEngine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/engine/BalancerEngine.java
@@ -206,9 +206,14 @@
     return probes.cost(topology, nowNanos);
   }
 
-  /** Returns where evidence that targets are leaving goes. */
-  public LeavingSystem leaving() {
-    return leaving;
+  /**
+   * The platform listed a VM. Safe for use by many threads.
+   *
+   * @param ip IP number of the VM
+   * @param isLeaving whether it is listed as leaving
+   */
+  public void vmListed(String ip, boolean isLeaving, long nowNanos) {
+    topology.targetRowsAt(ip).forEach(row -> leaving.listed(row, isLeaving, nowNanos));
   }
 
   /** Returns the targets that this entry knows to be leaving, to be told to other entries. */
--- a/chivecross-core/src/main/java/org/chivecross/logic/engine/Topology.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/engine/Topology.java
@@ -63,6 +63,14 @@
     return targetRows.getOrDefault(address, TargetSelector.NONE);
   }
 
+  /** Rows of all targets at an IP number. */
+  List<Integer> targetRowsAt(String ip) {
+    return targetRows.entrySet().stream()
+        .filter(target -> target.getKey().startsWith(ip + ":"))
+        .map(Map.Entry::getValue)
+        .toList();
+  }
+
   Optional<Integer> serviceRow(String name) {
     return Optional.ofNullable(serviceRows.get(name));
   }
--- a/chivecross-core/src/main/java/org/chivecross/logic/limit/SharedAdmission.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/limit/SharedAdmission.java
@@ -9,6 +9,9 @@
  * Admits requests within this entry's share of the limits of their service and tenant, within the
  * tenant's fair part of a full entry, and as long as the targets can answer in time.
  *
+ * <p>A request beyond a limit is refused at once with a time to come back, never held in the entry:
+ * the only queues are the short ones of the targets.
+ *
  * <p>Invariant: each admitted request is counted once in its service, its tenant and the entry
  * until it is released. Safe for use by many threads; allocates nothing.
  */
@@ -56,11 +59,11 @@
       return Verdict.SHED;
     }
     if (!services.tryEnter(service, limits.own().concurrency())) {
-      return Verdict.QUEUED;
+      return Verdict.LIMITED;
     }
     if (!tenants.tryEnter(limits.tenantRow(), tenantLimit(limits))) {
       services.leave(service);
-      return Verdict.QUEUED;
+      return Verdict.LIMITED;
     }
     if (!tryTakeTokens(service, limits, nowNanos)) {
       services.leave(service);
--- a/chivecross-core/src/main/java/org/chivecross/model/table/TargetHealth.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/table/TargetHealth.java
@@ -65,6 +65,11 @@
     return refusalsInRow.incrementAndGet(row);
   }
 
+  /** Forgets refused connections. */
+  public void resetRefusals(int row) {
+    refusalsInRow.set(row, 0);
+  }
+
   /** Returns the attempts that succeeded since the row was acquired. */
   public long successes(int row) {
     return successes.get(row);
--- a/chivecross-core/src/test/java/org/chivecross/logic/engine/SelectionTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/engine/SelectionTest.java
@@ -12,6 +12,7 @@
 import org.chivecross.logic.request.RequestPolicies;
 import org.chivecross.model.fileset.RequestClass;
 import org.chivecross.model.peer.LeavingMark;
+import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.LoadReport;
 import org.junit.jupiter.api.Test;
 
@@ -98,6 +99,37 @@
     assertTrue(engine.probeCost(now).spentMillis() <= engine.probeCost(now).allowedMillis());
   }
 
+  @Test
+  void targetThatRefusesIsLeftOutUnlessMostDo() {
+    refuse(firstTarget());
+    assertEquals(0, engine.targetStatuses(now).get(0).weight());
+    engine.targetStatuses(now).forEach(target -> refuse(target.row()));
+    assertTrue(
+        engine.targetStatuses(now).stream().filter(target -> target.weight() > 0).count() >= 4);
+    assertNotEquals(TargetSelector.NONE, select());
+  }
+
+  private void refuse(int target) {
+    for (int i = 0; i < 3; i++) {
+      now += MILLI;
+      observer.connectionFailed(target, ConnectionFault.REFUSED, now);
+    }
+    now += MILLI;
+    engine.tick(now);
+  }
+
+  @Test
+  void listedVmIsLeftOutUntilItIsListedAsLive() {
+    String address = engine.address(firstTarget());
+    String ip = address.substring(0, address.indexOf(':'));
+    engine.vmListed(ip, true, now);
+    engine.tick(now);
+    assertEquals(0, engine.targetStatuses(now).get(0).weight());
+    engine.vmListed(ip, false, now + 1);
+    engine.tick(now + 1);
+    assertEquals(1, engine.targetStatuses(now).get(0).weight());
+  }
+
   @Test
   void targetThatJoinsRunningServiceRampsUp() {
     engine.apply(EngineFixture.board(TARGETS + 1, SLOTS, 1, EngineFixture.WIDE), now);
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
@@ -20,6 +20,7 @@
 import org.chivecross.cli.entry.peer.LocalShare;
 import org.chivecross.cli.entry.peer.PeerShare;
 import org.chivecross.cli.entry.peer.ShareStatus;
+import org.chivecross.cli.entry.probe.HealthProber;
 import org.chivecross.logic.directory.EntryDirectory;
 import org.chivecross.logic.drain.DrainSystem;
 import org.chivecross.logic.engine.BalancerEngine;
@@ -55,6 +56,7 @@
   private final DrainSystem drain;
   private final CountDownLatch stopped = new CountDownLatch(1);
   private final EntryKeys keys;
+  private final HealthProber prober;
   private boolean serving;
 
   /** Creates an entry around its share. */
@@ -68,6 +70,7 @@
     this.keys = keys;
     this.engine = engine;
     this.share = share;
+    prober = new HealthProber(engine);
     drain = new DrainSystem(preferences.peers().stopDeadline().toMillis());
     LocalRoutes routes =
         new LocalRoutes(
@@ -93,6 +96,20 @@
         "Bytes allocated by the live threads",
         HeapAllocation::allocatedBytes);
     metrics.gauge("chivecross_callers", "Open connections of callers", dataPath::callerCount);
+    metrics.counter(
+        "chivecross_probes", "Probes sent", () -> engine.probeCost(System.nanoTime()).probes());
+    metrics.counter(
+        "chivecross_probe_bytes",
+        "Bytes of probes and their answers",
+        () -> engine.probeCost(System.nanoTime()).bytes());
+    metrics.counter(
+        "chivecross_probe_slot_millis",
+        "Slot time spent on probes in ms",
+        () -> Math.round(engine.probeCost(System.nanoTime()).spentMillis()));
+    metrics.counter(
+        "chivecross_probe_slot_millis_allowed",
+        "Slot time that this entry's share of the probe budget allowed in ms",
+        () -> Math.round(engine.probeCost(System.nanoTime()).allowedMillis()));
     admin =
         new AdminServer(preferences.admin(), adminViews(engine, share, keys.records(), registry));
   }
@@ -117,7 +134,8 @@
               preferences.peers(),
               incarnation,
               (version, set) -> apply(set, engine, addresses),
-              vms -> {},
+              vms ->
+                  vms.forEach(vm -> engine.vmListed(vm.address(), vm.leaving(), System.nanoTime())),
               keys.service());
       return Result.success(new EntryProcess(preferences, engine, share, addresses, keys));
     }
@@ -144,7 +162,8 @@
     }
     Logger.info("serving the administration API at {}", admin.start());
     ticker.every(TIMER_PERIOD_MILLIS, List.of(dataPath::tick));
-    ticker.every(ENGINE_PERIOD_MILLIS, List.of(share::tick, this::serve, engine::tick));
+    ticker.every(
+        ENGINE_PERIOD_MILLIS, List.of(share::tick, this::serve, engine::tick, prober::tick));
     ticker.every(KEY_PERIOD_MILLIS, List.of(keys.records()::expire));
     ticker.every(IDLE_PERIOD_MILLIS, List.of(dataPath::closeIdle, this::drain));
     return port;
