Check that given-up requests are answered at once and told when to come back

Cause: an answer held back until near the deadline would break no rule so far. Change: the virtual fleet reports a request with nothing in flight or planned that has no answer, and refusals without Retry-After; both are planted and caught. An architecture rule lets NotRunProof alone use NOT_RUN and EXPIRED in the request logic.

--- a/chivecross-core/src/test/java/org/chivecross/ArchitectureTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/ArchitectureTest.java
@@ -64,4 +64,16 @@
           .orShould()
           .dependOnClassesThat()
           .haveFullyQualifiedName("java.security.SecureRandom");
+
+  @ArchTest
+  static final ArchRule NOT_RUN_NEEDS_A_PROOF =
+      noClasses()
+          .that()
+          .resideInAPackage("org.chivecross.logic.request..")
+          .and()
+          .doNotHaveSimpleName("NotRunProof")
+          .should()
+          .accessField(org.chivecross.model.request.Outcome.class, "NOT_RUN")
+          .orShould()
+          .accessField(org.chivecross.model.request.Outcome.class, "EXPIRED");
 }
--- a/chivecross-core/src/test/java/org/chivecross/logic/session/PlantedFaultTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/session/PlantedFaultTest.java
@@ -134,6 +134,27 @@
     assertCaught("not settled", mutant(PlantedFaultTest::silentGiveUp));
   }
 
+  @Test
+  void givenUpRequestHeldBack() {
+    assertCaught("held back", mutant(PlantedFaultTest::silentGiveUp));
+  }
+
+  @Test
+  void refusalWithoutRetryAfter() {
+    UnaryOperator<RequestMachine> fault =
+        inner ->
+            new MachineMutant(inner) {
+              @Override
+              Decision change(Decision decision) {
+                return decision instanceof Decision.Answer answer
+                    ? new Decision.Answer(
+                        answer.status(), answer.outcome(), answer.failure(), OptionalLong.empty())
+                    : decision;
+              }
+            };
+    assertCaught("no time to come back", mutant(fault));
+  }
+
   private static RequestMachine reclassified(RequestPolicies policies) {
     RequestPolicies wrong =
         new RequestPolicies(
--- a/chivecross-core/src/test/java/org/chivecross/logic/session/SessionHop.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/session/SessionHop.java
@@ -11,6 +11,7 @@
   final SessionCall call;
   final SessionEntry entry;
   final RequestMachine machine;
+  final long deadlineNanos;
   final List<SessionAttempt> attempts = new ArrayList<>();
 
   /** Entry to which the request is being passed, until it arrives there. */
@@ -21,12 +22,18 @@
 
   boolean over;
 
-  SessionHop(SessionCall call, SessionEntry entry) {
+  SessionHop(SessionCall call, SessionEntry entry, long deadlineNanos) {
+    this.deadlineNanos = deadlineNanos;
     this.call = call;
     this.entry = entry;
     machine = entry.machines.create();
   }
 
+  boolean hasOpenAttempt() {
+    return attempts.stream()
+        .anyMatch(attempt -> attempt.entrySide != SessionAttempt.EntrySide.CLOSED);
+  }
+
   void closeAttempts(int kept) {
     for (SessionAttempt attempt : attempts) {
       if (attempt.number != kept) {
--- a/chivecross-core/src/test/java/org/chivecross/logic/session/VirtualFleet.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/session/VirtualFleet.java
@@ -33,12 +33,14 @@
 final class VirtualFleet {
 
   private static final long DEADLINE_MILLIS = 100;
+  private static final int FIRST_GIVE_UP_STATUS = 429;
   private static final String SEPARATOR = " ";
 
   private final Map<String, SessionEntry> entries = new LinkedHashMap<>();
   private final Map<String, SessionCall> calls = new LinkedHashMap<>();
   private final List<SessionHop> hops = new ArrayList<>();
   private final SessionRecorder recorder = new SessionRecorder();
+  private final List<String> problems = new ArrayList<>();
   private long now;
 
   VirtualFleet(FleetSetup setup) {
@@ -120,7 +122,7 @@
 
   /** Returns broken rules; completeness is checked only when all requests are over. */
   List<String> violations() {
-    List<String> found = new ArrayList<>();
+    List<String> found = new ArrayList<>(problems);
     for (Violation violation : new HistoryChecker().check(recorder.events())) {
       if (isSettled() || !violation.detail().equals("0 outcomes")) {
         found.add(violation.toString());
@@ -166,7 +168,8 @@
   }
 
   private void arrive(SessionCall call, SessionEntry entry) {
-    SessionHop hop = new SessionHop(call, entry);
+    long deadline = now + TimeUnit.MILLISECONDS.toNanos(DEADLINE_MILLIS);
+    SessionHop hop = new SessionHop(call, entry, deadline);
     hops.add(hop);
     Optional<String> key = call.key.isEmpty() ? Optional.empty() : Optional.of(call.key);
     String path = "/" + call.requestClass.name().toLowerCase(Locale.ROOT);
@@ -244,6 +247,19 @@
     if (hop.over) {
       return;
     }
+    follow(hop, decision);
+    boolean pending = hop.passingTo != null || hop.hasOpenAttempt();
+    if (!hop.over && !pending && hop.machine.nextTimerNanos() >= hop.deadlineNanos) {
+      problems.add("held back: " + hop.call.id);
+    }
+    if (decision instanceof Decision.Answer answer
+        && answer.status() >= FIRST_GIVE_UP_STATUS
+        && answer.retryAfterMillis().isEmpty()) {
+      problems.add("no time to come back: " + hop.call.id);
+    }
+  }
+
+  private void follow(SessionHop hop, Decision decision) {
     if (decision instanceof Decision.Send send) {
       hop.attempts.add(new SessionAttempt(send.attempt(), send.target()));
       String kind = send.kind().name().toLowerCase(Locale.ROOT);
