--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/key/LoopbackRunner.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/key/LoopbackRunner.java
@@ -10,17 +10,14 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import org.chivecross.cli.entry.http.ProblemAnswers;
-import org.chivecross.model.failure.Failure;
+import org.chivecross.cli.entry.platform.BoundedBody;
 import org.chivecross.model.failure.Step;
 import org.chivecross.model.peer.HeaderField;
 import org.chivecross.model.peer.KeyAnswer;
 import org.chivecross.model.peer.KeyCall;
-import org.chivecross.model.request.Outcome;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
@@ -32,7 +29,6 @@
 
   private static final String RESTRICTED = "jdk.httpclient.allowRestrictedHeaders";
   private static final String DEADLINE = "Chivecross-Deadline-Ms";
-  private static final int BAD_GATEWAY = 502;
 
   /** Headers that the client sets itself. */
   private static final Set<String> OWN_HEADERS =
@@ -62,7 +58,9 @@
     }
     try {
       client
-          .sendAsync(request(call, own.get(), remainingMillis), this::handlerOf)
+          .sendAsync(
+              request(call, own.get(), remainingMillis),
+              info -> new BoundedBody(KeyCall.MAX_BODY_BYTES))
           .whenComplete((response, error) -> answer.accept(answerOf(response, error)));
     } catch (IllegalArgumentException e) {
       Logger.error("step={} peer=local passed request is refused: {}", Step.KEY_LOOKUP, e);
@@ -86,27 +84,11 @@
     return request.header(DEADLINE, Long.toString(remainingMillis)).build();
   }
 
-  /** Reads bodies that can be passed and drops those that are known to be too long. */
-  private HttpResponse.BodySubscriber<byte[]> handlerOf(HttpResponse.ResponseInfo info) {
-    OptionalLong length = info.headers().firstValueAsLong("content-length");
-    if (length.isPresent() && length.getAsLong() > KeyCall.MAX_BODY_BYTES) {
-      return HttpResponse.BodySubscribers.replacing(new byte[KeyCall.MAX_BODY_BYTES + 1]);
-    }
-    return HttpResponse.BodySubscribers.ofByteArray();
-  }
-
   private static KeyAnswer answerOf(
       @Nullable HttpResponse<byte[]> response, @Nullable Throwable error) {
     if (response == null) {
       return KeyAnswers.toPeer(KeyReports.unknown("the owner got no answer: " + error));
     }
-    if (response.body().length > KeyCall.MAX_BODY_BYTES) {
-      Failure failure =
-          new Failure(
-              Step.RELAY_RESPONSE, Failure.LOCAL, "an answer too long to be passed on came");
-      return KeyAnswers.toPeer(
-          ProblemAnswers.of(BAD_GATEWAY, Outcome.UNKNOWN, failure, OptionalLong.empty()));
-    }
     List<HeaderField> fields = new ArrayList<>();
     response
         .headers()
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/platform/BoundedBody.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/platform/BoundedBody.java
@@ -15,14 +15,15 @@
  *
  * <p>Invariant: never holds more than the bound.
  */
-final class BoundedBody implements HttpResponse.BodySubscriber<byte[]> {
+public final class BoundedBody implements HttpResponse.BodySubscriber<byte[]> {
 
   private final int maxBytes;
   private final CompletableFuture<byte[]> body = new CompletableFuture<>();
   private final ByteArrayOutputStream collected = new ByteArrayOutputStream();
   private Flow.@Nullable Subscription subscription;
 
-  BoundedBody(int maxBytes) {
+  /** Creates a subscriber that takes at most {@code maxBytes}. */
+  public BoundedBody(int maxBytes) {
     this.maxBytes = maxBytes;
   }
 
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/key/KeyServiceTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/key/KeyServiceTest.java
@@ -120,6 +120,31 @@
     }
   }
 
+  @Test
+  void answerTooLongToPassIsUnknown() throws IOException, InterruptedException {
+    HttpServer server =
+        HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    server.createContext(
+        "/write",
+        exchange -> {
+          exchange.sendResponseHeaders(200, 0);
+          try (exchange) {
+            exchange.getResponseBody().write(new byte[KeyCall.MAX_BODY_BYTES + 1]);
+          }
+        });
+    server.start();
+    try {
+      BlockingQueue<KeyAnswer> answers = new LinkedBlockingQueue<>();
+      new LoopbackRunner(() -> Optional.of(server.getAddress()))
+          .run(call(key), 5_000, answers::add);
+      KeyAnswer answer = answers.poll(10, TimeUnit.SECONDS);
+      assertEquals(503, answer.status());
+      assertEquals("unknown", outcome(KeyAnswers.toCaller(answer)));
+    } finally {
+      server.stop(0);
+    }
+  }
+
   @Test
   void loopbackWithoutAnswerIsUnknown() throws InterruptedException {
     BlockingQueue<KeyAnswer> answers = new LinkedBlockingQueue<>();
