Show the last decisions with their reason

Cause: an operator could not find out why a request was refused. Change: a lock-free ring of the last 1,000 decisions that were not plain (own answers, aborts, attempts after the first, requests passed to the owner of a key), fed by a machine that wraps the request machine; ExchangeObserver.recorded is the one new seam of the data path.

--- a/chivecross-admin/src/main/java/org/chivecross/cli/admin/TableText.java
+++ b/chivecross-admin/src/main/java/org/chivecross/cli/admin/TableText.java
@@ -11,7 +11,7 @@
 /** Draws rows of JSON as a table of text. Stateless. */
 final class TableText {
 
-  private static final int MAX_WIDTH = 60;
+  private static final int MAX_WIDTH = 160;
   private static final String GAP = "  ";
 
   private TableText() {}
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
@@ -71,13 +71,14 @@
         new LocalRoutes(Map.of("/chivecross/entries", new DirectoryHandler(share::view, () -> "")));
     PrometheusRegistry registry = new PrometheusRegistry();
     EntryMetrics metrics = new EntryMetrics(registry, engine::tenantName);
+    RecordingObserver observer = new RecordingObserver(metrics, engine::address);
     dataPath =
         new DataPath(
             engine.policies(keys),
             share.ownerCalls(),
             addresses,
             routes,
-            metrics,
+            observer,
             preferences.dataPath());
     metrics.gauge("chivecross_in_flight", "Requests in flight", dataPath::inFlightCount);
     metrics.counter(
@@ -85,7 +86,8 @@
         "Bytes allocated by the live threads",
         HeapAllocation::allocatedBytes);
     metrics.gauge("chivecross_callers", "Open connections of callers", dataPath::callerCount);
-    admin = new AdminServer(preferences.admin(), adminViews(engine, share, keys, registry));
+    admin =
+        new AdminServer(preferences.admin(), adminViews(engine, share, keys, registry, observer));
   }
 
   /**
@@ -199,7 +201,11 @@
   }
 
   private static AdminViews adminViews(
-      BalancerEngine engine, FleetShare share, KeyRegistry keys, PrometheusRegistry metrics) {
+      BalancerEngine engine,
+      FleetShare share,
+      KeyRegistry keys,
+      PrometheusRegistry metrics,
+      RecordingObserver observer) {
     Deployment nothing = new Deployment("", 1, 0, 0, List.of(), List.of());
     FileSet empty = new FileSet(nothing, List.of(), List.of(), List.of());
     return new EntryAdminViews(
@@ -212,6 +218,6 @@
             () -> ShareStatus.readiness(share.view()),
             () -> ShareStatus.config(share),
             () -> ShareStatus.members(share.view()),
-            List::of);
+            observer::decisions);
   }
 }
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/RecordingObserver.java
@@ -0,0 +1,75 @@
+package org.chivecross.cli.entry;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.function.IntFunction;
+import org.chivecross.cli.entry.admin.DecisionStatus;
+import org.chivecross.cli.entry.http.ExchangeObserver;
+import org.chivecross.cli.entry.http.ExchangeSummary;
+import org.chivecross.logic.request.DecisionLog;
+import org.chivecross.logic.request.DecisionRecord;
+import org.chivecross.logic.request.RequestMachines;
+
+/** Keeps the last decisions beside what another observer learns. Safe for use by many threads. */
+final class RecordingObserver implements ExchangeObserver {
+
+  private static final int CAPACITY = 1_000;
+
+  private final ExchangeObserver observer;
+  private final IntFunction<String> targetAddress;
+  private final DecisionLog log = new DecisionLog(CAPACITY);
+
+  /**
+   * Creates an observer.
+   *
+   * @param observer is told all that this one is told
+   * @param targetAddress address of a target by its row
+   */
+  RecordingObserver(ExchangeObserver observer, IntFunction<String> targetAddress) {
+    this.observer = observer;
+    this.targetAddress = targetAddress;
+  }
+
+  /** Returns the last decisions, newest first. */
+  List<DecisionStatus> decisions() {
+    long nowNanos = System.nanoTime();
+    Instant now = Instant.now();
+    return log.newestFirst().stream()
+        .map(entry -> status(entry, now.minusNanos(nowNanos - entry.nanos())))
+        .toList();
+  }
+
+  @Override
+  public RequestMachines recorded(RequestMachines machines) {
+    return log.recorded(observer.recorded(machines));
+  }
+
+  @Override
+  public void ended(ExchangeSummary summary) {
+    observer.ended(summary);
+  }
+
+  @Override
+  public void foundSilent(int closed) {
+    observer.foundSilent(closed);
+  }
+
+  @Override
+  public void headRefused(int status) {
+    observer.headRefused(status);
+  }
+
+  private DecisionStatus status(DecisionRecord entry, Instant at) {
+    return new DecisionStatus(
+        at.toString(),
+        entry.method(),
+        entry.host(),
+        entry.path(),
+        entry.action(),
+        entry.status(),
+        entry.outcome(),
+        entry.step(),
+        entry.target() < 0 ? entry.peer() : targetAddress.apply(entry.target()),
+        entry.detail());
+  }
+}
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
@@ -48,7 +48,7 @@
     callers = new CallerRegistry(settings);
     ExchangeServices services =
         new ExchangeServices(
-            new DefaultRequestMachines(policies),
+            observer.recorded(new DefaultRequestMachines(policies)),
             policies.router(),
             policies.retries(),
             owners,
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/OpenApiTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/OpenApiTest.java
@@ -20,7 +20,10 @@
 import org.chivecross.cli.entry.admin.AdminServer;
 import org.chivecross.cli.entry.admin.AdminSettings;
 import org.chivecross.cli.entry.admin.ConfigStatus;
+import org.chivecross.cli.entry.admin.DecisionStatus;
 import org.chivecross.cli.entry.admin.ReadinessStatus;
+import org.chivecross.cli.entry.peer.LocalShare;
+import org.chivecross.cli.entry.peer.ShareStatus;
 import org.chivecross.logic.engine.BalancerEngine;
 import org.chivecross.logic.engine.EnginePreferences;
 import org.chivecross.logic.fileset.FileSetParser;
@@ -55,11 +58,32 @@
             3,
             32,
             new ConfigStatus.RefusedConfig("0.8", "2026-12-03T00:00:01Z", List.of("wrong")));
+    LocalShare share = new LocalShare(1, "dc1", set);
     server =
         new AdminServer(
             ((Result.Success<AdminSettings>) settings).value(),
             new EntryAdminViews(engine, () -> set, new NoKeys(), new PrometheusRegistry(), () -> 1)
-                .views(() -> ReadinessStatus.of(List.of()), () -> config, List::of, List::of));
+                .views(
+                    () -> ReadinessStatus.of(List.of()),
+                    () -> config,
+                    () -> ShareStatus.members(share.view()),
+                    OpenApiTest::decisions));
+  }
+
+  private static List<DecisionStatus> decisions() {
+    DecisionStatus refused =
+        new DecisionStatus(
+            "2026-12-03T00:00:00Z",
+            "GET",
+            "h",
+            "/",
+            "answer",
+            404,
+            "not-run",
+            "ROUTE",
+            "local",
+            "");
+    return List.of(refused);
   }
 
   @BeforeEach
