End the wait for a version at once when an entry refused it

The test of a wait that runs out of time held a refused set as well; since that now ends the wait, it is two tests, each with its whole output.

--- a/chivecross-admin/src/main/java/org/chivecross/cli/admin/VersionWait.java
+++ b/chivecross-admin/src/main/java/org/chivecross/cli/admin/VersionWait.java
@@ -9,7 +9,10 @@
 import org.chivecross.model.failure.Result;
 import org.chivecross.model.manifest.ConfigVersion;
 
-/** Waits until a version, or a newer one, is in force at every entry. Not thread-safe. */
+/**
+ * Waits until a version, or a newer one, is in force at every entry; ends early when an entry has
+ * refused that very version, since all make the same check. Not thread-safe.
+ */
 final class VersionWait {
 
   private static final long POLL_MILLIS = 200;
@@ -20,6 +23,7 @@
   private final Pause pause;
   private final PrintStream out;
   private final PrintStream err;
+  private boolean refusedVersion;
 
   VersionWait(
       AdminPreferences preferences,
@@ -41,7 +45,7 @@
     long start = pause.nanos();
     long deadline = start + TimeUnit.MILLISECONDS.toNanos(preferences.timeoutMillis());
     Map<String, String> behind = behind();
-    while (!behind.isEmpty() && pause.nanos() < deadline) {
+    while (!behind.isEmpty() && !refusedVersion && pause.nanos() < deadline) {
       pause.sleepMillis(POLL_MILLIS);
       behind = behind();
     }
@@ -85,15 +89,17 @@
         String inForce = success.value().path("version").asText("0");
         ConfigVersion version = VersionText.parse(inForce);
         if (preferences.version().isNewerThan(version)) {
-          behind.put(answer.getKey(), "version " + inForce + refused(success.value()));
+          JsonNode refused = success.value().path("refused");
+          refusedVersion |=
+              preferences.version().toString().equals(refused.path("version").asText());
+          behind.put(answer.getKey(), "version " + inForce + refusal(refused));
         }
       }
     }
     return behind;
   }
 
-  private static String refused(JsonNode config) {
-    JsonNode refused = config.path("refused");
+  private static String refusal(JsonNode refused) {
     if (!refused.isObject()) {
       return "";
     }
