--- a/chivecross-admin/src/main/java/org/chivecross/cli/admin/AdminRun.java
+++ b/chivecross-admin/src/main/java/org/chivecross/cli/admin/AdminRun.java
@@ -75,6 +75,7 @@
     differences.addAll(EntryDiff.compare("config", "", List.of("deployment", "version"), configs));
     for (DiffView view : DiffView.ALL) {
       Map<String, List<JsonNode>> rows = reader.readAll(entry -> rows(entry, view.name()));
+      rows.replaceAll((entry, all) -> all.stream().filter(view.compared()).toList());
       differences.addAll(EntryDiff.compare(view.name(), view.key(), view.fields(), rows));
     }
     if (!differences.isEmpty()) {
--- a/chivecross-admin/src/main/java/org/chivecross/cli/admin/DiffView.java
+++ b/chivecross-admin/src/main/java/org/chivecross/cli/admin/DiffView.java
@@ -1,6 +1,8 @@
 package org.chivecross.cli.admin;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
+import java.util.function.Predicate;
 
 /**
  * A view that entries should see alike, apart from their own counters. Immutable.
@@ -8,19 +10,28 @@
  * @param name name of the view
  * @param key field that identifies a row
  * @param fields fields to compare
+ * @param compared whether a row is compared
  */
-record DiffView(String name, String key, List<String> fields) {
+record DiffView(String name, String key, List<String> fields, Predicate<JsonNode> compared) {
 
   static final List<DiffView> ALL =
       List.of(
-          new DiffView("targets", "address", List.of("service", "weight", "reasons")),
-          new DiffView("members", "incarnation", List.of("state", "ready", "leaving")),
+          new DiffView("targets", "address", List.of("service", "weight", "reasons"), row -> true),
+          new DiffView(
+              "members",
+              "incarnation",
+              List.of("state", "ready", "leaving"),
+              row -> !row.path("state").asText().equals("dead")),
           new DiffView(
               "services",
               "name",
-              List.of("tenant", "targets", "limits.concurrency", "limits.ratePerSecond")),
+              List.of("tenant", "targets", "limits.concurrency", "limits.ratePerSecond"),
+              row -> true),
           new DiffView(
-              "tenants", "name", List.of("weight", "limits.concurrency", "limits.ratePerSecond")));
+              "tenants",
+              "name",
+              List.of("weight", "limits.concurrency", "limits.ratePerSecond"),
+              row -> true));
 
   DiffView {
     fields = List.copyOf(fields);
--- a/chivecross-admin/src/main/java/org/chivecross/cli/admin/VersionWait.java
+++ b/chivecross-admin/src/main/java/org/chivecross/cli/admin/VersionWait.java
@@ -11,7 +11,7 @@
 
 /**
  * Waits until a version, or a newer one, is in force at every entry; ends early when an entry has
- * refused that very version, since all make the same check. Not thread-safe.
+ * refused that version or a newer one, since all make the same check. Not thread-safe.
  */
 final class VersionWait {
 
@@ -23,7 +23,7 @@
   private final Pause pause;
   private final PrintStream out;
   private final PrintStream err;
-  private boolean refusedVersion;
+  private boolean refusedSet;
 
   VersionWait(
       AdminPreferences preferences,
@@ -45,7 +45,7 @@
     long start = pause.nanos();
     long deadline = start + TimeUnit.MILLISECONDS.toNanos(preferences.timeoutMillis());
     Map<String, String> behind = behind();
-    while (!behind.isEmpty() && !refusedVersion && pause.nanos() < deadline) {
+    while (!behind.isEmpty() && !refusedSet && pause.nanos() < deadline) {
       pause.sleepMillis(POLL_MILLIS);
       behind = behind();
     }
@@ -90,8 +90,8 @@
         ConfigVersion version = VersionText.parse(inForce);
         if (preferences.version().isNewerThan(version)) {
           JsonNode refused = success.value().path("refused");
-          refusedVersion |=
-              preferences.version().toString().equals(refused.path("version").asText());
+          ConfigVersion refusedVersion = VersionText.parse(refused.path("version").asText());
+          refusedSet |= refused.isObject() && !preferences.version().isNewerThan(refusedVersion);
           behind.put(answer.getKey(), "version " + inForce + refusal(refused));
         }
       }
