--- a/chivecross-bench/src/main/java/org/chivecross/cli/load/CallerDirectory.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/load/CallerDirectory.java
@@ -32,8 +32,14 @@
   private boolean renewing;
   private int nextSeed;
 
-  CallerDirectory(HttpClient client, String caller, List<String> seeds) {
+  /**
+   * Creates the directory of a caller.
+   *
+   * @param firstSeed seed that the caller asks first, so that callers do not all ask the same
+   */
+  CallerDirectory(HttpClient client, String caller, List<String> seeds, int firstSeed) {
     this.client = client;
+    nextSeed = firstSeed;
     this.caller = caller;
     this.seeds = List.copyOf(seeds);
     answer = new DirectoryAnswer(seeds, "", 0);
@@ -100,8 +106,9 @@
 
   private synchronized HttpRequest request() {
     List<String> known = answer.entries();
+    boolean answered = answer.expiresNanos() != 0;
     String from =
-        nextSeed < known.size()
+        answered && nextSeed < known.size()
             ? known.get(nextSeed)
             : seeds.get(Math.floorMod(nextSeed, seeds.size()));
     URI uri = URI.create("http://" + from + "/chivecross/entries?caller=" + caller);
--- a/chivecross-bench/src/main/java/org/chivecross/cli/load/LoadRun.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/load/LoadRun.java
@@ -66,7 +66,8 @@
       return directories;
     }
     for (int i = 0; i < preferences.callers(); i++) {
-      CallerDirectory directory = new CallerDirectory(client, "caller-" + i, preferences.entries());
+      CallerDirectory directory =
+          new CallerDirectory(client, "caller-" + i, preferences.entries(), i);
       directory.load(System.nanoTime());
       directories.add(directory);
     }
