--- a/chivecross-core/src/main/java/org/chivecross/logic/settings/SettingCheck.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/settings/SettingCheck.java
@@ -2,7 +2,9 @@
 
 import java.lang.reflect.AnnotatedElement;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.NamedOptionDef;
 import org.kohsuke.args4j.spi.OptionHandler;
@@ -28,21 +30,41 @@
         : handler.option.metaVar();
   }
 
-  /** Returns one line about the first given value that its field doesn't allow. */
+  /**
+   * Returns one line about the first argument that is wrong: an unknown flag, a flag without its
+   * value, or a value that the field of the flag doesn't allow.
+   */
   static Optional<String> firstProblem(CmdLineParser parser, List<String> arguments) {
+    Map<String, OptionHandler<?>> handlers = new TreeMap<>();
     for (OptionHandler<?> handler : parser.getOptions()) {
-      String flag = handler.option.toString();
-      for (int i = 0; i + 1 < arguments.size(); i++) {
-        String value = arguments.get(i + 1);
-        if (arguments.get(i).equals(flag) && !isAllowed(handler, value)) {
-          return Optional.of(
-              describe(flag) + ": got \"" + value + "\", allowed: " + allowed(handler));
-        }
+      handlers.put(handler.option.toString(), handler);
+    }
+    int i = 0;
+    while (i < arguments.size()) {
+      String flag = arguments.get(i);
+      i++;
+      OptionHandler<?> handler = handlers.get(flag);
+      if (handler == null && flag.startsWith("--")) {
+        return Optional.of(
+            flag + ": got an unknown flag, allowed: " + String.join(", ", handlers.keySet()));
+      }
+      if (handler == null || isSwitch(handler)) {
+        continue;
+      }
+      String given = i < arguments.size() ? '"' + arguments.get(i) + '"' : "no value";
+      if (i == arguments.size() || !isAllowed(handler, arguments.get(i))) {
+        return Optional.of(describe(flag) + ": got " + given + ", allowed: " + allowed(handler));
       }
+      i++;
     }
     return Optional.empty();
   }
 
+  /** Returns whether the flag takes no value. */
+  static boolean isSwitch(OptionHandler<?> handler) {
+    return handler.option instanceof NamedOptionDef && handler.setter.getType() == boolean.class;
+  }
+
   /** Returns the flag with its variable, for messages. */
   static String describe(String flag) {
     return flag + " (" + SettingsParser.variableName(flag) + ")";
--- a/chivecross-core/src/main/java/org/chivecross/logic/settings/SettingsParser.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/settings/SettingsParser.java
@@ -11,7 +11,6 @@
 import org.chivecross.model.failure.Step;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
-import org.kohsuke.args4j.NamedOptionDef;
 import org.kohsuke.args4j.spi.OptionHandler;
 
 /**
@@ -49,7 +48,7 @@
       if (value == null || handler.option.help() || isGiven(flag, arguments)) {
         continue;
       }
-      if (!isSwitch(handler)) {
+      if (!SettingCheck.isSwitch(handler)) {
         all.add(flag);
         all.add(value);
         continue;
@@ -105,14 +104,14 @@
     }
     for (OptionHandler<?> handler : parser.getOptions()) {
       String flag = handler.option.toString();
-      String meta = isSwitch(handler) ? "" : " " + handler.getMetaVariable(null);
+      String meta = SettingCheck.isSwitch(handler) ? "" : " " + handler.getMetaVariable(null);
       String variable = handler.option.help() ? "" : variableName(flag);
       text.append(String.format("  %-" + HELP_COLUMN + "s %s%n", flag + meta, variable));
       text.append("      ").append(handler.option.usage());
       if (isBounded(handler)) {
         text.append("; ").append(SettingCheck.allowed(handler));
       }
-      String given = isSwitch(handler) ? null : handler.printDefaultValue();
+      String given = SettingCheck.isSwitch(handler) ? null : handler.printDefaultValue();
       if (given != null && !given.isEmpty()) {
         text.append(" (default ").append(given).append(')');
       }
@@ -141,8 +140,4 @@
     return field.isAnnotationPresent(AllowedRange.class)
         || field.isAnnotationPresent(AllowedForm.class);
   }
-
-  private static boolean isSwitch(OptionHandler<?> handler) {
-    return handler.option instanceof NamedOptionDef && handler.setter.getType() == boolean.class;
-  }
 }
