--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
@@ -82,13 +82,14 @@
                 new OutcomeHandler(keys.records(), share.ownerCalls(), System::nanoTime)));
     PrometheusRegistry registry = new PrometheusRegistry();
     EntryMetrics metrics = new EntryMetrics(registry, engine::tenantName);
+    RecordingObserver observer = new RecordingObserver(metrics, engine::address);
     dataPath =
         new DataPath(
             engine.policies(keys.records()),
             share.ownerCalls(),
             addresses,
             routes,
-            metrics,
+            observer,
             preferences.dataPath());
     metrics.gauge("chivecross_in_flight", "Requests in flight", dataPath::inFlightCount);
     metrics.gauge("chivecross_key_records", "Records of keys", keys.records()::size);
@@ -113,7 +114,8 @@
         "Slot time that this entry's share of the probe budget allowed in ms",
         () -> Math.round(engine.probeCost(System.nanoTime()).allowedMillis()));
     admin =
-        new AdminServer(preferences.admin(), adminViews(engine, share, keys.records(), registry));
+        new AdminServer(
+            preferences.admin(), adminViews(engine, share, keys.records(), registry, observer));
   }
 
   /**
@@ -259,7 +261,11 @@
   }
 
   private static AdminViews adminViews(
-      BalancerEngine engine, FleetShare share, KeyRegistry keys, PrometheusRegistry metrics) {
+      BalancerEngine engine,
+      FleetShare share,
+      KeyRegistry keys,
+      PrometheusRegistry metrics,
+      RecordingObserver observer) {
     Deployment nothing = new Deployment("", 1, 0, 0, List.of(), List.of());
     FileSet empty = new FileSet(nothing, List.of(), List.of(), List.of());
     return new EntryAdminViews(
@@ -272,6 +278,6 @@
             () -> ShareStatus.readiness(share.view()),
             () -> ShareStatus.config(share),
             () -> ShareStatus.members(share.view()),
-            List::of);
+            observer::decisions);
   }
 }
