--- a/chivecross-core/src/main/java/org/chivecross/logic/engine/BalancerEngine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/engine/BalancerEngine.java
@@ -196,7 +196,15 @@
     if (!inTime || answer.isEmpty()) {
       return;
     }
-    HealthReport health = answer.get();
+    healthReported(target, answer.get(), startNanos, nowNanos);
+  }
+
+  /**
+   * The health endpoint of a target answered.
+   *
+   * @param startNanos time at which it was asked; older evidence than that gives way
+   */
+  public void healthReported(int target, HealthReport health, long startNanos, long nowNanos) {
     leaving.healthReported(target, health.leaving(), startNanos);
     health.load().ifPresent((LoadReport load) -> targets.loads().report(target, load, nowNanos));
   }
--- a/chivecross-core/src/test/java/org/chivecross/logic/session/FleetSteps.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/session/FleetSteps.java
@@ -16,6 +16,7 @@
 import org.chivecross.logic.balance.TargetSelector;
 import org.chivecross.logic.drain.DrainSystem;
 import org.chivecross.logic.engine.BalancerEngine;
+import org.chivecross.logic.engine.HealthReport;
 import org.chivecross.logic.probe.Probe;
 import org.chivecross.logic.request.FakePolicies;
 import org.chivecross.logic.request.RequestPolicies;
@@ -82,22 +83,26 @@
 
   @When("an upstream says in an answer that it is leaving")
   public void leavingHeader() {
-    markLeaving(row -> engines.get(0).leaving().headerSeen(row, now));
+    markLeaving(row -> policies(engines.get(0)).observer().leavingReported(row, now));
   }
 
   @When("the list of VMs says that an upstream is leaving")
   public void leavingListed() {
-    markLeaving(row -> engines.get(0).leaving().listed(row, true, now));
+    markLeaving(
+        row -> {
+          String address = engines.get(0).address(row);
+          engines.get(0).vmListed(address.substring(0, address.indexOf(':')), true, now);
+        });
   }
 
   @When("a health report says that an upstream is leaving")
   public void leavingHealth() {
-    markLeaving(row -> engines.get(0).leaving().healthReported(row, true, now));
+    markLeaving(row -> healthReported(row, true, now));
   }
 
   @When("an older health report says that it stays")
   public void olderReport() {
-    engines.get(0).leaving().healthReported(leaving, false, now - 1);
+    healthReported(leaving, false, now - 1);
   }
 
   @When("the other entry hears of it from its peer")
@@ -165,6 +170,11 @@
     probesByTarget.set(target, probesByTarget.get(target) + 1);
   }
 
+  private void healthReported(int row, boolean isLeaving, long startNanos) {
+    HealthReport report = new HealthReport(isLeaving, Optional.empty());
+    engines.get(0).healthReported(row, report, startNanos, now);
+  }
+
   private void markLeaving(java.util.function.IntConsumer mark) {
     leaving =
         policies(engines.get(0)).selector().select(0, RequestClass.READ, TargetSelector.NONE, now);
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/directory/DirectoryFuzzTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/directory/DirectoryFuzzTest.java
@@ -31,7 +31,7 @@
     FileSet set = new FileSet(deployment, List.of(), List.of(), List.of());
     LocalShare share = new LocalShare(1, "dc1", set);
     share.serving(new InetSocketAddress("127.0.0.1", 8000));
-    handler = new DirectoryHandler(share::view, () -> "prefix-");
+    handler = new DirectoryHandler(share::view, first -> "prefix-");
   }
 
   @Property(tries = 500, seed = "20261206")
