Keep connections to the stand-in alive, and give callers' packets back to the library

Cause: saturation fell to a third and left 43,700 connections in TIME_WAIT: the stand-in's HttpServerFilter without keep-alive settings ended each connection after one answer. Allocation: 31.5 KB per request, over half of it packets and header chunks that were never recycled, and a decoder for each header text. Change: the stand-in keeps connections alive; the packets of callers are recycled when request and answer are complete; header text is read without a decoder; both sides share one transport.

--- a/chivecross-bench/src/main/java/org/chivecross/cli/experiment/latency/LatencyExperiment.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/experiment/latency/LatencyExperiment.java
@@ -38,7 +38,7 @@
   }
 
   private static void measure(LatencyOptions options, LatencyRun run, PrintStream out)
-      throws InterruptedException {
+      throws IOException, InterruptedException {
     long warmUpMillis = options.warmUpSeconds() * 500L;
     run.saturate(false, warmUpMillis);
     run.saturate(true, warmUpMillis);
@@ -56,7 +56,9 @@
         entry,
         entry / direct);
     double rate = options.rate() > 0 ? options.rate() : entry / 2;
+    EntryCounters before = EntryCounters.read(options.admin());
     LatencyRun.Latencies latencies = run.measure(rate, options.seconds());
+    EntryCounters after = EntryCounters.read(options.admin());
     out.printf(
         Locale.ROOT,
         "interleaved at %.0f/s on each side, %d + %d calls, %d failed%n",
@@ -68,6 +70,10 @@
     for (double percentile : PERCENTILES) {
       print(out, percentile, latencies.direct(), latencies.entry());
     }
+    out.printf(
+        Locale.ROOT,
+        "allocated in the entry: %.0f bytes per request%n",
+        after.bytesPerRequestSince(before));
   }
 
   private static void print(PrintStream out, double percentile, Histogram direct, Histogram entry) {
--- a/chivecross-bench/src/main/java/org/chivecross/cli/experiment/latency/LatencyOptions.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/experiment/latency/LatencyOptions.java
@@ -47,6 +47,16 @@
   @AllowedRange(min = 0, max = 1 << 20)
   private int bodyBytes = 512;
 
+  @Option(
+      name = "--admin",
+      metaVar = "HOST:PORT",
+      usage = "administration API of the entry, to read its allocation; empty for none")
+  private String admin = "";
+
+  String admin() {
+    return admin;
+  }
+
   String entry() {
     return entry;
   }
--- a/chivecross-bench/src/main/java/org/chivecross/cli/standin/upstream/UpstreamStandin.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/standin/upstream/UpstreamStandin.java
@@ -15,6 +15,7 @@
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.http.HttpServerFilter;
+import org.glassfish.grizzly.http.KeepAlive;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
@@ -25,6 +26,8 @@
  */
 public final class UpstreamStandin implements AutoCloseable {
 
+  private static final int UNLIMITED = -1;
+
   private static final int TIMER_THREADS = 2;
   private static final int SELECTOR_THREADS = 2;
   private static final int BACKLOG = 1024;
@@ -71,7 +74,7 @@
             .setProcessor(
                 FilterChainBuilder.stateless()
                     .add(new TransportFilter())
-                    .add(new HttpServerFilter())
+                    .add(newServerFilter())
                     .add(filter)
                     .build())
             .build();
@@ -111,4 +114,13 @@
     }
     return targets;
   }
+
+  /** The filter ends each connection after one answer unless it gets keep-alive settings. */
+  private static HttpServerFilter newServerFilter() {
+    KeepAlive keepAlive = new KeepAlive();
+    keepAlive.setIdleTimeoutInSeconds(UNLIMITED);
+    keepAlive.setMaxRequestsCount(UNLIMITED);
+    return new HttpServerFilter(
+        true, HttpServerFilter.DEFAULT_MAX_HTTP_PACKET_HEADER_SIZE, keepAlive, null);
+  }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
@@ -1,8 +1,10 @@
 package org.chivecross.cli.entry.http;
 
 import java.net.SocketAddress;
+import java.util.concurrent.TimeUnit;
 import org.chivecross.model.request.Decision;
 import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.WriteHandler;
 import org.glassfish.grizzly.WriteResult;
@@ -91,8 +93,16 @@
     headReceived = true;
   }
 
-  /** Binds the connection on which the request will be sent. */
-  void bind(UpstreamConnection connection, HttpRequestPacket head, long nowNanos) {
+  /** Binds the connection on which the request will be sent and prepares its head. */
+  void bind(
+      UpstreamConnection connection,
+      HttpRequestPacket request,
+      Connection<?> caller,
+      long nowNanos) {
+    long remaining = TimeUnit.NANOSECONDS.toMillis(order.deadlineNanos() - nowNanos);
+    // Packets on this side are made anew: reused ones lost about one answer in a thousand.
+    HttpRequestPacket head = HttpRequestPacket.builder().uri("/").build();
+    RequestHeads.fill(head, request, caller, Math.max(1, remaining));
     upstream = connection;
     packet = head;
     sentNanos = nowNanos;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
@@ -53,7 +53,7 @@
   /** Ends the current exchange and returns the request that waited for it, if any. */
   synchronized @Nullable FilterChainContext end(long nowNanos) {
     if (current != null) {
-      finished = current.request();
+      finished = current.isRequestComplete() ? null : current.request();
       current = null;
     }
     idleSinceNanos = nowNanos;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerExchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerExchange.java
@@ -17,6 +17,9 @@
    */
   boolean received(HttpContent content);
 
+  /** Returns whether the request was read to its end; no part of it can arrive any more. */
+  boolean isRequestComplete();
+
   /** Suspends reading, unless the reason for it has gone; returns whether it was suspended. */
   boolean parkReader(FilterChainContext context);
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
@@ -107,6 +107,15 @@
     packet.acknowledged();
   }
 
+  /**
+   * Gives the packets of a complete exchange back to the library's pool. The response goes first,
+   * since it stays as it is once its request expects content again.
+   */
+  void recycle() {
+    packet.recycle();
+    request.recycle();
+  }
+
   /** Breaks the connection visibly: a reset, never an orderly end. */
   void abort() {
     if (connection.getChannel() instanceof SocketChannel channel) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
@@ -21,7 +21,7 @@
   private static final int QUEUE_BYTES = 256 * 1024;
   private static final int ACCEPT_BACKLOG = 4096;
 
-  private final TCPNIOTransport callerTransport;
+  private final TCPNIOTransport transport;
   private final UpstreamClient client;
   private final InFlight inFlight = new InFlight();
   private final CallerRegistry callers;
@@ -44,7 +44,8 @@
       LocalRoutes localRoutes,
       ExchangeObserver observer,
       DataPathSettings settings) {
-    client = new UpstreamClient(transport("upstream"), addresses, settings);
+    transport = newTransport();
+    client = new UpstreamClient(transport, addresses, settings);
     callers = new CallerRegistry(settings);
     ExchangeServices services =
         new ExchangeServices(
@@ -57,8 +58,7 @@
             observer,
             () -> leaving,
             settings);
-    callerTransport = transport("caller");
-    callerTransport.setProcessor(
+    transport.setProcessor(
         FilterChainBuilder.stateless()
             .add(new TransportFilter())
             .add(new StrictServerFilter(settings, callers, observer))
@@ -73,9 +73,8 @@
    * @throws IOException if the address can't be bound
    */
   public InetSocketAddress start(InetSocketAddress address) throws IOException {
-    client.start();
-    TCPNIOServerConnection server = callerTransport.bind(address, ACCEPT_BACKLOG);
-    callerTransport.start();
+    TCPNIOServerConnection server = transport.bind(address, ACCEPT_BACKLOG);
+    transport.start();
     return (InetSocketAddress) server.getLocalAddress();
   }
 
@@ -85,13 +84,12 @@
    * @throws IOException if a transport can't be stopped
    */
   public void stop() throws IOException {
-    callerTransport.shutdownNow();
-    client.stop();
+    transport.shutdownNow();
   }
 
   /** Stops accepting connections; those that are open go on. */
   public void stopAccepting() {
-    callerTransport.unbindAll();
+    transport.unbindAll();
   }
 
   /** From now on each connection of a caller ends with its next answer. */
@@ -125,14 +123,16 @@
     callers.closeIdle(nowNanos);
   }
 
-  private static TCPNIOTransport transport(String name) {
-    TCPNIOTransport transport =
-        TCPNIOTransportBuilder.newInstance()
-            .setName(name)
-            .setIOStrategy(SameThreadIOStrategy.getInstance())
-            .setTcpNoDelay(true)
-            .setMaxAsyncWriteQueueSizeInBytes(QUEUE_BYTES)
-            .build();
-    return transport;
+  /**
+   * Both sides share one transport, so that each selector thread takes and gives back about as many
+   * of the library's pooled packets.
+   */
+  private static TCPNIOTransport newTransport() {
+    return TCPNIOTransportBuilder.newInstance()
+        .setName("data-path")
+        .setIOStrategy(SameThreadIOStrategy.getInstance())
+        .setTcpNoDelay(true)
+        .setMaxAsyncWriteQueueSizeInBytes(QUEUE_BYTES)
+        .build();
   }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -102,6 +102,11 @@
     }
   }
 
+  @Override
+  public boolean isRequestComplete() {
+    return body.isComplete();
+  }
+
   @Override
   public boolean parkReader(FilterChainContext context) {
     synchronized (lock) {
@@ -195,12 +200,13 @@
   }
 
   private void start() {
-    long now = System.nanoTime();
-    clock.ready(now);
-    long elapsed = TimeUnit.NANOSECONDS.toMillis(now - clock.arrivedNanos());
+    long readyNanos = System.nanoTime();
+    clock.ready(readyNanos);
+    long elapsed = TimeUnit.NANOSECONDS.toMillis(readyNanos - clock.arrivedNanos());
     RequestHead head = RequestHeads.toDecisionHead(request, elapsed);
     route = services.router().route(head.method(), head.host(), head.path());
     services.inFlight().add(this);
+    long now = System.nanoTime();
     carryOut(machine.arrived(head, now), now);
   }
 
@@ -228,10 +234,11 @@
   private boolean relay(Attempt attempt, HttpResponsePacket head, HttpContent content, long now) {
     if (content.isLast()) {
       machine.responseEnd(attempt.number(), now);
+      int status = head.getStatus();
       attempt.responseEnded(head);
       over = true;
       response.write(content.getContent(), true);
-      finish(head.getStatus(), Outcome.ANSWERED);
+      finish(status, Outcome.ANSWERED);
       return true;
     }
     response.write(content.getContent(), false);
@@ -264,7 +271,7 @@
     } else if (decision instanceof Decision.Relay relay) {
       relayed = attempts.keepOnly(relay.attempt());
     } else if (decision instanceof Decision.Answer answer) {
-      answer(problem(answer), answer.outcome());
+      answer(ProblemAnswers.of(answer, services.client()::withAddress), answer.outcome());
     } else if (decision instanceof Decision.Abort) {
       abort();
     } else if (decision instanceof Decision.Finish) {
@@ -303,11 +310,7 @@
       carryOut(machine.timer(now), now);
       return;
     }
-    long remaining = TimeUnit.NANOSECONDS.toMillis(attempt.order().deadlineNanos() - now);
-    attempt.bind(
-        connection,
-        RequestHeads.toUpstream(request, caller.connection(), Math.max(1, remaining)),
-        now);
+    attempt.bind(connection, request, caller.connection(), now);
     if (body.sendTo(attempt) || isUploadWithBody()) {
       machine.bodySent(now);
     }
@@ -320,11 +323,6 @@
         && route.get().requestClass() == RequestClass.UPLOAD;
   }
 
-  private LocalResponse problem(Decision.Answer answer) {
-    Failure failure = services.client().withAddress(answer.failure());
-    return ProblemAnswers.of(answer.status(), answer.outcome(), failure, answer.retryAfterMillis());
-  }
-
   private void answer(LocalResponse answer, Outcome outcome) {
     if (!body.isComplete()) {
       response.closeWhileReceiving();
@@ -376,6 +374,9 @@
     services.observer().ended(clock.summary(route, status, outcome, attempts.size(), now));
     FilterChainContext next = caller.end(now);
     body.discard();
+    if (status > 0 && body.isComplete()) {
+      response.recycle();
+    }
     if (next != null) {
       next.resume();
     }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
@@ -17,6 +17,7 @@
   private final CallerResponse response;
   private final LocalHandler handler;
   private boolean over;
+  private volatile boolean complete;
 
   LocalExchange(CallerConnection caller, HttpRequestPacket request, LocalHandler handler) {
     this.caller = caller;
@@ -33,11 +34,17 @@
   @Override
   public boolean received(HttpContent content) {
     if (content.isLast()) {
+      complete = true;
       handler.handle(toLocalRequest(), this::answer);
     }
     return true;
   }
 
+  @Override
+  public boolean isRequestComplete() {
+    return complete;
+  }
+
   @Override
   public boolean parkReader(FilterChainContext context) {
     return false;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/OwnerPass.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/OwnerPass.java
@@ -33,15 +33,15 @@
     Set<String> hop = HopHeaders.of(headers);
     List<HeaderField> fields = new ArrayList<>();
     for (int i = 0; i < headers.size(); i++) {
-      String name = headers.getName(i).toString();
+      String name = HeaderText.of(headers.getName(i));
       if (!hop.contains(name)) {
-        fields.add(new HeaderField(name, headers.getValue(i).toString()));
+        fields.add(new HeaderField(name, HeaderText.of(headers.getValue(i))));
       }
     }
     String query = request.getQueryString();
     String target = request.getRequestURI() + (query == null ? "" : "?" + query);
     return new KeyCall(
-        KeyOperation.RUN, key, request.getMethodDC().toString(), target, fields, body);
+        KeyOperation.RUN, key, HeaderText.of(request.getMethodDC()), target, fields, body);
   }
 
   /**
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestHeads.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestHeads.java
@@ -33,7 +33,7 @@
         parseLong(headers.getHeader(DEADLINE)).map(millis -> Math.max(0, millis - elapsedMillis));
     int depth = parseLong(headers.getHeader(DEPTH)).map(Long::intValue).orElse(0);
     return new RequestHead(
-        request.getMethodDC().toString(),
+        HeaderText.of(request.getMethodDC()),
         hostWithoutPort(headers.getHeader("host")),
         request.getRequestURI(),
         deadline,
@@ -62,19 +62,20 @@
   }
 
   /**
-   * Builds the head that goes to a target.
+   * Fills the head that goes to a target.
    *
+   * @param packet empty packet
    * @param remainingMillis time left for the target, in ms
    */
-  static HttpRequestPacket toUpstream(
-      HttpRequestPacket request, Connection<?> caller, long remainingMillis) {
+  static void fill(
+      HttpRequestPacket packet,
+      HttpRequestPacket request,
+      Connection<?> caller,
+      long remainingMillis) {
     MimeHeaders from = request.getHeaders();
-    HttpRequestPacket packet =
-        HttpRequestPacket.builder()
-            .method(request.getMethodDC().toString())
-            .uri(request.getRequestURI())
-            .protocol(Protocol.HTTP_1_1)
-            .build();
+    packet.setMethod(HeaderText.of(request.getMethodDC()));
+    packet.setRequestURI(request.getRequestURI());
+    packet.setProtocol(Protocol.HTTP_1_1);
     String query = request.getQueryString();
     if (query != null) {
       packet.setQueryString(query);
@@ -90,7 +91,6 @@
     } else if (request.getContentLength() >= 0) {
       packet.setContentLengthLong(request.getContentLength());
     }
-    return packet;
   }
 
   /** Returns the IP address of the other end of a connection. */
@@ -103,11 +103,11 @@
   private static void copyEndToEnd(MimeHeaders from, MimeHeaders to) {
     Set<String> hop = HopHeaders.of(from);
     for (int i = 0; i < from.size(); i++) {
-      String name = from.getName(i).toString().toLowerCase(Locale.ROOT);
+      String name = HeaderText.of(from.getName(i)).toLowerCase(Locale.ROOT);
       if (hop.contains(name) || name.equals(DEADLINE) || name.equals(DEPTH) || isForwarding(name)) {
         continue;
       }
-      to.addValue(name).setString(from.getValue(i).toString());
+      to.addValue(name).setString(HeaderText.of(from.getValue(i)));
     }
   }
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ResponseHeads.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ResponseHeads.java
@@ -64,9 +64,9 @@
     MimeHeaders headers = to.getHeaders();
     Set<String> hop = HopHeaders.of(source);
     for (int i = 0; i < source.size(); i++) {
-      String name = source.getName(i).toString().toLowerCase(Locale.ROOT);
+      String name = HeaderText.of(source.getName(i)).toLowerCase(Locale.ROOT);
       if (!hop.contains(name) && !name.equals(LOAD)) {
-        headers.addValue(name).setString(source.getValue(i).toString());
+        headers.addValue(name).setString(HeaderText.of(source.getValue(i)));
       }
     }
   }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
@@ -1,6 +1,5 @@
 package org.chivecross.cli.entry.http;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.Collection;
@@ -35,7 +34,6 @@
 
   private static final String TARGET_PEER = "target ";
 
-  private final TCPNIOTransport transport;
   private final UpstreamAddresses addresses;
   private final DataPathSettings settings;
   private final TCPNIOConnectorHandler connector;
@@ -44,7 +42,6 @@
 
   UpstreamClient(
       TCPNIOTransport transport, UpstreamAddresses addresses, DataPathSettings settings) {
-    this.transport = transport;
     this.addresses = addresses;
     this.settings = settings;
     FilterChain chain =
@@ -56,14 +53,6 @@
     connector = TCPNIOConnectorHandler.builder(transport).processor(chain).build();
   }
 
-  void start() throws IOException {
-    transport.start();
-  }
-
-  void stop() throws IOException {
-    transport.shutdownNow();
-  }
-
   /** Gets a connection to a target; {@code handler} may be called before this returns. */
   void acquire(int target, ConnectionKind kind, long nowNanos, AcquireHandler handler) {
     Optional<InetSocketAddress> address = addresses.address(target);
