--- a/chivecross-core/src/main/java/org/chivecross/logic/config/PlatformReads.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/config/PlatformReads.java
@@ -59,15 +59,9 @@
       nextWatchNanos = nowNanos + (alone ? 0 : FIRST_WATCH_NANOS);
     }
     reader = isReader;
-    long watchLimit = TimeUnit.MILLISECONDS.toNanos(preferences.watchMillis()) + WATCH_GRACE_NANOS;
-    if (watching && nowNanos - watchSentNanos > watchLimit) {
-      silentWatches++;
-      failed(true, nowNanos);
-    }
-    if (reading && nowNanos - readSentNanos > WATCH_GRACE_NANOS) {
-      failed(false, nowNanos);
-    }
-    if (reader && !watching && nowNanos >= nextWatchNanos && budget.tryTake(nowNanos)) {
+    giveUpSilentCalls(nowNanos);
+    boolean watch = reader && reachable && !watching && nowNanos >= nextWatchNanos;
+    if (watch && budget.tryTake(nowNanos)) {
       watching = true;
       watchSentNanos = nowNanos;
       platform.watchManifest(revision, preferences.watchMillis());
@@ -80,6 +74,17 @@
     }
   }
 
+  private void giveUpSilentCalls(long nowNanos) {
+    long watchLimit = TimeUnit.MILLISECONDS.toNanos(preferences.watchMillis()) + WATCH_GRACE_NANOS;
+    if (watching && nowNanos - watchSentNanos > watchLimit) {
+      silentWatches++;
+      failed(true, nowNanos);
+    }
+    if (reading && nowNanos - readSentNanos > WATCH_GRACE_NANOS) {
+      failed(false, nowNanos);
+    }
+  }
+
   /** A read or a watch was answered. */
   void answered(boolean watch, long nowNanos) {
     reachable = true;
--- a/chivecross-core/src/main/java/org/chivecross/logic/peer/PeerNode.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/peer/PeerNode.java
@@ -15,6 +15,7 @@
 import org.chivecross.model.manifest.ConfigVersion;
 import org.chivecross.model.peer.ConfigOffer;
 import org.chivecross.model.peer.EntryMarks;
+import org.chivecross.model.peer.EntryMember;
 import org.chivecross.model.peer.EntryTable;
 import org.chivecross.model.peer.PeerMessage;
 import org.chivecross.model.peer.PeerMessage.Sender;
@@ -28,6 +29,8 @@
  */
 public final class PeerNode {
 
+  private static final int MAX_MARKED = 12;
+
   private final MembershipSystem membership;
   private final ConfigSystem config;
   private final StartupGate gate;
@@ -135,11 +138,20 @@
   }
 
   private EntryMarks marks() {
-    // Only readers are marked, so that an outage of the platform changes few marks at once.
-    platformMarked = !config.isPlatformReachable() && (platformMarked || config.view().reader());
+    // Few are marked, so that an outage of the platform does not change all entries at once.
+    boolean newlyMarked = config.view().reader() && markedOthers() < MAX_MARKED;
+    platformMarked = !config.isPlatformReachable() && (platformMarked || newlyMarked);
     return new EntryMarks(leaving, serving && gate.isOpen(), overloaded, platformMarked);
   }
 
+  private int markedOthers() {
+    int marked = 0;
+    for (EntryMember other : membership.view().others()) {
+      marked += other.marks().platformUnreachable() ? 1 : 0;
+    }
+    return marked;
+  }
+
   private boolean isReady(MemberView members) {
     return gate.isOpen() && members.fresh() && !leaving;
   }
--- a/chivecross-core/src/test/java/org/chivecross/logic/session/VirtualFleet.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/session/VirtualFleet.java
@@ -113,6 +113,11 @@
         && calls.values().stream().noneMatch(call -> call.waiting);
   }
 
+  boolean isWaiting(String id) {
+    SessionCall call = calls.get(id);
+    return call != null && call.waiting;
+  }
+
   /** Returns broken rules; completeness is checked only when all requests are over. */
   List<String> violations() {
     List<String> found = new ArrayList<>();
@@ -373,6 +378,6 @@
 
   private String key(String name) {
     String[] parts = name.split("/", -1);
-    return entry(parts[0]).issuer.prefix(0) + parts[1];
+    return entry(parts[0]).issuer.prefix(SessionEntry.WINDOW_MILLIS, 0) + parts[1];
   }
 }
