--- a/chivecross-bench/src/main/java/org/chivecross/cli/simulation/FleetSimulation.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/simulation/FleetSimulation.java
@@ -97,6 +97,7 @@
     String only = address(size - 1);
     platform.setReachable(reader -> reader.equals(only));
     idle(60);
+    print("now, s since the start", seconds(time.now()));
     print("change, platform reached by one entry: everywhere after s", change(entry -> true));
     platform.setReachable(reader -> true);
     idle(60);
@@ -156,9 +157,16 @@
   }
 
   private void platformCalls() {
-    int peak =
-        platform.callsBySecond().values().stream().mapToInt(Integer::intValue).max().orElse(0);
+    int peak = 0;
+    long second = 0;
+    for (Map.Entry<Long, Integer> calls : platform.callsBySecond().entrySet()) {
+      if (calls.getValue() > peak) {
+        peak = calls.getValue();
+        second = calls.getKey();
+      }
+    }
     print("platform calls: most in one second of the run", peak);
+    print("platform calls: that second, s since the start", second);
   }
 
   private double change(Predicate<SimulatedEntry> counted) {
--- a/chivecross-core/src/main/java/org/chivecross/logic/config/ConfigSystem.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/config/ConfigSystem.java
@@ -38,6 +38,10 @@
   private static final String PLATFORM = "platform";
   private static final int MAX_REQUESTS = 8;
   private static final long STALL_NANOS = 4_000_000_000L;
+
+  /** Time for which a new process that knows nobody does not count itself as a reader. */
+  private static final long SEEK_NANOS = 5_000_000_000L;
+
   private static final long PEERS_FIRST_NANOS = 500_000_000L;
   private static final long DEFER_NANOS = 2_000_000_000L;
 
@@ -65,7 +69,10 @@
   private byte @Nullable [] platformManifest;
   private @Nullable SetFetch fetch;
   private @Nullable MemberView readersOf;
+  private boolean chosen;
   private boolean reader;
+  private boolean started;
+  private long startNanos;
   private long progressNanos;
   private long fetchStartNanos;
   private long inForceSinceNanos;
@@ -101,10 +108,16 @@
 
   /** Runs everything that is due. */
   public void tick(MemberView members, long nowNanos) {
+    if (!started) {
+      started = true;
+      startNanos = nowNanos;
+    }
     if (readersOf != members) {
       readersOf = members;
-      reader = ReaderChoice.isReader(members, preferences.readers());
+      chosen = ReaderChoice.isReader(members, preferences.readers());
     }
+    boolean seeking = nowNanos - startNanos < Math.min(SEEK_NANOS, preferences.loneStartNanos());
+    reader = chosen && !(seeking && members.others().isEmpty());
     reads.tick(reader, platformVersion.revision(), nowNanos);
     expireRequests(nowNanos);
     chooseFetch(nowNanos);
