--- a/chivecross-core/src/main/java/org/chivecross/logic/engine/BalancerEngine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/engine/BalancerEngine.java
@@ -214,6 +214,11 @@
     return probes.cost(topology, nowNanos);
   }
 
+  /** Returns where evidence that targets are leaving goes. */
+  public LeavingSystem leaving() {
+    return leaving;
+  }
+
   /**
    * The platform listed a VM. Safe for use by many threads.
    *
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
@@ -98,21 +98,8 @@
         "Bytes allocated by the live threads",
         HeapAllocation::allocatedBytes);
     metrics.gauge("chivecross_callers", "Open connections of callers", dataPath::callerCount);
+    addProbeCounters(metrics);
     addShareGauges(metrics, share);
-    metrics.counter(
-        "chivecross_probes", "Probes sent", () -> engine.probeCost(System.nanoTime()).probes());
-    metrics.counter(
-        "chivecross_probe_bytes",
-        "Bytes of probes and their answers",
-        () -> engine.probeCost(System.nanoTime()).bytes());
-    metrics.counter(
-        "chivecross_probe_slot_millis",
-        "Slot time spent on probes in ms",
-        () -> Math.round(engine.probeCost(System.nanoTime()).spentMillis()));
-    metrics.counter(
-        "chivecross_probe_slot_millis_allowed",
-        "Slot time that this entry's share of the probe budget allowed in ms",
-        () -> Math.round(engine.probeCost(System.nanoTime()).allowedMillis()));
     admin =
         new AdminServer(
             preferences.admin(), adminViews(engine, share, keys.records(), registry, observer));
@@ -174,6 +161,23 @@
     return port;
   }
 
+  private void addProbeCounters(EntryMetrics metrics) {
+    metrics.counter(
+        "chivecross_probes", "Probes sent", () -> engine.probeCost(System.nanoTime()).probes());
+    metrics.counter(
+        "chivecross_probe_bytes",
+        "Bytes of probes and their answers",
+        () -> engine.probeCost(System.nanoTime()).bytes());
+    metrics.counter(
+        "chivecross_probe_slot_millis",
+        "Slot time spent on probes in ms",
+        () -> Math.round(engine.probeCost(System.nanoTime()).spentMillis()));
+    metrics.counter(
+        "chivecross_probe_slot_millis_allowed",
+        "Slot time that this entry's share of the probe budget allowed in ms",
+        () -> Math.round(engine.probeCost(System.nanoTime()).allowedMillis()));
+  }
+
   /** Starts a graceful stop; called again, it forces the stop. Safe for use by many threads. */
   void requestStop() {
     ticker.once(this::requestStop);
