--- a/chivecross-bench/src/test/java/org/chivecross/cli/standin/platform/PeerShareTest.java
+++ b/chivecross-bench/src/test/java/org/chivecross/cli/standin/platform/PeerShareTest.java
@@ -106,7 +106,12 @@
             Duration.ofSeconds(1));
     PeerShare share =
         new PeerShare(
-            settings, incarnation, (version, set) -> {}, vms -> {}, (call, left, answer) -> {});
+            settings,
+            incarnation,
+            (version, set) -> {},
+            vms -> {},
+            marks -> {},
+            (call, left, answer) -> {});
     Result<Integer> port = share.start();
     share.serving(new InetSocketAddress("127.0.0.1", 1_000 + (int) incarnation));
     peers.add("127.0.0.1:" + ((Result.Success<Integer>) port).value());
--- a/chivecross-core/src/main/java/org/chivecross/logic/membership/RingNeighbours.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/membership/RingNeighbours.java
@@ -15,7 +15,7 @@
  * a diameter that grows with the logarithm of their number. Immutable and safe for use by many
  * threads.
  */
-final class RingNeighbours {
+public final class RingNeighbours {
 
   private final List<EntryMember> successors;
   private final List<EntryMember> all;
@@ -26,7 +26,7 @@
   }
 
   /** Returns the neighbours of {@code self} among {@code others}. */
-  static RingNeighbours of(long self, List<EntryMember> others, int rings) {
+  public static RingNeighbours of(long self, List<EntryMember> others, int rings) {
     Set<EntryMember> successors = new LinkedHashSet<>();
     Set<EntryMember> all = new LinkedHashSet<>();
     for (int ring = 0; ring < rings; ring++) {
@@ -58,7 +58,7 @@
   }
 
   /** Returns the entries that news is passed to. */
-  List<EntryMember> all() {
+  public List<EntryMember> all() {
     return all;
   }
 }
--- a/chivecross-core/src/main/java/org/chivecross/logic/peer/PeerNode.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/peer/PeerNode.java
@@ -17,6 +17,7 @@
 import org.chivecross.model.peer.EntryMarks;
 import org.chivecross.model.peer.EntryMember;
 import org.chivecross.model.peer.EntryTable;
+import org.chivecross.model.peer.LeavingMark;
 import org.chivecross.model.peer.PeerMessage;
 import org.chivecross.model.peer.PeerMessage.Sender;
 
@@ -34,6 +35,7 @@
   private final MembershipSystem membership;
   private final ConfigSystem config;
   private final StartupGate gate;
+  private final LeavingExchange leavingTargets;
   private boolean serving;
   private boolean leaving;
   private boolean overloaded;
@@ -72,6 +74,7 @@
             membership::newsReceivers,
             inForceListener);
     gate = new StartupGate(preferences.config(), config);
+    leavingTargets = new LeavingExchange(outbox, membership::newsReceivers);
     view = new NodeView(membership.view(), config.view(), false, gate.waitingFor());
   }
 
@@ -123,6 +126,11 @@
     overloaded = newOverloaded;
   }
 
+  /** Tells the neighbours which targets were seen leaving, as far as that is due. */
+  public void tellLeaving(List<LeavingMark> marks, long nowNanos) {
+    leavingTargets.tick(marks, nowNanos);
+  }
+
   /** This process ends now. */
   public void leave() {
     membership.leave();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/EntryProcess.java
@@ -127,6 +127,7 @@
               (version, set) -> apply(set, engine, addresses),
               vms ->
                   vms.forEach(vm -> engine.vmListed(vm.address(), vm.leaving(), System.nanoTime())),
+              marks -> engine.mergeLeavingMarks(marks, System.nanoTime()),
               keys.service());
       return Result.success(new EntryProcess(preferences, engine, share, addresses, keys));
     }
@@ -157,7 +158,7 @@
         ENGINE_PERIOD_MILLIS,
         List.of(share::tick, this::serve, this::observe, engine::tick, prober::tick));
     ticker.every(KEY_PERIOD_MILLIS, List.of(keys.records()::expire));
-    ticker.every(IDLE_PERIOD_MILLIS, List.of(dataPath::closeIdle, this::drain));
+    ticker.every(IDLE_PERIOD_MILLIS, List.of(dataPath::closeIdle, this::tellLeaving, this::drain));
     return port;
   }
 
@@ -217,6 +218,10 @@
     keys.observe(share.view(), nowNanos);
   }
 
+  private void tellLeaving(long nowNanos) {
+    share.tellLeaving(engine.leavingMarks(nowNanos), nowNanos);
+  }
+
   private void drain(long nowNanos) {
     DrainSystem.Phase phase = drain.tick(dataPath.isDrained(), nowNanos);
     if (phase == DrainSystem.Phase.FINISHED || phase == DrainSystem.Phase.CUT) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/peer/FleetShare.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/peer/FleetShare.java
@@ -2,10 +2,12 @@
 
 import java.net.InetSocketAddress;
 import java.time.Instant;
+import java.util.List;
 import java.util.Optional;
 import org.chivecross.logic.key.OwnerCalls;
 import org.chivecross.logic.peer.NodeView;
 import org.chivecross.model.failure.Result;
+import org.chivecross.model.peer.LeavingMark;
 import org.chivecross.wire.PeerTraffic;
 
 /**
@@ -23,6 +25,9 @@
   /** Handles waiting events and runs what is due. */
   void tick(long nowNanos);
 
+  /** Tells the others which targets were seen leaving; called by the thread of the tick. */
+  void tellLeaving(List<LeavingMark> marks, long nowNanos);
+
   /** Returns what this entry knows. */
   NodeView view();
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/peer/LocalShare.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/peer/LocalShare.java
@@ -14,6 +14,7 @@
 import org.chivecross.model.manifest.ConfigVersion;
 import org.chivecross.model.peer.EntryMarks;
 import org.chivecross.model.peer.EntryMember;
+import org.chivecross.model.peer.LeavingMark;
 import org.chivecross.model.peer.MemberState;
 import org.chivecross.wire.PeerTraffic;
 
@@ -71,6 +72,9 @@
   @Override
   public void tick(long nowNanos) {}
 
+  @Override
+  public void tellLeaving(List<LeavingMark> marks, long nowNanos) {}
+
   @Override
   public NodeView view() {
     MemberView members = new MemberView(self, List.of(), true);
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/peer/PeerShare.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/peer/PeerShare.java
@@ -33,6 +33,7 @@
 import org.chivecross.model.manifest.ConfigVersion;
 import org.chivecross.model.peer.EntryMarks;
 import org.chivecross.model.peer.EntryMember;
+import org.chivecross.model.peer.LeavingMark;
 import org.chivecross.model.peer.MemberState;
 import org.chivecross.model.peer.PeerMessage;
 import org.chivecross.wire.OwnerCallClient;
@@ -68,6 +69,7 @@
   private final AtomicInteger queued = new AtomicInteger();
   private final BiConsumer<ConfigVersion, FileSet> inForceListener;
   private final Consumer<List<ListedVm>> vmsListener;
+  private final Consumer<List<LeavingMark>> leavingListener;
   private final long incarnation;
   private final PlatformClient platform;
   private volatile PeerNode node;
@@ -80,6 +82,7 @@
    * @param incarnation random number of this process
    * @param inForceListener told of each set that is put in force, by {@link #tick}
    * @param vmsListener told of the platform's list of VMs
+   * @param leavingListener told of targets that others saw leaving, by {@link #tick}
    * @param keys serves calls of others about keys of this incarnation
    */
   public PeerShare(
@@ -87,11 +90,13 @@
       long incarnation,
       BiConsumer<ConfigVersion, FileSet> inForceListener,
       Consumer<List<ListedVm>> vmsListener,
+      Consumer<List<LeavingMark>> leavingListener,
       OwnedKeyHandler keys) {
     this.settings = settings;
     this.incarnation = incarnation;
     this.inForceListener = inForceListener;
     this.vmsListener = vmsListener;
+    this.leavingListener = leavingListener;
     transport =
         new PeerTransport(
             PeerTransportPreferences.standard(settings.peerListen(), settings.deployment()),
@@ -141,6 +146,11 @@
     }
   }
 
+  @Override
+  public void tellLeaving(List<LeavingMark> marks, long nowNanos) {
+    node.tellLeaving(marks, nowNanos);
+  }
+
   @Override
   public NodeView view() {
     return node.view();
@@ -213,6 +223,8 @@
   private void received(PeerLink link, PeerMessage.Sender sender, PeerMessage message) {
     if (message instanceof PeerMessage.KeyRequest || message instanceof PeerMessage.KeyResponse) {
       ownerCalls.receive(link, message);
+    } else if (message instanceof PeerMessage.LeavingMarks leaving) {
+      enqueue(unused -> leavingListener.accept(leaving.marks()));
     } else {
       enqueue(current -> current.receive(sender, message, System.nanoTime()));
     }
