--- a/chivecross-bench/experiments/capacity.sh
+++ b/chivecross-bench/experiments/capacity.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Prints the slopes that docs/CAPACITY.md multiplies out: processor time for a request, for a
-# directory answer and for idle time, and heap for a caller connection.
-# Usage: capacity.sh [data-path|directory|connections]...   (default: all)
+# directory answer and for idle time, and heap for a caller connection, and processor time and heap for a target.
+# Usage: capacity.sh [data-path|directory|connections|idle|control]...   (default: all)
 set -uo pipefail
 home=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
 files="$home/examples/screenworks"
@@ -77,6 +77,60 @@
   fit < "$work/connections.points"
 }
 
+ticker_millis() { # PID: processor time of the thread that runs the systems, in ms
+  local task
+  for task in /proc/"$1"/task/*; do
+    [ "$(cat "$task/comm")" = ticker ] \
+      && awk -v hz="$ticks_per_second" '{ sub(/^.*\) /, ""); print ($12 + $13) * 1000 / hz }' "$task/stat"
+  done
+}
+
+# generate SERVICES DIR: writes a file set with 11 targets a service
+generate() {
+  mkdir -p "$2/tenants" "$2/services" "$2/rules"
+  sed 's/^name: .*/name: generated/' "$files/deployment.yaml" > "$2/deployment.yaml"
+  cp "$files"/tenants/*.yaml "$2/tenants/"
+  local owner
+  owner=$(sed -n 's/^owner: //p' "$files/services/bookings.yaml")
+  for s in $(seq "$1"); do
+    {
+      echo "name: s$s"
+      sed -n '/^owner:/,/^targets:/p' "$files/services/bookings.yaml"
+      echo "  - dataCentre: dc1"
+      echo "    slots: 6"
+      echo "    connections: 320"
+      echo "    addresses:"
+      for n in $(seq 11); do echo "      - \"127.$((60 + s / 250)).$((s % 250)).$n:8080\""; done
+    } > "$2/services/s$s.yaml"
+    printf 'rules:\n  - host: "s%s.test"\n    pathPrefix: /\n    methods: [GET]\n    service: s%s\n    requestClass: read\n' \
+      "$s" "$s" > "$2/rules/s$s.yaml"
+  done
+}
+
+control() {
+  local pids=() sizes=(3 65 130 260) before=() i
+  for i in 0 1 2 3; do
+    generate "${sizes[$i]}" "$work/set-$i"
+    start_process "control-$i.log" "$home/bin/chivecross-entry" --listen "$network.$((20 + i)):8000" \
+      --files "$work/set-$i"
+    pids+=("$last_pid")
+    wait_for "http://$network.$((20 + i)):8000/chivecross/entries?caller=c" "control-$i.log" || return 1
+  done
+  sleep 20
+  for i in 0 1 2 3; do before+=("$(ticker_millis "${pids[$i]}")"); done
+  sleep 20
+  for i in 0 1 2 3; do
+    awk -v n="$((sizes[i] * 11))" -v b="${before[$i]}" -v a="$(ticker_millis "${pids[$i]}")" \
+      'BEGIN { printf "%d %.3f\n", n, (a - b) / 200 }'
+  done | tee "$work/control.points" | awk '{ print "  targets " $1 ", systems each tick: " $2 " % of a core" }'
+  echo "control: % of a core for a target"
+  fit < "$work/control.points"
+  for i in 0 1 2 3; do echo "$((sizes[i] * 11)) $(heap_kib "${pids[$i]}")"; done \
+    | tee "$work/heap.points" | awk '{ print "  targets " $1 ", live heap KiB " $2 }'
+  echo "control: heap KiB for a target"
+  fit < "$work/heap.points"
+}
+
 idle() {
   before=$(cpu_millis "$entry")
   sleep 10
@@ -84,6 +138,6 @@
   awk -v b="$before" -v a="$after" 'BEGIN { printf "idle entry: %.2f %% of a core\n", (a - b) / 100 }'
 }
 
-for part in "${@:-data_path directory connections idle}"; do
+for part in "${@:-data_path directory connections idle control}"; do
   for name in $part; do "${name//-/_}"; done
 done
--- a/chivecross-bench/experiments/rolling.sh
+++ b/chivecross-bench/experiments/rolling.sh
@@ -40,6 +40,9 @@
   entry_pid[$n]=$last_pid
 done
 wait_for_entries "$network" "$entries" || exit 1
+# The first calls meet programs that are not compiled yet; they are no part of the run.
+"$home/bin/chivecross-load" --files "$files" --rate "$((rate / 2))" --seconds 10 --seed 999 --callers 100 \
+  --entries "$(entry_list "$network" "$entries")" --upload-bytes 16384 > "$work/warm-up.out" 2>&1
 "$home/bin/chivecross-load" --files "$files" --rate "$rate" --seconds "$seconds" --seed "$seed" \
   --entries "$(entry_list "$network" "$entries")" --callers 100 --mix read=60,write=37,upload=3 \
   --upload-bytes 16384 --resends 0 --history "$work/load.history" > "$work/load.out" 2>&1 &
