Count young marks wherever they stand in a message

Cause: the test took the first mark of a message for the youngest; messages are no longer sorted. Change: the test looks at all marks of a message; the counts expected are the same. Conclusion: as strict as before.

--- a/chivecross-core/src/test/java/org/chivecross/logic/peer/LeavingExchangeTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/peer/LeavingExchangeTest.java
@@ -78,7 +78,7 @@
       sent.clear();
       exchange.tick(List.of(new LeavingMark("old", 60_000), new LeavingMark("young", 100)), now);
       for (List<LeavingMark> marks : sent.values()) {
-        youngCount += marks.get(0).target().equals("young") ? 1 : 0;
+        youngCount += marks.stream().filter(mark -> mark.target().equals("young")).count();
         oldCount += marks.size() == 2 ? 1 : 0;
       }
     }
