--- a/chivecross-bench/experiments/processes.sh
+++ b/chivecross-bench/experiments/processes.sh
@@ -60,7 +60,7 @@
   shift 3
   start_process "entry-$n.log" "$home/bin/chivecross-entry" --listen "$network.$n:8000" \
     --deployment "$deployment" --data-centre "dc$((1 + (n - 1) % 3))" --platform "http://$network.98:8500" \
-    --peer-listen "$network.$n:7400" --plain-peers --peers "$(peer_list "$network" "$entries")" "$@"
+    --peer-listen "$network.$n:7400" --plain-peers "${@:---peers=$(peer_list "$network" "$entries")}"
 }
 
 peer_list() { # NETWORK ENTRIES
--- a/chivecross-bench/experiments/rolling.sh
+++ b/chivecross-bench/experiments/rolling.sh
@@ -69,7 +69,9 @@
   kill -TERM "${entry_pid[$n]}"
   wait "${entry_pid[$n]}"
   echo "entry $n ended with $?"
-  start_entry "$network" "$((n + 100))" "$entries"
+  # A replacement asks the old entries and the replacements before it, as the operator's list would.
+  start_entry "$network" "$((n + 100))" "$entries" \
+    --peers "$(peer_list "$network" "$entries"),$network.101:7400,$network.102:7400,$network.103:7400"
   wait_for "http://$network.$((n + 100)):8000/chivecross/entries?caller=start" "entry-$((n + 100)).log" || exit 1
 done
 echo "all entries replaced after $SECONDS s"
