--- a/chivecross-bench/experiments/faults.sh
+++ b/chivecross-bench/experiments/faults.sh
@@ -71,7 +71,7 @@
 wait "$load_pid"
 load_code=$?
 cat "$work/load.out"
-"$home/bin/chivecross-history" "$work/load.history" "$work/upstream.history"
+CHIVECROSS_JAVA_OPTIONS=-Xmx2g "$home/bin/chivecross-history" "$work/load.history" "$work/upstream.history"
 code=$?
 if [ -n "${CHIVECROSS_KEEP:-}" ]; then cp "$work"/*.history "$work"/*.log "$CHIVECROSS_KEEP"; fi
 echo "faults: seed $seed, load exit $load_code, history exit $code"
--- a/chivecross-bench/experiments/rolling.sh
+++ b/chivecross-bench/experiments/rolling.sh
@@ -79,7 +79,7 @@
 load_code=$?
 kill "$targets_pid" 2> /dev/null
 cat "$work/load.out"
-"$home/bin/chivecross-history" "$work/load.history" "$work/upstream.history"
+CHIVECROSS_JAVA_OPTIONS=-Xmx2g "$home/bin/chivecross-history" "$work/load.history" "$work/upstream.history"
 code=$?
 if [ -n "${CHIVECROSS_KEEP:-}" ]; then cp "$work"/*.history "$work"/*.log "$CHIVECROSS_KEEP"; fi
 echo "rolling: load exit $load_code, history exit $code"
