Read file sets of the stand-ins through the entry's reader

Cause: the walk over a directory of files stood in the entry and again in the bench module. Change: FileSetReader of the entry is public and the bench module calls it; names other than *.yaml are still left out there. Conclusion: the reader of chivecross-check stays apart, since it skips dot files and reports each file.

--- a/chivecross-bench/src/main/java/org/chivecross/cli/settings/FileSetDirectory.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/settings/FileSetDirectory.java
@@ -1,11 +1,9 @@
 package org.chivecross.cli.settings;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
-import java.util.TreeMap;
-import java.util.stream.Stream;
+import org.chivecross.cli.entry.FileSetReader;
 import org.chivecross.logic.fileset.FileSetParser;
 import org.chivecross.model.failure.Failure;
 import org.chivecross.model.failure.Result;
@@ -19,17 +17,13 @@
 
   /** Reads and parses all YAML files below a directory. */
   public static Result<FileSet> read(Path directory) {
-    Map<String, String> contents = new TreeMap<>();
-    try (Stream<Path> files = Files.walk(directory)) {
-      for (Path file : files.filter(Files::isRegularFile).toList()) {
-        String name = directory.relativize(file).toString();
-        if (name.endsWith(".yaml")) {
-          contents.put(name, Files.readString(file));
-        }
-      }
+    Map<String, String> contents;
+    try {
+      contents = FileSetReader.read(directory);
     } catch (IOException e) {
       return Result.failed(Step.FILE_SET, Failure.LOCAL, directory + ": " + e.getMessage());
     }
+    contents.keySet().removeIf(name -> !name.endsWith(".yaml"));
     return new FileSetParser().parse(contents);
   }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/FileSetReader.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/FileSetReader.java
@@ -9,7 +9,7 @@
 import java.util.stream.Stream;
 
 /** Reads the files of a set from a directory. Stateless. */
-final class FileSetReader {
+public final class FileSetReader {
 
   private FileSetReader() {}
 
@@ -18,7 +18,7 @@
    *
    * @throws IOException if a file can't be read
    */
-  static Map<String, String> read(Path directory) throws IOException {
+  public static Map<String, String> read(Path directory) throws IOException {
     List<Path> files;
     try (Stream<Path> paths = Files.walk(directory)) {
       files = paths.filter(Files::isRegularFile).toList();
