--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -0,0 +1,346 @@
+package org.chivecross.logic.dispatch;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.chivecross.model.failure.Failure;
+import org.chivecross.model.failure.Step;
+import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.request.LoadReport;
+import org.chivecross.model.ruleset.RouteRule;
+import org.chivecross.model.ruleset.RuleSet;
+
+/**
+ * Places requests on targets. The load of targets shifts within milliseconds, so a target is chosen
+ * by reports that were asked for by the very request that needs them.
+ *
+ * <p>Invariants: a target that is leaving or not registered is never chosen; each start that is
+ * counted by {@link #started} is ended once. Not thread-safe: all calls are made under one lock.
+ */
+public final class Dispatcher {
+
+  private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
+  /** Age up to which a report is used without asking again; much less than a phase of slowness. */
+  private static final long FRESH_NANOS = 25 * NANOS_PER_MILLI;
+
+  /** Time after which a probe counts as lost; a healthy target answers at once. */
+  private static final long PROBE_TIMEOUT_NANOS = 60 * NANOS_PER_MILLI;
+
+  /** Targets asked in one round: two give a good choice, more cost the targets time. */
+  private static final int PROBES_PER_ROUND = 2;
+
+  /** Rounds after which the best target so far is judged, whatever it is. */
+  private static final int MAX_ROUNDS = 3;
+
+  /** Pause after which busy targets are asked again. */
+  private static final long ASK_AGAIN_NANOS = 20 * NANOS_PER_MILLI;
+
+  /**
+   * Part of the latency objective for which a request waits for a target that serves it in time.
+   */
+  private static final double PATIENCE = 0.25;
+
+  /** Expected time, relative to the usual time, up to which a target is taken without comparing. */
+  private static final double GOOD_ENOUGH = 1.4;
+
+  /** Part of the time left that a target may be expected to need. */
+  private static final double SAFE_PART = 0.85;
+
+  /** Usual times that each remembered failure of a target adds to its expected time. */
+  private static final double FAILURE_COST = 2.0;
+
+  /** Shortest and longest advice to callers when to come back. */
+  private static final long MIN_RETRY_AFTER_MILLIS = 100;
+
+  private static final long MAX_RETRY_AFTER_MILLIS = 1_000;
+
+  private final DispatchPreferences preferences;
+  private final ProbeSender probes;
+  private final RandomGenerator random;
+  private final TargetBoard board = new TargetBoard();
+  private final WorkEstimates work = new WorkEstimates();
+  private final ServiceShares shares = new ServiceShares();
+  private final ExpectedTime expected;
+  private final ProbeAllowance probeAllowance;
+  private final Map<String, RetryAllowance> allowances = new HashMap<>();
+  private final Map<Integer, Set<PlacementTicket>> waiters = new HashMap<>();
+  private Optional<RouteTable> routes = Optional.empty();
+  private boolean targetsKnown;
+  private int entries = 1;
+
+  /** Creates a dispatcher that knows no route and no target. */
+  public Dispatcher(DispatchPreferences preferences, ProbeSender probes, RandomGenerator random) {
+    this.preferences = preferences;
+    this.probes = probes;
+    this.random = random;
+    expected = new ExpectedTime(board, preferences);
+    probeAllowance = new ProbeAllowance(preferences.probesPerSecond());
+  }
+
+  /** Puts a rule set in force. */
+  public void applyRules(RuleSet rules) {
+    routes = Optional.of(new RouteTable(rules));
+    shares.reset();
+  }
+
+  /** Replaces the set of registered targets. */
+  public void applyTargets(Collection<RegisteredTarget> targets, long nowNanos) {
+    board.apply(targets, nowNanos);
+    targetsKnown = true;
+  }
+
+  /** Tells how many entries share the budgets. */
+  public void setEntries(int count) {
+    entries = Math.max(1, count);
+  }
+
+  /** Returns whether rules are in force. */
+  public boolean hasRules() {
+    return routes.isPresent();
+  }
+
+  /** Returns whether the targets are known, even if there are none. */
+  public boolean hasTargets() {
+    return targetsKnown;
+  }
+
+  /** Returns the route of a request; empty as well while no rules are in force. */
+  public Optional<RouteRule> route(String host, String path) {
+    return routes.flatMap(table -> table.find(host, path));
+  }
+
+  /** Returns the target of a row. */
+  public Optional<RegisteredTarget> target(int row) {
+    return board.target(row);
+  }
+
+  /** Returns the number of targets that may be used. */
+  public int usableTargets() {
+    return board.usableCount();
+  }
+
+  /**
+   * Starts to look for a target.
+   *
+   * @param wake asks for another call of {@link #seek}
+   */
+  public PlacementTicket open(
+      RouteRule route, long deadlineNanos, long bodyBytes, Runnable wake, long nowNanos) {
+    String service = shares.next(route, random.nextDouble());
+    allowance(service).request(nowNanos);
+    return new PlacementTicket(route, service, nowNanos, deadlineNanos, bodyBytes, wake);
+  }
+
+  /** Takes a send beyond the first from the budget; false when it is used up. */
+  public boolean tryRepeat(PlacementTicket ticket, long nowNanos) {
+    return allowance(ticket.service()).tryRepeat(entries, nowNanos);
+  }
+
+  /** Starts to look for another target than those that were tried. */
+  public void seekAgain(PlacementTicket ticket, long nowNanos) {
+    ticket.seekAgain(nowNanos);
+  }
+
+  /** Looks for a target; may send probes. */
+  public Placement seek(PlacementTicket ticket, long nowNanos) {
+    int[] rows = board.usableRows(ticket.service());
+    if (rows.length == 0) {
+      return refuse("no usable target of " + ticket.service(), MAX_RETRY_AFTER_MILLIS);
+    }
+    double usual = work.usualMillis(ticket.route());
+    double leftMillis = (ticket.deadlineNanos() - nowNanos) / (double) NANOS_PER_MILLI;
+    if (leftMillis < usual / 2) {
+      return refuse("too little time left for a target", MIN_RETRY_AFTER_MILLIS);
+    }
+    int best = best(ticket, rows, usual, nowNanos);
+    double bestMillis =
+        best == TargetBoard.NONE
+            ? Double.MAX_VALUE
+            : expected.millis(best, usual, ticket.bodyBytes(), nowNanos);
+    if (bestMillis <= usual * GOOD_ENOUGH) {
+      return choose(ticket, best);
+    }
+    if (ticket.isWaiting()) {
+      return new Placement.Pending(nowNanos + PROBE_TIMEOUT_NANOS);
+    }
+    if (ticket.rounds() < MAX_ROUNDS && startRound(ticket, rows, nowNanos)) {
+      return new Placement.Pending(nowNanos + PROBE_TIMEOUT_NANOS);
+    }
+    return judge(ticket, best, bestMillis, nowNanos);
+  }
+
+  /** All rounds are over; takes the best target, waits or gives up. */
+  private Placement judge(PlacementTicket ticket, int best, double bestMillis, long nowNanos) {
+    double leftMillis = (ticket.deadlineNanos() - nowNanos) / (double) NANOS_PER_MILLI;
+    double waited = (nowNanos - ticket.seekingSinceNanos()) / (double) NANOS_PER_MILLI;
+    double objective = ticket.route().latencyObjectiveMillis();
+    double untilObjective =
+        objective - (nowNanos - ticket.arrivedNanos()) / (double) NANOS_PER_MILLI;
+    boolean patient = waited < PATIENCE * objective;
+    if (best != TargetBoard.NONE && bestMillis <= untilObjective * SAFE_PART) {
+      return choose(ticket, best);
+    }
+    if (best != TargetBoard.NONE && !patient && bestMillis <= leftMillis * SAFE_PART) {
+      return choose(ticket, best);
+    }
+    if (!patient) {
+      double backlog = best == TargetBoard.NONE ? objective : bestMillis;
+      return refuse("all targets of " + ticket.service() + " are busy", (long) (backlog / 2));
+    }
+    ticket.restartRounds();
+    return new Placement.Pending(nowNanos + ASK_AGAIN_NANOS);
+  }
+
+  /** An attempt was given to a target. */
+  public void started(int row) {
+    board.started(row);
+  }
+
+  /** An attempt ended without telling anything about the target. */
+  public void abandoned(int row) {
+    board.ended(row);
+  }
+
+  /** A target answered; {@code slowdown} is what {@link #slowdown} said when it was chosen. */
+  public void served(
+      PlacementTicket ticket, int row, long elapsedNanos, double slowdown, long nowNanos) {
+    board.ended(row);
+    board.served(row, nowNanos);
+    work.answered(ticket.route(), elapsedNanos, slowdown);
+  }
+
+  /** An attempt failed through the target. */
+  public void failed(int row, long nowNanos) {
+    board.ended(row);
+    board.failed(row, 1, nowNanos);
+  }
+
+  /** Returns how many times longer than usual work takes at a target, as it last reported. */
+  public double slowdown(int row) {
+    return board.slowdown(row);
+  }
+
+  /** Returns the time that an answer of a target is expected to take, in ms. */
+  public double expectedMillis(PlacementTicket ticket, int row, long nowNanos) {
+    double usual = work.usualMillis(ticket.route());
+    return expected.millis(row, usual, ticket.bodyBytes(), nowNanos);
+  }
+
+  /** A target told its load with an answer. */
+  public void loadReported(int row, LoadReport report, long nowNanos) {
+    board.report(row, report, nowNanos);
+  }
+
+  /**
+   * A probe ended.
+   *
+   * @param healthy whether the target answered that it is well
+   * @param report its load; empty when it told none or didn't answer in time
+   */
+  public void probeEnded(int row, boolean healthy, Optional<LoadReport> report, long nowNanos) {
+    board.setProbing(row, false);
+    report.ifPresent(load -> board.report(row, load, nowNanos));
+    if (!healthy) {
+      board.failed(row, 1, nowNanos);
+    }
+    Set<PlacementTicket> waiting = waiters.remove(row);
+    if (waiting != null) {
+      waiting.forEach(ticket -> ticket.probeEnded(row));
+    }
+  }
+
+  /** Returns the time within which a probe must be answered, in ms. */
+  public static long probeTimeoutMillis() {
+    return PROBE_TIMEOUT_NANOS / NANOS_PER_MILLI;
+  }
+
+  private int best(PlacementTicket ticket, int[] rows, double usual, long nowNanos) {
+    int best = TargetBoard.NONE;
+    double least = Double.MAX_VALUE;
+    for (int row : rows) {
+      if (ticket.isTried(row) || !board.isFresh(row, FRESH_NANOS, nowNanos)) {
+        continue;
+      }
+      double millis = expected.millis(row, usual, ticket.bodyBytes(), nowNanos);
+      if (millis < least) {
+        least = millis;
+        best = row;
+      }
+    }
+    return best;
+  }
+
+  /** Asks more targets for their load; false when there is none left to ask. */
+  private boolean startRound(PlacementTicket ticket, int[] rows, long nowNanos) {
+    int sent = 0;
+    while (sent < PROBES_PER_ROUND) {
+      int row = nextToAsk(ticket, rows, nowNanos);
+      if (row == TargetBoard.NONE) {
+        break;
+      }
+      if (!board.isProbing(row)) {
+        if (!probeAllowance.tryTake(board.usableCount(), entries, nowNanos)) {
+          break;
+        }
+        board.setProbing(row, true);
+        probes.send(row);
+      }
+      ticket.probeSent(row);
+      waiters.computeIfAbsent(row, r -> new HashSet<>()).add(ticket);
+      sent++;
+    }
+    if (sent > 0) {
+      ticket.roundStarted();
+    }
+    return sent > 0;
+  }
+
+  /** Returns the target to ask next: near ones without failures first, else at random. */
+  private int nextToAsk(PlacementTicket ticket, int[] rows, long nowNanos) {
+    int next = TargetBoard.NONE;
+    double least = Double.MAX_VALUE;
+    for (int row : rows) {
+      if (ticket.isTried(row) || ticket.isAsked(row)) {
+        continue;
+      }
+      double order =
+          random.nextDouble()
+              + expected.crossing(row, ticket.bodyBytes()) / preferences.crossingMillis()
+              + FAILURE_COST * board.failures(row, nowNanos);
+      if (order < least) {
+        least = order;
+        next = row;
+      }
+    }
+    return next;
+  }
+
+  private Placement choose(PlacementTicket ticket, int row) {
+    ticket.markTried(row);
+    return new Placement.Chosen(row);
+  }
+
+  private Placement refuse(String detail, long retryAfterMillis) {
+    long base =
+        Math.max(MIN_RETRY_AFTER_MILLIS, Math.min(MAX_RETRY_AFTER_MILLIS, retryAfterMillis));
+    long jittered = base / 2 + (long) (random.nextDouble() * base);
+    return new Placement.Refused(
+        new Failure(Step.SELECT_TARGET, Failure.LOCAL, detail), Math.max(1, jittered));
+  }
+
+  private RetryAllowance allowance(String service) {
+    return allowances.computeIfAbsent(
+        service,
+        name ->
+            new RetryAllowance(
+                preferences.repeatRatio(),
+                preferences.repeatFixed(),
+                preferences.repeatWindowNanos()));
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/ProbeAllowance.java
@@ -0,0 +1,42 @@
+package org.chivecross.logic.dispatch;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * This entry's part of the probes that targets may get: a token bucket whose rate follows the
+ * number of targets and entries. Not thread-safe.
+ */
+final class ProbeAllowance {
+
+  /** Part of the agreed rate that is used, since entries disagree on their number for a while. */
+  private static final double USED_PART = 0.6;
+
+  /** Time whose probes may be sent at once. */
+  private static final double BURST_SECONDS = 1.0;
+
+  private final double perTargetAndSecond;
+  private double tokens;
+  private long filledNanos = Long.MIN_VALUE;
+
+  /** Creates an allowance of {@code perTargetAndSecond} probes from all entries together. */
+  ProbeAllowance(double perTargetAndSecond) {
+    this.perTargetAndSecond = perTargetAndSecond;
+  }
+
+  boolean tryTake(int targets, int entries, long nowNanos) {
+    double rate = USED_PART * perTargetAndSecond * targets / entries;
+    double most = Math.max(1, rate * BURST_SECONDS);
+    if (filledNanos == Long.MIN_VALUE) {
+      tokens = most;
+    } else {
+      double seconds = (nowNanos - filledNanos) / (double) TimeUnit.SECONDS.toNanos(1);
+      tokens = Math.min(most, tokens + rate * seconds);
+    }
+    filledNanos = nowNanos;
+    if (tokens < 1) {
+      return false;
+    }
+    tokens--;
+    return true;
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/RetryAllowance.java
@@ -0,0 +1,76 @@
+package org.chivecross.logic.dispatch;
+
+/**
+ * This entry's part of the budget for sending requests of one service more than once.
+ *
+ * <p>The budget bounds the sends beyond the first of each request within any window. The fixed part
+ * is divided by the number of entries, the part in proportion to the traffic needs no division:
+ * each entry counts its own requests. Not thread-safe.
+ */
+final class RetryAllowance {
+
+  /** Parts of a window that are counted on their own. */
+  private static final int BUCKETS = 20;
+
+  /** Part of the budget that is used, since windows of entries don't begin together. */
+  private static final double USED_PART = 0.7;
+
+  private final double ratio;
+  private final double fixed;
+  private final long bucketNanos;
+  private final int[] requests = new int[BUCKETS];
+  private final int[] repeats = new int[BUCKETS];
+  private long currentBucket = Long.MIN_VALUE;
+
+  /**
+   * Creates an unused allowance.
+   *
+   * @param ratio repeats allowed for each request
+   * @param fixed repeats allowed in each window without any request
+   * @param windowNanos length of the window
+   */
+  RetryAllowance(double ratio, double fixed, long windowNanos) {
+    this.ratio = ratio;
+    this.fixed = fixed;
+    bucketNanos = Math.max(1, windowNanos / BUCKETS);
+  }
+
+  void request(long nowNanos) {
+    roll(nowNanos);
+    requests[index(currentBucket)]++;
+  }
+
+  /** Takes one repeat; false when the allowance is used up. */
+  boolean tryRepeat(int entries, long nowNanos) {
+    roll(nowNanos);
+    int requested = 0;
+    int repeated = 0;
+    for (int i = 0; i < BUCKETS; i++) {
+      requested += requests[i];
+      repeated += repeats[i];
+    }
+    double allowed = USED_PART * (ratio * requested + fixed / Math.max(1, entries));
+    if (repeated + 1 > allowed) {
+      return false;
+    }
+    repeats[index(currentBucket)]++;
+    return true;
+  }
+
+  private void roll(long nowNanos) {
+    long bucket = Math.floorDiv(nowNanos, bucketNanos);
+    if (currentBucket == Long.MIN_VALUE) {
+      currentBucket = bucket;
+    }
+    long first = Math.max(currentBucket + 1, bucket - BUCKETS + 1);
+    for (long b = first; b <= bucket; b++) {
+      requests[index(b)] = 0;
+      repeats[index(b)] = 0;
+    }
+    currentBucket = Math.max(currentBucket, bucket);
+  }
+
+  private static int index(long bucket) {
+    return Math.floorMod(bucket, BUCKETS);
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetBoard.java
@@ -0,0 +1,240 @@
+package org.chivecross.logic.dispatch;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.request.LoadReport;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Table of targets: one row for each incarnation, with what it last reported and what this entry
+ * saw of it.
+ *
+ * <p>Invariants: a row belongs to one incarnation until nothing refers to it any more, so a number
+ * that a request holds never comes to mean another target; only rows that are registered and not
+ * leaving are usable. Not thread-safe.
+ */
+final class TargetBoard {
+
+  static final int NONE = -1;
+
+  private static final int FIRST_CAPACITY = 64;
+
+  /** Time in which the memory of failures fades to half; failures that last outlive it by far. */
+  private static final double FAILURE_HALF_LIFE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+  /** Age from which remembered failures are taken as forgotten, in half-lives. */
+  private static final double FORGOTTEN_HALF_LIVES = 8;
+
+  private @Nullable RegisteredTarget[] registered = new RegisteredTarget[FIRST_CAPACITY];
+  private boolean[] usable = new boolean[FIRST_CAPACITY];
+  private int[] inFlight = new int[FIRST_CAPACITY];
+  private boolean[] probing = new boolean[FIRST_CAPACITY];
+  private int[] running = new int[FIRST_CAPACITY];
+  private int[] waiting = new int[FIRST_CAPACITY];
+  private int[] slots = new int[FIRST_CAPACITY];
+  private int[] slowdownPercent = new int[FIRST_CAPACITY];
+  private int[] sentSinceReport = new int[FIRST_CAPACITY];
+  private long[] reportNanos = new long[FIRST_CAPACITY];
+  private long[] warmNanos = new long[FIRST_CAPACITY];
+  private double[] failures = new double[FIRST_CAPACITY];
+  private long[] failureNanos = new long[FIRST_CAPACITY];
+  private int size;
+  private final Deque<Integer> retired = new ArrayDeque<>();
+  private final Map<String, Integer> rowsById = new HashMap<>();
+  private Map<String, int[]> rowsByService = Map.of();
+
+  /** Replaces the set of registered targets; rows of targets that stay keep what they hold. */
+  void apply(Collection<RegisteredTarget> targets, long nowNanos) {
+    Map<String, RegisteredTarget> next = new HashMap<>();
+    targets.forEach(target -> next.put(target.id(), target));
+    List<String> gone = new ArrayList<>();
+    rowsById.forEach(
+        (id, row) -> {
+          RegisteredTarget now = next.get(id);
+          RegisteredTarget before = registered[row];
+          if (now == null || before == null || !now.isSameIncarnation(before)) {
+            gone.add(id);
+          }
+        });
+    for (String id : gone) {
+      int row = rowsById.remove(id);
+      usable[row] = false;
+      retired.add(row);
+    }
+    for (RegisteredTarget target : next.values()) {
+      Integer known = rowsById.get(target.id());
+      int row = known == null ? newRow(target, nowNanos) : known;
+      registered[row] = target;
+      usable[row] = !target.leaving();
+      rowsById.put(target.id(), row);
+    }
+    index();
+  }
+
+  /** Returns the usable rows of a service. */
+  int[] usableRows(String service) {
+    return rowsByService.getOrDefault(service, new int[0]);
+  }
+
+  /** Returns the number of targets that are usable. */
+  int usableCount() {
+    return rowsByService.values().stream().mapToInt(rows -> rows.length).sum();
+  }
+
+  boolean isUsable(int row) {
+    return usable[row];
+  }
+
+  /** Returns the target of a row, also after it has gone. */
+  Optional<RegisteredTarget> target(int row) {
+    return row >= 0 && row < size ? Optional.ofNullable(registered[row]) : Optional.empty();
+  }
+
+  boolean isProbing(int row) {
+    return probing[row];
+  }
+
+  void setProbing(int row, boolean value) {
+    probing[row] = value;
+  }
+
+  void started(int row) {
+    inFlight[row]++;
+    sentSinceReport[row]++;
+  }
+
+  void ended(int row) {
+    inFlight[row]--;
+  }
+
+  int inFlight(int row) {
+    return inFlight[row];
+  }
+
+  /** Stores what a target said of its load. */
+  void report(int row, LoadReport report, long nowNanos) {
+    running[row] = report.inService();
+    waiting[row] = report.queued();
+    slots[row] = Math.max(1, report.slots());
+    slowdownPercent[row] = report.slowdownPercent();
+    sentSinceReport[row] = 0;
+    reportNanos[row] = nowNanos;
+  }
+
+  /** Returns whether the last report of a target is not older than {@code maxAgeNanos}. */
+  boolean isFresh(int row, long maxAgeNanos, long nowNanos) {
+    return reportNanos[row] != Long.MIN_VALUE && nowNanos - reportNanos[row] <= maxAgeNanos;
+  }
+
+  int running(int row) {
+    return running[row] + sentSinceReport[row];
+  }
+
+  int waiting(int row) {
+    return waiting[row];
+  }
+
+  int slots(int row) {
+    return slots[row];
+  }
+
+  /** Returns how many times longer than usual work takes at a target. */
+  double slowdown(int row) {
+    return slowdownPercent[row] / (double) LoadReport.USUAL_SPEED;
+  }
+
+  boolean isWarm(int row, long nowNanos) {
+    return nowNanos >= warmNanos[row];
+  }
+
+  void failed(int row, double weight, long nowNanos) {
+    failures[row] = failures(row, nowNanos) + weight;
+    failureNanos[row] = nowNanos;
+  }
+
+  /** Halves the memory of failures after a request was served. */
+  void served(int row, long nowNanos) {
+    failures[row] = failures(row, nowNanos) / 2;
+    failureNanos[row] = nowNanos;
+  }
+
+  /** Returns the failures seen of late; older ones count less. */
+  double failures(int row, long nowNanos) {
+    if (failures[row] == 0) {
+      return 0;
+    }
+    double halfLives = (nowNanos - failureNanos[row]) / FAILURE_HALF_LIFE_NANOS;
+    return halfLives > FORGOTTEN_HALF_LIVES ? 0 : failures[row] * Math.pow(0.5, halfLives);
+  }
+
+  private int newRow(RegisteredTarget target, long nowNanos) {
+    int row = takeRetired();
+    if (row == NONE) {
+      row = size++;
+      if (row == inFlight.length) {
+        grow();
+      }
+    }
+    inFlight[row] = 0;
+    probing[row] = false;
+    sentSinceReport[row] = 0;
+    reportNanos[row] = Long.MIN_VALUE;
+    slots[row] = Math.max(1, target.slots());
+    slowdownPercent[row] = LoadReport.USUAL_SPEED;
+    warmNanos[row] = nowNanos + TimeUnit.MILLISECONDS.toNanos(target.warmupMillis());
+    failures[row] = 0;
+    return row;
+  }
+
+  private int takeRetired() {
+    for (int i = retired.size(); i > 0; i--) {
+      int row = retired.remove();
+      if (inFlight[row] == 0 && !probing[row]) {
+        return row;
+      }
+      retired.add(row);
+    }
+    return NONE;
+  }
+
+  private void grow() {
+    int capacity = 2 * inFlight.length;
+    registered = Arrays.copyOf(registered, capacity);
+    usable = Arrays.copyOf(usable, capacity);
+    inFlight = Arrays.copyOf(inFlight, capacity);
+    probing = Arrays.copyOf(probing, capacity);
+    running = Arrays.copyOf(running, capacity);
+    waiting = Arrays.copyOf(waiting, capacity);
+    slots = Arrays.copyOf(slots, capacity);
+    slowdownPercent = Arrays.copyOf(slowdownPercent, capacity);
+    sentSinceReport = Arrays.copyOf(sentSinceReport, capacity);
+    reportNanos = Arrays.copyOf(reportNanos, capacity);
+    warmNanos = Arrays.copyOf(warmNanos, capacity);
+    failures = Arrays.copyOf(failures, capacity);
+    failureNanos = Arrays.copyOf(failureNanos, capacity);
+  }
+
+  private void index() {
+    Map<String, List<Integer>> lists = new HashMap<>();
+    for (int row : rowsById.values()) {
+      RegisteredTarget target = registered[row];
+      if (usable[row] && target != null) {
+        lists.computeIfAbsent(target.service(), s -> new ArrayList<>()).add(row);
+      }
+    }
+    Map<String, int[]> arrays = new HashMap<>();
+    lists.forEach(
+        (service, rows) ->
+            arrays.put(service, rows.stream().mapToInt(Integer::intValue).sorted().toArray()));
+    rowsByService = arrays;
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/WorkEstimates.java
@@ -0,0 +1,42 @@
+package org.chivecross.logic.dispatch;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.chivecross.model.ruleset.RouteRule;
+
+/**
+ * Usual time that targets need for the requests of a route, learned from answers. Not thread-safe.
+ */
+final class WorkEstimates {
+
+  /** Part of the latency objective that is assumed before the first answer. */
+  private static final double FIRST_GUESS = 0.4;
+
+  /** Weight of the newest answer; about the last ten answers count. */
+  private static final double GAIN = 0.1;
+
+  private final Map<String, Double> millisByRoute = new HashMap<>();
+
+  /** Returns the usual time, in ms. */
+  double usualMillis(RouteRule route) {
+    Double known = millisByRoute.get(key(route));
+    return known == null ? FIRST_GUESS * route.latencyObjectiveMillis() : known;
+  }
+
+  /**
+   * Takes an answer into account.
+   *
+   * @param elapsedNanos time from sending to the head of the answer
+   * @param slowdown how many times longer than usual the target took when it was chosen
+   */
+  void answered(RouteRule route, long elapsedNanos, double slowdown) {
+    double millis = elapsedNanos / (double) TimeUnit.MILLISECONDS.toNanos(1) / slowdown;
+    double before = usualMillis(route);
+    millisByRoute.put(key(route), before + GAIN * (millis - before));
+  }
+
+  private static String key(RouteRule route) {
+    return route.host() + route.prefix();
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/EntryRoster.java
@@ -0,0 +1,78 @@
+package org.chivecross.logic.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.chivecross.model.fleet.FleetMember;
+
+/**
+ * The other entries that were heard of late. Not thread-safe.
+ *
+ * <p>Invariant: an older incarnation of an entry never replaces a newer one that was heard later.
+ */
+final class EntryRoster {
+
+  /** Silence after which an entry counts as gone: three heartbeats that were lost or not sent. */
+  static final long GONE_MILLIS = 3_500;
+
+  private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
+  /** What is known of one entry. */
+  private record Row(
+      String ip, long incarnation, String dataCentre, boolean ready, long heardNanos) {}
+
+  private final Map<String, Row> rows = new TreeMap<>();
+
+  /** Notes a message of an entry; returns whether it was not known as it is now. */
+  boolean heard(String ip, long incarnation, String dataCentre, boolean ready, long nowNanos) {
+    Row before = rows.put(ip, new Row(ip, incarnation, dataCentre, ready, nowNanos));
+    return before == null || before.incarnation() != incarnation || before.ready() != ready;
+  }
+
+  /** Takes over what another entry has heard. */
+  void merge(Collection<FleetMember> members, String ownIp, long nowNanos) {
+    for (FleetMember member : members) {
+      long heardNanos = nowNanos - member.ageMillis() * NANOS_PER_MILLI;
+      Row known = rows.get(member.ip());
+      boolean newer = known == null || heardNanos > known.heardNanos();
+      if (newer && !member.ip().equals(ownIp) && member.ageMillis() < GONE_MILLIS) {
+        rows.put(
+            member.ip(),
+            new Row(
+                member.ip(),
+                member.incarnation(),
+                member.dataCentre(),
+                member.ready(),
+                heardNanos));
+      }
+    }
+  }
+
+  /** Forgets entries that were not heard for long. */
+  void expire(long nowNanos) {
+    rows.values().removeIf(row -> nowNanos - row.heardNanos() > GONE_MILLIS * NANOS_PER_MILLI);
+  }
+
+  /** Returns the entries, by IP number. */
+  List<FleetMember> members(long nowNanos) {
+    List<FleetMember> members = new ArrayList<>();
+    for (Row row : rows.values()) {
+      long age = Math.max(0, (nowNanos - row.heardNanos()) / NANOS_PER_MILLI);
+      members.add(new FleetMember(row.ip(), row.incarnation(), row.dataCentre(), row.ready(), age));
+    }
+    members.sort(Comparator.comparing(FleetMember::ip));
+    return members;
+  }
+
+  boolean contains(String ip) {
+    return rows.containsKey(ip);
+  }
+
+  int size() {
+    return rows.size();
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/PlatformView.java
@@ -0,0 +1,213 @@
+package org.chivecross.logic.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.chivecross.model.fleet.StoreChange;
+import org.chivecross.model.fleet.ViewNews;
+import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.ruleset.RuleSet;
+
+/**
+ * What this entry knows of the platform's store: the rules and the registered targets, each change
+ * with the revision that it belongs to. Not thread-safe.
+ *
+ * <p>Invariants: the version of the rules never goes back; neither does the revision.
+ */
+final class PlatformView {
+
+  private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
+  /**
+   * Time after an outage of the store in which registrations that lapsed meanwhile may come back. A
+   * target that lives registers again within 2 s; the rest is for the read that tells it.
+   */
+  private static final long LAPSE_NANOS = 2_300 * NANOS_PER_MILLI;
+
+  private final Map<String, RegisteredTarget> targets = new TreeMap<>();
+  private final Map<String, Long> lapsedUntilNanos = new HashMap<>();
+  private Optional<RuleSet> rules = Optional.empty();
+  private long revision;
+  private long asOfNanos = Long.MIN_VALUE;
+  private boolean known;
+
+  /** What an update changed. */
+  record Update(List<RegisteredTarget> registered, List<String> removed, boolean newRules) {
+
+    boolean isEmpty() {
+      return registered.isEmpty() && removed.isEmpty() && !newRules;
+    }
+  }
+
+  /**
+   * Takes over a read of the store.
+   *
+   * @param sentNanos time at which the read was sent; the store is at least that new
+   * @param afterOutage whether reads failed shortly before, so that registrations may have lapsed
+   */
+  Update apply(StoreChange change, long sentNanos, boolean afterOutage, long nowNanos) {
+    if (known && change.revision() < revision) {
+      return new Update(List.of(), List.of(), false);
+    }
+    List<String> gone = new ArrayList<>(change.removed());
+    if (change.whole()) {
+      gone.addAll(missing(change.registered()));
+    }
+    List<String> removed = new ArrayList<>();
+    for (String id : gone) {
+      if (afterOutage && targets.containsKey(id) && !targets.get(id).leaving()) {
+        lapsedUntilNanos.putIfAbsent(id, nowNanos + LAPSE_NANOS);
+      } else {
+        removed.add(id);
+      }
+    }
+    return update(change.registered(), removed, change.rules(), change.revision(), sentNanos);
+  }
+
+  /** Takes over what another entry knows. */
+  Update apply(ViewNews news, long nowNanos) {
+    long asOf = nowNanos - news.ageMillis() * NANOS_PER_MILLI;
+    if (known && news.revision() < revision) {
+      return update(List.of(), List.of(), news.rules(), revision, asOfNanos);
+    }
+    List<String> removed = new ArrayList<>(news.removed());
+    if (news.whole()) {
+      removed.addAll(missing(news.registered()));
+    }
+    boolean complete = known || news.whole();
+    if (!complete) {
+      return update(List.of(), List.of(), news.rules(), revision, asOfNanos);
+    }
+    return update(news.registered(), removed, news.rules(), news.revision(), asOf);
+  }
+
+  /** Drops lapsed registrations that did not come back in time. */
+  Update expire(long nowNanos) {
+    List<String> removed = new ArrayList<>();
+    lapsedUntilNanos.forEach(
+        (id, until) -> {
+          if (nowNanos >= until) {
+            removed.add(id);
+          }
+        });
+    return update(List.of(), removed, Optional.empty(), revision, asOfNanos);
+  }
+
+  private Update update(
+      List<RegisteredTarget> registered,
+      List<String> removed,
+      Optional<RuleSet> newRules,
+      long newRevision,
+      long newAsOfNanos) {
+    List<RegisteredTarget> changed = new ArrayList<>();
+    for (RegisteredTarget target : registered) {
+      lapsedUntilNanos.remove(target.id());
+      RegisteredTarget before = targets.put(target.id(), target);
+      if (before == null || !isAlike(before, target)) {
+        changed.add(target);
+      }
+    }
+    List<String> dropped = new ArrayList<>();
+    for (String id : removed) {
+      lapsedUntilNanos.remove(id);
+      if (targets.remove(id) != null) {
+        dropped.add(id);
+      }
+    }
+    boolean fresh =
+        newRules.isPresent()
+            && newRules.get().version() > rules.map(RuleSet::version).orElse(Long.MIN_VALUE);
+    if (fresh) {
+      rules = newRules;
+    }
+    revision = Math.max(revision, newRevision);
+    asOfNanos = Math.max(asOfNanos, newAsOfNanos);
+    known |= newAsOfNanos != Long.MIN_VALUE;
+    return new Update(changed, dropped, fresh);
+  }
+
+  /** Returns everything as news for another entry. */
+  ViewNews whole(boolean withRules, long nowNanos) {
+    return new ViewNews(
+        revision,
+        ageMillis(nowNanos),
+        digest(),
+        rulesVersion(),
+        true,
+        List.copyOf(targets.values()),
+        List.of(),
+        withRules ? rules : Optional.empty());
+  }
+
+  /** Returns what an update changed as news for another entry. */
+  ViewNews news(Update update, boolean withRules, long nowNanos) {
+    return new ViewNews(
+        revision,
+        ageMillis(nowNanos),
+        digest(),
+        rulesVersion(),
+        false,
+        update.registered(),
+        update.removed(),
+        withRules ? rules : Optional.empty());
+  }
+
+  /** Returns whether the store was read, by whatever entry. */
+  boolean isKnown() {
+    return known;
+  }
+
+  Collection<RegisteredTarget> targets() {
+    return targets.values();
+  }
+
+  Optional<RuleSet> rules() {
+    return rules;
+  }
+
+  long rulesVersion() {
+    return rules.map(RuleSet::version).orElse(0L);
+  }
+
+  long revision() {
+    return revision;
+  }
+
+  /** Returns when the store was at the state that is known, in monotonic nanoseconds. */
+  long asOfNanos() {
+    return asOfNanos;
+  }
+
+  long ageMillis(long nowNanos) {
+    return known ? Math.max(0, (nowNanos - asOfNanos) / NANOS_PER_MILLI) : Long.MAX_VALUE;
+  }
+
+  /** Returns a digest of the targets that two entries with the same view agree on. */
+  long digest() {
+    long digest = 0;
+    for (RegisteredTarget target : targets.values()) {
+      long hash = target.id().hashCode() * 31L + target.startedAtMillis();
+      hash = hash * 31 + target.address().hashCode();
+      hash = hash * 31 + target.service().hashCode();
+      hash = hash * 31 + (target.leaving() ? 1 : 0);
+      digest = digest * 1_000_003 + hash;
+    }
+    return digest;
+  }
+
+  private List<String> missing(List<RegisteredTarget> all) {
+    List<String> names = new ArrayList<>(targets.keySet());
+    all.forEach(target -> names.remove(target.id()));
+    return names;
+  }
+
+  /** The remaining warm-up time differs with each registration and is no news. */
+  private static boolean isAlike(RegisteredTarget a, RegisteredTarget b) {
+    return a.isSameIncarnation(b) && a.leaving() == b.leaving() && a.slots() == b.slots();
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/model/registry/RegisteredTarget.java
@@ -0,0 +1,32 @@
+package org.chivecross.model.registry;
+
+/**
+ * A target that registered itself. Immutable.
+ *
+ * @param id name of the target; the same name may come back with a later start
+ * @param startedAtMillis start of this incarnation, in ms since the epoch of the target's own clock
+ * @param service name of the service that it belongs to
+ * @param address {@code ip:port} on which it listens
+ * @param dataCentre data centre that it runs in
+ * @param slots requests that it processes at once
+ * @param leaving whether it announced its shutdown
+ * @param warmupMillis time for which it stays slow after this registration, in ms
+ */
+public record RegisteredTarget(
+    String id,
+    long startedAtMillis,
+    String service,
+    String address,
+    String dataCentre,
+    int slots,
+    boolean leaving,
+    long warmupMillis) {
+
+  /** Returns whether {@code other} is the same start of the same target. */
+  public boolean isSameIncarnation(RegisteredTarget other) {
+    return id.equals(other.id)
+        && startedAtMillis == other.startedAtMillis
+        && address.equals(other.address)
+        && service.equals(other.service);
+  }
+}
--- a/chivecross-core/src/main/java/org/chivecross/model/request/RequestHead.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/request/RequestHead.java
@@ -12,6 +12,7 @@
  * @param depth nesting of calls; 0 for a call from outside
  * @param idempotencyKey value of the {@code Idempotency-Key} header
  * @param hasBody whether a body follows
+ * @param bodyBytes size of the body as far as it is known when the request starts
  */
 public record RequestHead(
     String method,
@@ -20,4 +21,18 @@
     Optional<Long> deadlineMillis,
     int depth,
     Optional<String> idempotencyKey,
-    boolean hasBody) {}
+    boolean hasBody,
+    long bodyBytes) {
+
+  /** Creates a head of a request whose body's size doesn't matter. */
+  public RequestHead(
+      String method,
+      String host,
+      String path,
+      Optional<Long> deadlineMillis,
+      int depth,
+      Optional<String> idempotencyKey,
+      boolean hasBody) {
+    this(method, host, path, deadlineMillis, depth, idempotencyKey, hasBody, 0);
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/model/ruleset/RouteRule.java
@@ -0,0 +1,38 @@
+package org.chivecross.model.ruleset;
+
+import java.util.List;
+import org.chivecross.model.fileset.RequestClass;
+
+/**
+ * How requests of one host and path prefix are handled. Immutable.
+ *
+ * @param name name of the route in logs and metrics
+ * @param host host name in lower case, without port
+ * @param prefix path prefix, with a slash at both ends
+ * @param services services that share the requests; never empty
+ * @param requestClass whether a request may run more than once, and how its body is treated
+ * @param timeoutMillis longest time that a request is kept waiting, in ms
+ * @param latencyObjectiveMillis time within which an answer is worth most to the caller, in ms
+ * @param maxAttempts most targets that one request is sent to; at least 1
+ * @param priority rank under overload; 0 is the most urgent
+ */
+public record RouteRule(
+    String name,
+    String host,
+    String prefix,
+    List<WeightedService> services,
+    RequestClass requestClass,
+    long timeoutMillis,
+    long latencyObjectiveMillis,
+    int maxAttempts,
+    int priority) {
+
+  public RouteRule {
+    services = List.copyOf(services);
+  }
+
+  /** Returns whether a request may run more than once. */
+  public boolean isIdempotent() {
+    return requestClass == RequestClass.READ;
+  }
+}
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/StopSignals.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/StopSignals.java
@@ -6,12 +6,12 @@
  * Signals that ask a process to stop. A shutdown hook would see the first one only, and the second
  * must force the stop. Stateless.
  */
-final class StopSignals {
+public final class StopSignals {
 
   private StopSignals() {}
 
   /** Calls {@code stop} for each SIGTERM and SIGINT. */
-  static void handle(Runnable stop) {
+  public static void handle(Runnable stop) {
     Signal.handle(new Signal("TERM"), signal -> stop.run());
     Signal.handle(new Signal("INT"), signal -> stop.run());
   }
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/DispatchAddresses.java
@@ -0,0 +1,55 @@
+package org.chivecross.cli.entry.fleet;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.chivecross.cli.entry.http.UpstreamAddresses;
+import org.chivecross.logic.dispatch.Dispatcher;
+import org.chivecross.model.registry.RegisteredTarget;
+
+/**
+ * Addresses and names of the targets that a dispatcher knows. Safe for use by many threads, of
+ * which each takes the lock that guards the dispatcher.
+ */
+final class DispatchAddresses implements UpstreamAddresses {
+
+  /** Most connections to one target; many entries share what it accepts. */
+  private static final int MOST_CONNECTIONS = 24;
+
+  private final Object guard;
+  private final Dispatcher dispatcher;
+  private final Map<String, InetSocketAddress> parsed = new ConcurrentHashMap<>();
+
+  DispatchAddresses(Object guard, Dispatcher dispatcher) {
+    this.guard = guard;
+    this.dispatcher = dispatcher;
+  }
+
+  @Override
+  public Optional<InetSocketAddress> address(int target) {
+    return find(target).map(found -> parsed.computeIfAbsent(found.address(), this::parse));
+  }
+
+  @Override
+  public int connectionLimit(int target) {
+    return MOST_CONNECTIONS;
+  }
+
+  @Override
+  public Optional<String> identity(int target) {
+    return find(target).map(RegisteredTarget::id);
+  }
+
+  private Optional<RegisteredTarget> find(int target) {
+    synchronized (guard) {
+      return dispatcher.target(target);
+    }
+  }
+
+  private InetSocketAddress parse(String address) {
+    int colon = address.lastIndexOf(':');
+    return new InetSocketAddress(
+        address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+  }
+}
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/EntryScheduler.java
@@ -0,0 +1,56 @@
+package org.chivecross.cli.entry.fleet;
+
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.chivecross.cli.entry.http.WakeTimer;
+import org.tinylog.Logger;
+
+/**
+ * Runs tasks when they are due, all on one thread that sleeps meanwhile. A task that throws is
+ * logged. Safe for use by many threads.
+ */
+final class EntryScheduler implements WakeTimer {
+
+  private final ScheduledThreadPoolExecutor executor;
+
+  EntryScheduler(String name) {
+    executor =
+        new ScheduledThreadPoolExecutor(
+            1,
+            task -> {
+              Thread thread = new Thread(task, name);
+              thread.setDaemon(true);
+              return thread;
+            });
+    executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+  }
+
+  @Override
+  public void wakeAt(long nanos, Runnable task) {
+    long delay = Math.max(0, nanos - System.nanoTime());
+    executor.schedule(() -> runSafely(task), delay, TimeUnit.NANOSECONDS);
+  }
+
+  /** Runs a task as soon as the thread is free. */
+  void execute(Runnable task) {
+    executor.execute(() -> runSafely(task));
+  }
+
+  /** Runs a task with pauses of {@code periodMillis} between the runs. */
+  void every(long periodMillis, Runnable task) {
+    executor.scheduleWithFixedDelay(
+        () -> runSafely(task), periodMillis, periodMillis, TimeUnit.MILLISECONDS);
+  }
+
+  void stop() {
+    executor.shutdownNow();
+  }
+
+  private static void runSafely(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      Logger.error(e, "task failed");
+    }
+  }
+}
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -0,0 +1,402 @@
+package org.chivecross.cli.entry.fleet;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.chivecross.cli.entry.http.DataPath;
+import org.chivecross.cli.entry.http.DataPathPorts;
+import org.chivecross.cli.entry.http.DataPathSettings;
+import org.chivecross.cli.entry.http.LocalResponse;
+import org.chivecross.cli.entry.http.LocalRoutes;
+import org.chivecross.cli.entry.http.TargetProber;
+import org.chivecross.cli.entry.metrics.EntryMetrics;
+import org.chivecross.logic.dispatch.Dispatcher;
+import org.chivecross.logic.fleet.FleetDirectory;
+import org.chivecross.logic.fleet.FleetNode;
+import org.chivecross.logic.fleet.FleetPort;
+import org.chivecross.logic.fleet.FleetPreferences;
+import org.chivecross.logic.request.DispatchRequestMachines;
+import org.chivecross.logic.routing.Route;
+import org.chivecross.model.failure.Result;
+import org.chivecross.model.fleet.FleetMember;
+import org.chivecross.model.fleet.FleetMessage;
+import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.ruleset.RouteRule;
+import org.chivecross.model.ruleset.RuleSet;
+import org.chivecross.model.ruleset.ServiceRule;
+import org.chivecross.wire.fleet.FleetSocket;
+import org.tinylog.Logger;
+
+/**
+ * All parts of one entry on the platform. {@link #start} is called once.
+ *
+ * <p>Invariant: {@code guard} guards the node, the dispatcher and the machines of all requests, so
+ * a decision always sees one state of them.
+ */
+public final class FleetEntry {
+
+  private static final int MAX_HEAD_BYTES = 64 * 1024;
+  private static final int MAX_HEADERS = 200;
+  private static final int CONNECT_TIMEOUT_MILLIS = 300;
+
+  /** Bytes of a body that are kept, which is more than any upload that callers usually send. */
+  private static final int RETAINED_BODY_BYTES = 4 << 20;
+
+  /** Age of an answer up to which its connection is used for a request without doubt. */
+  private static final int RECENT_LIFE_MILLIS = 400;
+
+  private static final int DEFAULT_TIMEOUT_MILLIS = 60_000;
+  private static final long CLOSE_IDLE_MILLIS = 500;
+
+  /** Most addresses in an answer of the directory. */
+  private static final int MOST_NAMED = 64;
+
+  /** Time for which a leaving entry goes on serving callers that still know it. */
+  private static final long LINGER_MILLIS = 4_500;
+
+  /** Time that is left before the kill when the process ends by itself. */
+  private static final long SPARE_MILLIS = 300;
+
+  private static final long STOP_POLL_MILLIS = 50;
+
+  private final FleetEntrySettings settings;
+  private final long incarnation;
+  private final Object guard = new Object();
+  private final EntryScheduler scheduler = new EntryScheduler("scheduler");
+  private final EntryScheduler storeThread = new EntryScheduler("store");
+  private final PlatformAdapter adapter;
+  private final StoreReader store;
+  private final Dispatcher dispatcher;
+  private final FleetNode node;
+  private final FleetSocket socket;
+  private final DataPath dataPath;
+  private final TargetProber prober;
+  private final EntryMetrics metrics;
+  private final CountDownLatch stopped = new CountDownLatch(1);
+  private Map<String, ServiceRule> services = Map.of();
+  private List<String> serviceNames = List.of();
+  private boolean leaving;
+
+  /** Creates an entry that is not started. */
+  public FleetEntry(FleetEntrySettings settings, long incarnation, PlatformAdapter adapter) {
+    this.settings = settings;
+    this.incarnation = incarnation;
+    this.adapter = adapter;
+    store = adapter.store();
+    SplittableRandom random = new SplittableRandom(incarnation);
+    dispatcher = new Dispatcher(settings.dispatch(), this::probe, random.split());
+    socket = new FleetSocket(settings.peers(), this::received);
+    FleetPreferences preferences =
+        new FleetPreferences(settings.ip(), settings.dataCentre(), incarnation, settings.seeds());
+    node = new FleetNode(preferences, new NodePort(), random.split());
+    PrometheusRegistry registry = new PrometheusRegistry();
+    metrics = new EntryMetrics(registry, this::serviceName);
+    DispatchAddresses addresses = new DispatchAddresses(guard, dispatcher);
+    DataPathPorts ports =
+        new DataPathPorts(
+            new DispatchRequestMachines(dispatcher),
+            this::route,
+            (target, requestClass) -> Long.MAX_VALUE,
+            (owner, call, remaining, handler) -> {
+              throw new IllegalStateException("keys are not passed between entries here");
+            },
+            addresses,
+            new LocalRoutes("\0", Map.of()),
+            metrics,
+            adapter.dialect(),
+            scheduler,
+            () -> guard);
+    dataPath = new DataPath(ports, dataPathSettings());
+    prober = dataPath.prober(adapter.dialect(), scheduler);
+    addGauges();
+  }
+
+  /**
+   * Starts to serve.
+   *
+   * @return whether every address could be bound
+   */
+  public Result<Integer> start() throws IOException {
+    Result<Integer> port = socket.start();
+    if (port instanceof Result.Failed<Integer>) {
+      return port;
+    }
+    dataPath.start(settings.callers());
+    dataPath.serveLocally(settings.directory(), adapter.directory(this::named));
+    dataPath.serveLocally(settings.readiness(), adapter.readiness(this::isReady));
+    dataPath.serveLocally(settings.metrics(), metricsRoutes());
+    scheduler.every(CLOSE_IDLE_MILLIS, () -> dataPath.closeIdle(System.nanoTime()));
+    scheduler.execute(this::tick);
+    Logger.info(
+        "started: entry {} incarnation {} data centre {} callers {} seeds {}",
+        settings.name(),
+        Long.toHexString(incarnation),
+        settings.dataCentre(),
+        settings.callers(),
+        settings.seeds());
+    return port;
+  }
+
+  /** Starts a graceful stop. Safe for use by many threads. */
+  public void requestStop() {
+    scheduler.execute(this::startLeaving);
+  }
+
+  /** Waits until the entry may end, and ends it. */
+  public void awaitStop() throws InterruptedException, IOException {
+    stopped.await();
+    Logger.info("stopped: {} requests in flight", dataPath.inFlightCount());
+    scheduler.stop();
+    storeThread.stop();
+    dataPath.stop();
+    socket.close();
+  }
+
+  private void startLeaving() {
+    synchronized (guard) {
+      if (leaving) {
+        return;
+      }
+      leaving = true;
+      node.setReady(false, System.nanoTime());
+    }
+    Logger.info("stop requested: leaving, {} requests in flight", dataPath.inFlightCount());
+    dataPath.startLeaving();
+    long now = System.nanoTime();
+    long most = Math.max(0, settings.graceMillis() - SPARE_MILLIS);
+    long linger = Math.min(LINGER_MILLIS, most);
+    awaitDrained(
+        now + TimeUnit.MILLISECONDS.toNanos(linger), now + TimeUnit.MILLISECONDS.toNanos(most));
+  }
+
+  private void awaitDrained(long earliestNanos, long latestNanos) {
+    long now = System.nanoTime();
+    if (now >= latestNanos || (now >= earliestNanos && dataPath.isDrained())) {
+      stopped.countDown();
+      return;
+    }
+    long next = now + TimeUnit.MILLISECONDS.toNanos(STOP_POLL_MILLIS);
+    scheduler.wakeAt(next, () -> awaitDrained(earliestNanos, latestNanos));
+  }
+
+  private void tick() {
+    long next;
+    synchronized (guard) {
+      long now = System.nanoTime();
+      node.tick(now);
+      dispatcher.setEntries(node.others(now).size() + 1);
+      next = node.nextTickNanos(now);
+    }
+    scheduler.wakeAt(next, this::tick);
+  }
+
+  private void received(String ip, FleetMessage message) {
+    synchronized (guard) {
+      node.received(ip, message, System.nanoTime());
+    }
+  }
+
+  private void readStore(OptionalLong after) {
+    StoreReader.Answer answer = store.read(after);
+    synchronized (guard) {
+      long now = System.nanoTime();
+      if (answer instanceof StoreReader.Answer.Changed changed) {
+        node.readEnded(changed.change(), now);
+      } else if (answer instanceof StoreReader.Answer.HistoryLost) {
+        Logger.info("store has forgotten the changes after revision {}", after);
+        node.readFailed(true, now);
+      } else if (answer instanceof StoreReader.Answer.Failed failed) {
+        Logger.warn(
+            "store not read: {}; view is {} ms old", failed.failure(), node.viewAgeMillis(now));
+        node.readFailed(false, now);
+      }
+      scheduler.wakeAt(node.nextTickNanos(now), this::tickNode);
+    }
+  }
+
+  /** A tick beside the regular ones, for what became due earlier than it was planned. */
+  private void tickNode() {
+    synchronized (guard) {
+      node.tick(System.nanoTime());
+    }
+  }
+
+  private void applyView(boolean newRules) {
+    long now = System.nanoTime();
+    Optional<RuleSet> rules = node.rules();
+    if (newRules && rules.isPresent()) {
+      dispatcher.applyRules(rules.get());
+      dataPath.applyLimits(rules.get().limits());
+      Map<String, ServiceRule> byName = new HashMap<>();
+      rules.get().services().forEach(service -> byName.put(service.name(), service));
+      services = byName;
+      serviceNames = byName.keySet().stream().sorted().toList();
+      Logger.info(
+          "rules in force: version {} with {} routes, view {} ms old",
+          rules.get().version(),
+          rules.get().routes().size(),
+          node.viewAgeMillis(now));
+    }
+    dispatcher.applyTargets(node.targets(), now);
+    Logger.info(
+        "targets: {} usable of {} at revision {}",
+        dispatcher.usableTargets(),
+        node.targets().size(),
+        node.revision());
+    node.setReady(isReady(), now);
+  }
+
+  private boolean isReady() {
+    synchronized (guard) {
+      return !leaving && dispatcher.hasRules() && dispatcher.hasTargets();
+    }
+  }
+
+  private List<String> named(String dataCentre) {
+    synchronized (guard) {
+      long now = System.nanoTime();
+      FleetMember self =
+          new FleetMember(settings.ip(), incarnation, settings.dataCentre(), isReady(), 0);
+      int port = settings.callers().getPort();
+      return FleetDirectory.answer(self, node.others(now), dataCentre, MOST_NAMED).stream()
+          .map(ip -> ip + ":" + port)
+          .toList();
+    }
+  }
+
+  private Optional<Route> route(String method, String host, String path) {
+    synchronized (guard) {
+      Optional<RouteRule> rule = dispatcher.route(host, path);
+      return rule.map(
+          found ->
+              new Route(
+                  serviceNames.indexOf(found.services().get(0).service()),
+                  found.requestClass(),
+                  found.timeoutMillis()));
+    }
+  }
+
+  private Optional<String> serviceName(int index) {
+    synchronized (guard) {
+      return index < 0 || index >= serviceNames.size()
+          ? Optional.empty()
+          : Optional.of(serviceNames.get(index));
+    }
+  }
+
+  private void probe(int row) {
+    Optional<RegisteredTarget> target = dispatcher.target(row);
+    ServiceRule service = target.map(t -> services.get(t.service())).orElse(null);
+    if (service == null) {
+      scheduler.execute(() -> probeEnded(row, false, Optional.empty()));
+      return;
+    }
+    prober.probe(
+        row,
+        target.get().address(),
+        service.healthPath(),
+        Dispatcher.probeTimeoutMillis(),
+        (healthy, report) -> probeEnded(row, healthy, report));
+  }
+
+  private void probeEnded(
+      int row, boolean healthy, Optional<org.chivecross.model.request.LoadReport> report) {
+    synchronized (guard) {
+      dispatcher.probeEnded(row, healthy, report, System.nanoTime());
+    }
+  }
+
+  private LocalRoutes metricsRoutes() {
+    return new LocalRoutes(
+        "/",
+        Map.of(
+            "/metrics",
+            (request, responder) -> {
+              try {
+                ByteArrayOutputStream out = new ByteArrayOutputStream();
+                metrics.write(out);
+                responder.accept(new LocalResponse(200, Map.of(), "text/plain", out.toByteArray()));
+              } catch (IOException e) {
+                throw new UncheckedIOException(e);
+              }
+            }));
+  }
+
+  private void addGauges() {
+    metrics.gauge("chivecross_in_flight", "Requests in flight", dataPath::inFlightCount);
+    metrics.gauge("chivecross_callers", "Open connections of callers", dataPath::callerCount);
+    metrics.counter("chivecross_peer_sent", "Messages sent to entries", socket::sentCount);
+    metrics.counter(
+        "chivecross_peer_received", "Messages received from entries", socket::receivedCount);
+    metrics.counter("chivecross_peer_dropped", "Messages dropped", socket::droppedCount);
+    metrics.gauge(
+        "chivecross_view_age_millis",
+        "Age of what is known of the platform's store in ms",
+        () -> guarded(() -> node.viewAgeMillis(System.nanoTime())));
+    metrics.gauge(
+        "chivecross_rules_version",
+        "Version of the rules in force",
+        () -> guarded(() -> node.rules().map(RuleSet::version).orElse(0L)));
+    metrics.gauge(
+        "chivecross_usable_targets",
+        "Targets that may get requests",
+        () -> guarded(() -> (long) dispatcher.usableTargets()));
+    metrics.gauge(
+        "chivecross_entries",
+        "Entries known to be alive, this one included",
+        () -> guarded(() -> node.others(System.nanoTime()).size() + 1L));
+  }
+
+  private long guarded(java.util.function.LongSupplier value) {
+    synchronized (guard) {
+      return value.getAsLong();
+    }
+  }
+
+  private static DataPathSettings dataPathSettings() {
+    return new DataPathSettings(
+        MAX_HEAD_BYTES,
+        MAX_HEADERS,
+        Long.MAX_VALUE,
+        DEFAULT_TIMEOUT_MILLIS,
+        DEFAULT_TIMEOUT_MILLIS,
+        CONNECT_TIMEOUT_MILLIS,
+        RECENT_LIFE_MILLIS,
+        RETAINED_BODY_BYTES,
+        1);
+  }
+
+  /** Carries out what the node asks for. Called under the guard. */
+  private final class NodePort implements FleetPort {
+
+    @Override
+    public void send(String ip, FleetMessage message) {
+      socket.send(ip, message);
+    }
+
+    @Override
+    public void read(OptionalLong after) {
+      storeThread.execute(() -> readStore(after));
+    }
+
+    @Override
+    public void viewChanged(boolean rules) {
+      applyView(rules);
+    }
+  }
+
+  /** Returns the address for callers, for tests. */
+  InetSocketAddress callerAddress() {
+    return settings.callers();
+  }
+}
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
@@ -1,7 +1,9 @@
 package org.chivecross.cli.entry.http;
 
 import java.net.SocketAddress;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.Decision;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
@@ -21,7 +23,7 @@
  * that are called without it take it. Invariant: {@code over} is set once, and from then on nothing
  * that arrives on the connection reaches the exchange.
  */
-final class Attempt {
+final class Attempt implements UpstreamUser {
 
   private final Exchange exchange;
   private final Decision.Send order;
@@ -41,10 +43,6 @@
     this.order = order;
   }
 
-  Exchange exchange() {
-    return exchange;
-  }
-
   int number() {
     return order.attempt();
   }
@@ -98,11 +96,13 @@
       UpstreamConnection connection,
       HttpRequestPacket request,
       Connection<?> caller,
+      Optional<String> identity,
+      RequestDialect dialect,
       long nowNanos) {
     long remaining = TimeUnit.NANOSECONDS.toMillis(order.deadlineNanos() - nowNanos);
     // Packets on this side are made anew: reused ones lost about one answer in a thousand.
     HttpRequestPacket head = HttpRequestPacket.builder().uri("/").build();
-    RequestHeads.fill(head, request, caller, Math.max(1, remaining));
+    RequestHeads.fill(head, request, caller, Math.max(1, remaining), identity, dialect);
     upstream = connection;
     packet = head;
     sentNanos = nowNanos;
@@ -133,12 +133,23 @@
     return false;
   }
 
+  @Override
+  public boolean received(HttpContent content) {
+    return exchange.responseContent(this, content);
+  }
+
+  @Override
+  public void failed(ConnectionFault fault) {
+    exchange.attemptFailed(this, fault);
+  }
+
   /**
    * Suspends the reading of the response, unless the reason for it has gone meanwhile.
    *
    * @return whether it was suspended
    */
-  boolean parkReader(FilterChainContext context) {
+  @Override
+  public boolean parkReader(FilterChainContext context) {
     synchronized (exchange.lock()) {
       if (over || !exchange.isCallerCongested()) {
         return false;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/AttemptList.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/AttemptList.java
@@ -69,9 +69,11 @@
   /** Closes idle neighbours of connections on which the first byte is overdue. */
   void closeSuspects(ExchangeServices services, Route route, long nowNanos) {
     for (Attempt attempt : attempts) {
-      long silence = services.retries().silenceNanos(attempt.target(), route.requestClass());
+      long silence =
+          services.ports().silence().silenceNanos(attempt.target(), route.requestClass());
       if (attempt.becomesSuspect(silence, nowNanos)) {
         services
+            .ports()
             .observer()
             .foundSilent(services.client().closeSuspects(attempt.target(), nowNanos));
       }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerFilter.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerFilter.java
@@ -59,7 +59,8 @@
   private CallerExchange begin(CallerConnection caller, HttpRequestPacket request) {
     Optional<LocalHandler> local = localRoutes.find(request.getRequestURI());
     if (local.isPresent()) {
-      LocalExchange exchange = new LocalExchange(caller, request, local.get());
+      LocalExchange exchange =
+          new LocalExchange(caller, request, local.get(), services.ports().dialect());
       caller.begin(exchange);
       return exchange;
     }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerRegistry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerRegistry.java
@@ -17,12 +17,17 @@
   private final Attribute<CallerConnection> attribute =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("chivecross.caller");
   private final Set<CallerConnection> open = ConcurrentHashMap.newKeySet();
-  private final long idleNanos;
-  private final long headNanos;
+  private volatile long idleNanos;
+  private volatile long headNanos;
 
   CallerRegistry(DataPathSettings settings) {
-    idleNanos = TimeUnit.MILLISECONDS.toNanos(settings.idleTimeoutMillis());
-    headNanos = TimeUnit.MILLISECONDS.toNanos(settings.headerTimeoutMillis());
+    applyTimeouts(settings.idleTimeoutMillis(), settings.headerTimeoutMillis());
+  }
+
+  /** Changes the time-outs, in ms; they hold for open connections as well. */
+  void applyTimeouts(long idleMillis, long headMillis) {
+    idleNanos = TimeUnit.MILLISECONDS.toNanos(idleMillis);
+    headNanos = TimeUnit.MILLISECONDS.toNanos(headMillis);
   }
 
   /** Adds a connection that was accepted. */
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
@@ -30,14 +30,16 @@
       ACKNOWLEDGED = new EmptyCompletionHandler<>();
 
   private final CallerConnection caller;
+  private final RequestDialect dialect;
   private final NIOConnection connection;
   private final HttpRequestPacket request;
   private final HttpResponsePacket packet;
   private boolean closeAfter;
   private boolean lingering;
 
-  CallerResponse(CallerConnection caller, HttpRequestPacket request) {
+  CallerResponse(CallerConnection caller, HttpRequestPacket request, RequestDialect dialect) {
     this.caller = caller;
+    this.dialect = dialect;
     connection = caller.connection();
     this.request = request;
     packet = request.getResponse();
@@ -61,8 +63,8 @@
     if (upstream.isCustomReasonPhraseSet()) {
       packet.setReasonPhrase(upstream.getReasonPhrase());
     }
-    ResponseHeads.copyEndToEnd(upstream, packet);
-    if (!upstream.isChunked()) {
+    ResponseHeads.copyEndToEnd(upstream, packet, dialect);
+    if (!upstream.isChunked() && upstream.getContentLength() >= 0) {
       packet.setContentLengthLong(upstream.getContentLength());
     } else if (mayChunk()) {
       packet.setChunked(true);
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
@@ -3,8 +3,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import org.chivecross.logic.key.OwnerCalls;
-import org.chivecross.logic.request.DefaultRequestMachines;
 import org.chivecross.logic.request.RequestPolicies;
+import org.chivecross.model.ruleset.CallerLimits;
+import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
@@ -21,11 +22,16 @@
   private static final int QUEUE_BYTES = 256 * 1024;
   private static final int ACCEPT_BACKLOG = 4096;
 
+  private final DataPathPorts ports;
+  private final DataPathSettings settings;
+  private final ExchangeServices services;
   private final TCPNIOTransport transport;
   private final UpstreamClient client;
   private final InFlight inFlight = new InFlight();
   private final CallerRegistry callers;
+  private final CallerRegistry localCallers = new CallerRegistry(DataPathSettings.defaults());
   private volatile boolean leaving;
+  private volatile long maxBodyBytes;
 
   /**
    * Creates a data path that is not started.
@@ -44,26 +50,25 @@
       LocalRoutes localRoutes,
       ExchangeObserver observer,
       DataPathSettings settings) {
-    transport = newTransport();
-    client = new UpstreamClient(transport, addresses, settings);
+    this(DataPathPorts.of(policies, owners, addresses, localRoutes, observer), settings);
+  }
+
+  /**
+   * Creates a data path that is not started.
+   *
+   * @param ports what it asks of its surroundings
+   * @param settings limits and time-outs
+   */
+  public DataPath(DataPathPorts ports, DataPathSettings settings) {
+    this.ports = ports;
+    this.settings = settings;
+    transport = newTransport(settings.selectorThreads());
+    client = new UpstreamClient(transport, ports.addresses(), settings);
     callers = new CallerRegistry(settings);
-    ExchangeServices services =
-        new ExchangeServices(
-            observer.recorded(new DefaultRequestMachines(policies)),
-            policies.router(),
-            policies.retries(),
-            owners,
-            client,
-            inFlight,
-            observer,
-            () -> leaving,
-            settings);
-    transport.setProcessor(
-        FilterChainBuilder.stateless()
-            .add(new TransportFilter())
-            .add(new StrictServerFilter(settings, callers, observer))
-            .add(new CallerFilter(callers, services, localRoutes))
-            .build());
+    services =
+        new ExchangeServices(ports, client, inFlight, () -> leaving, () -> maxBodyBytes, settings);
+    maxBodyBytes = settings.maxBodyBytes();
+    transport.setProcessor(chain(callers, ports.localRoutes()));
   }
 
   /**
@@ -78,6 +83,27 @@
     return (InetSocketAddress) server.getLocalAddress();
   }
 
+  /**
+   * Serves paths of this entry itself at an address of their own.
+   *
+   * @throws IOException if the address can't be bound
+   */
+  public void serveLocally(InetSocketAddress address, LocalRoutes routes) throws IOException {
+    TCPNIOServerConnection server = transport.bind(address, ACCEPT_BACKLOG);
+    server.setProcessor(chain(localCallers, routes));
+  }
+
+  /** Returns a client of targets that shares the connections of this data path. */
+  public TargetProber prober(RequestDialect dialect, WakeTimer timer) {
+    return new TargetProber(client, dialect, timer);
+  }
+
+  /** Puts limits on callers in force that differ from the settings. */
+  public void applyLimits(CallerLimits limits) {
+    maxBodyBytes = limits.maxBodyBytes();
+    callers.applyTimeouts(limits.idleTimeoutMillis(), limits.headTimeoutMillis());
+  }
+
   /**
    * Closes all connections at once.
    *
@@ -121,17 +147,27 @@
   public void closeIdle(long nowNanos) {
     client.closeIdle(nowNanos);
     callers.closeIdle(nowNanos);
+    localCallers.closeIdle(nowNanos);
+  }
+
+  private FilterChain chain(CallerRegistry registry, LocalRoutes routes) {
+    return FilterChainBuilder.stateless()
+        .add(new TransportFilter())
+        .add(new StrictServerFilter(settings, registry, ports.observer(), ports.dialect()))
+        .add(new CallerFilter(registry, services, routes))
+        .build();
   }
 
   /**
    * Both sides share one transport, so that each selector thread takes and gives back about as many
    * of the library's pooled packets.
    */
-  private static TCPNIOTransport newTransport() {
+  private static TCPNIOTransport newTransport(int selectorThreads) {
     return TCPNIOTransportBuilder.newInstance()
         .setName("data-path")
         .setIOStrategy(SameThreadIOStrategy.getInstance())
         .setTcpNoDelay(true)
+        .setSelectorRunnersCount(selectorThreads)
         .setMaxAsyncWriteQueueSizeInBytes(QUEUE_BYTES)
         .build();
   }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPathSettings.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPathSettings.java
@@ -12,6 +12,8 @@
  * @param idleTimeoutMillis time after which an idle connection is closed, in ms
  * @param connectTimeoutMillis time within which a connection to a target must be open, in ms
  * @param recentLifeMillis age of the last sign of life up to which a connection counts as live
+ * @param retainedBodyBytes bytes of a request body that are kept, so that it can be sent again
+ * @param selectorThreads threads that move the bytes of all connections
  */
 public record DataPathSettings(
     int maxHeadBytes,
@@ -20,7 +22,33 @@
     int headerTimeoutMillis,
     int idleTimeoutMillis,
     int connectTimeoutMillis,
-    int recentLifeMillis) {
+    int recentLifeMillis,
+    int retainedBodyBytes,
+    int selectorThreads) {
+
+  /** Bytes of a body that are kept by default, and so the most that can be sent again. */
+  private static final int RETAINED_BYTES = 64 * 1024;
+
+  /** Creates settings with the usual number of bytes that are kept and of threads. */
+  public DataPathSettings(
+      int maxHeadBytes,
+      int maxHeaders,
+      long maxBodyBytes,
+      int headerTimeoutMillis,
+      int idleTimeoutMillis,
+      int connectTimeoutMillis,
+      int recentLifeMillis) {
+    this(
+        maxHeadBytes,
+        maxHeaders,
+        maxBodyBytes,
+        headerTimeoutMillis,
+        idleTimeoutMillis,
+        connectTimeoutMillis,
+        recentLifeMillis,
+        RETAINED_BYTES,
+        Runtime.getRuntime().availableProcessors());
+  }
 
   /** Returns the time within which a connection to a target must be open, in ns. */
   long connectTimeoutNanos() {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -29,8 +29,9 @@
  */
 final class Exchange implements CallerExchange {
 
-  private final Object lock = new Object();
+  private final Object lock;
   private final ExchangeServices services;
+  private final DataPathPorts ports;
   private final CallerConnection caller;
   private final HttpRequestPacket request;
   private final CallerResponse response;
@@ -38,7 +39,7 @@
   private final BodyFlow body;
   private final ExchangeClock clock;
   private final AttemptList attempts = new AttemptList();
-  private volatile long wakeNanos = Long.MAX_VALUE;
+  private final ExchangeTimer timer;
   private @Nullable Attempt relayed;
   private boolean started;
   private boolean callerCongested;
@@ -51,13 +52,16 @@
       HttpRequestPacket request,
       long nowNanos) {
     this.services = services;
+    ports = services.ports();
+    lock = ports.locks().get();
     this.caller = caller;
     this.request = request;
-    response = new CallerResponse(caller, request);
-    machine = services.machines().create();
+    response = new CallerResponse(caller, request, ports.dialect());
+    timer = new ExchangeTimer(ports.timer(), () -> timer(System.nanoTime()));
+    machine = ports.machines().create(timer::wake);
     clock = new ExchangeClock(nowNanos);
     boolean keyed = RequestHeads.idempotencyKey(request).isPresent();
-    int retained = keyed ? KeyCall.MAX_BODY_BYTES : RequestBody.RETAINED_BYTES;
+    int retained = keyed ? KeyCall.MAX_BODY_BYTES : services.settings().retainedBodyBytes();
     body = new BodyFlow(lock, new RequestBody(retained), caller.connection().getMemoryManager());
     if (services.leaving().getAsBoolean()) {
       response.closeAfterwards();
@@ -75,7 +79,7 @@
 
   /** Returns the monotonic time at which {@link #timer} must be called. */
   long wakeNanos() {
-    return wakeNanos;
+    return timer.wakeNanos();
   }
 
   boolean isCallerCongested() {
@@ -89,8 +93,8 @@
         return true;
       }
       Buffer buffer = content.getContent();
-      if (body.receivedBytes() + buffer.remaining() > services.settings().maxBodyBytes()) {
-        refuse(413, "body is larger than " + services.settings().maxBodyBytes() + " bytes");
+      if (body.receivedBytes() + buffer.remaining() > services.maxBodyBytes().getAsLong()) {
+        refuse(413, "body is larger than " + services.maxBodyBytes().getAsLong() + " bytes");
         return true;
       }
       boolean more = body.receive(buffer, content.isLast());
@@ -126,7 +130,7 @@
   /** The wake time has come. */
   void timer(long nowNanos) {
     synchronized (lock) {
-      if (over || nowNanos < wakeNanos) {
+      if (over || !timer.fires(nowNanos)) {
         return;
       }
       Attempt late = attempts.findLateConnect(services.settings().connectTimeoutNanos(), nowNanos);
@@ -167,12 +171,12 @@
       HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
       if (!attempt.headReceived()) {
         attempt.markHeadReceived();
-        if (!ResponseHeads.isFramingSound(head, request.isHeadRequest())) {
+        if (!ports.isAnswer(request, head)) {
           failed(attempt, ConnectionFault.MALFORMED, now);
           return true;
         }
         Decision decision =
-            machine.responseHead(attempt.number(), ResponseHeads.toDecisionHead(head), now);
+            machine.responseHead(attempt.number(), ports.dialect().toDecisionHead(head), now);
         carryOut(decision, now);
         if (!over && relayed == attempt) {
           clock.headRead(attempt.sentNanos(), now);
@@ -203,8 +207,9 @@
     long readyNanos = System.nanoTime();
     clock.ready(readyNanos);
     long elapsed = TimeUnit.NANOSECONDS.toMillis(readyNanos - clock.arrivedNanos());
-    RequestHead head = RequestHeads.toDecisionHead(request, elapsed);
-    route = services.router().route(head.method(), head.host(), head.path());
+    RequestHead head =
+        RequestHeads.toDecisionHead(request, elapsed, body.receivedBytes(), ports.dialect());
+    route = ports.router().route(head.method(), head.host(), head.path());
     services.inFlight().add(this);
     long now = System.nanoTime();
     carryOut(machine.arrived(head, now), now);
@@ -227,7 +232,7 @@
       response.closeAfterwards();
       String peer = RequestHeads.callerAddress(caller.connection());
       Failure failure = new Failure(Step.ACCEPT, peer, detail);
-      answer(ProblemAnswers.of(status, outcome, failure, OptionalLong.empty()), outcome);
+      answer(ports.dialect().answer(status, outcome, failure, OptionalLong.empty()), outcome);
     }
   }
 
@@ -271,7 +276,7 @@
     } else if (decision instanceof Decision.Relay relay) {
       relayed = attempts.keepOnly(relay.attempt());
     } else if (decision instanceof Decision.Answer answer) {
-      answer(ProblemAnswers.of(answer, services.client()::withAddress), answer.outcome());
+      answer(ports.answer(answer, services.client()::withAddress), answer.outcome());
     } else if (decision instanceof Decision.Abort) {
       abort();
     } else if (decision instanceof Decision.Finish) {
@@ -283,12 +288,11 @@
   }
 
   private void rearm() {
-    wakeNanos =
-        over
-            ? Long.MAX_VALUE
-            : Math.min(
-                machine.nextTimerNanos(),
-                attempts.nextConnectTimeout(services.settings().connectTimeoutNanos()));
+    if (over) {
+      return;
+    }
+    long connect = attempts.nextConnectTimeout(services.settings().connectTimeoutNanos());
+    timer.set(Math.min(machine.nextTimerNanos(), connect));
   }
 
   private void send(Decision.Send send, long now) {
@@ -310,7 +314,8 @@
       carryOut(machine.timer(now), now);
       return;
     }
-    attempt.bind(connection, request, caller.connection(), now);
+    Optional<String> identity = services.client().identity(attempt.target());
+    attempt.bind(connection, request, caller.connection(), identity, ports.dialect(), now);
     if (body.sendTo(attempt) || isUploadWithBody()) {
       machine.bodySent(now);
     }
@@ -340,19 +345,14 @@
 
   private void passToOwner(long incarnation) {
     long now = System.nanoTime();
-    long remaining = RequestHeads.remainingMillis(request, route, clock.arrivedNanos(), now);
+    long arrived = clock.arrivedNanos();
+    long remaining = RequestHeads.remainingMillis(request, route, arrived, now, ports.dialect());
     if (!body.isComplete()) {
       answer(OwnerPass.tooLong(incarnation), Outcome.UNKNOWN);
       return;
     }
     KeyCall call = OwnerPass.toCall(request, body.wholeBytes());
-    services
-        .owners()
-        .call(
-            incarnation,
-            call,
-            remaining,
-            result -> ownerAnswered(OwnerPass.toAnswer(result, incarnation)));
+    OwnerPass.send(ports.owners(), incarnation, call, remaining, this::ownerAnswered);
   }
 
   private void ownerAnswered(LocalResponse answer) {
@@ -366,12 +366,12 @@
 
   private void finish(int status, Outcome outcome) {
     over = true;
-    wakeNanos = Long.MAX_VALUE;
+    timer.set(Long.MAX_VALUE);
     services.inFlight().remove(this);
     attempts.abandonAll();
     callerCongested = false;
     long now = System.nanoTime();
-    services.observer().ended(clock.summary(route, status, outcome, attempts.size(), now));
+    ports.observer().ended(clock.summary(route, status, outcome, attempts.size(), now));
     FilterChainContext next = caller.end(now);
     body.discard();
     if (status > 0 && body.isComplete()) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
@@ -19,11 +19,15 @@
   private boolean over;
   private volatile boolean complete;
 
-  LocalExchange(CallerConnection caller, HttpRequestPacket request, LocalHandler handler) {
+  LocalExchange(
+      CallerConnection caller,
+      HttpRequestPacket request,
+      LocalHandler handler,
+      RequestDialect dialect) {
     this.caller = caller;
     this.request = request;
     this.handler = handler;
-    response = new CallerResponse(caller, request);
+    response = new CallerResponse(caller, request, dialect);
   }
 
   @Override
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalRoutes.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalRoutes.java
@@ -9,16 +9,27 @@
   /** Start of all paths that are never balanced. */
   public static final String PREFIX = "/chivecross/";
 
+  private final String prefix;
   private final Map<String, LocalHandler> handlers;
 
   /** Creates routes from exact paths, each starting with {@link #PREFIX}. */
   public LocalRoutes(Map<String, LocalHandler> handlers) {
+    this(PREFIX, handlers);
+  }
+
+  /**
+   * Creates routes from exact paths.
+   *
+   * @param prefix start of all paths that are never balanced
+   */
+  public LocalRoutes(String prefix, Map<String, LocalHandler> handlers) {
+    this.prefix = prefix;
     this.handlers = Map.copyOf(handlers);
   }
 
-  /** Returns the handler of a path under {@link #PREFIX}; unknown ones are answered with 404. */
+  /** Returns the handler of a path under the prefix; unknown ones are answered with 404. */
   Optional<LocalHandler> find(String path) {
-    if (!path.startsWith(PREFIX)) {
+    if (!path.startsWith(prefix)) {
       return Optional.empty();
     }
     return Optional.of(handlers.getOrDefault(path, LocalRoutes::notFound));
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/OwnerPass.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/OwnerPass.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Consumer;
+import org.chivecross.logic.key.OwnerCalls;
 import org.chivecross.model.failure.Failure;
 import org.chivecross.model.failure.Result;
 import org.chivecross.model.failure.Step;
@@ -85,4 +87,18 @@
     }
     return new LocalResponse(answer.status(), headers, contentType, answer.body());
   }
+
+  /** Passes a call to the owner of its key; {@code handler} gets the answer for the caller. */
+  static void send(
+      OwnerCalls owners,
+      long incarnation,
+      KeyCall call,
+      long remainingMillis,
+      Consumer<LocalResponse> handler) {
+    owners.call(
+        incarnation,
+        call,
+        remainingMillis,
+        result -> handler.accept(toAnswer(result, incarnation)));
+  }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ProblemAnswers.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ProblemAnswers.java
@@ -3,9 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.OptionalLong;
-import java.util.function.UnaryOperator;
 import org.chivecross.model.failure.Failure;
-import org.chivecross.model.request.Decision;
 import org.chivecross.model.request.Outcome;
 import org.glassfish.grizzly.http.util.HttpStatus;
 
@@ -46,12 +44,6 @@
     return LocalResponse.text(status, headers, "application/problem+json", body.toString());
   }
 
-  /** Builds the answer that a decision asks for; {@code naming} makes its peer readable. */
-  static LocalResponse of(Decision.Answer answer, UnaryOperator<Failure> naming) {
-    Failure failure = naming.apply(answer.failure());
-    return of(answer.status(), answer.outcome(), failure, answer.retryAfterMillis());
-  }
-
   private static String escape(String text) {
     StringBuilder escaped = new StringBuilder(text.length());
     for (int i = 0; i < text.length(); i++) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestBody.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestBody.java
@@ -9,15 +9,11 @@
 /**
  * Body of a request on its way.
  *
- * <p>Up to a limit, usually {@link #RETAINED_BYTES}, bytes are kept, so that a small body can be
- * sent again. A longer body is streamed to one attempt and never kept whole. Guarded by the lock of
- * the exchange.
+ * <p>Up to a limit, bytes are kept, so that a small body can be sent again. A longer body is
+ * streamed to one attempt and never kept whole. Guarded by the lock of the exchange.
  */
 final class RequestBody {
 
-  /** Bytes of a body that are kept, and so the most that can be sent again. */
-  static final int RETAINED_BYTES = 64 * 1024;
-
   private final int limit;
   private final List<Buffer> retained = new ArrayList<>(1);
   private int retainedBytes;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestHeads.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestHeads.java
@@ -16,8 +16,6 @@
 /** Translates request heads between callers, decisions and upstreams. Stateless. */
 final class RequestHeads {
 
-  private static final String DEADLINE = "chivecross-deadline-ms";
-  private static final String DEPTH = "chivecross-depth";
   private static final String IDEMPOTENCY_KEY = "idempotency-key";
 
   private RequestHeads() {}
@@ -26,20 +24,22 @@
    * Returns what the decisions need.
    *
    * @param elapsedMillis time since the head arrived, in ms; deducted from the caller's deadline
+   * @param bodyBytes bytes of the body that have arrived
    */
-  static RequestHead toDecisionHead(HttpRequestPacket request, long elapsedMillis) {
+  static RequestHead toDecisionHead(
+      HttpRequestPacket request, long elapsedMillis, long bodyBytes, RequestDialect dialect) {
     MimeHeaders headers = request.getHeaders();
     Optional<Long> deadline =
-        parseLong(headers.getHeader(DEADLINE)).map(millis -> Math.max(0, millis - elapsedMillis));
-    int depth = parseLong(headers.getHeader(DEPTH)).map(Long::intValue).orElse(0);
+        dialect.deadlineMillis(headers).map(millis -> Math.max(0, millis - elapsedMillis));
     return new RequestHead(
         HeaderText.of(request.getMethodDC()),
         hostWithoutPort(headers.getHeader("host")),
         request.getRequestURI(),
         deadline,
-        depth,
+        dialect.depth(headers),
         idempotencyKey(request),
-        hasBody(request));
+        hasBody(request),
+        Math.max(bodyBytes, request.getContentLength()));
   }
 
   /** Returns the idempotency key of a request. */
@@ -49,9 +49,14 @@
 
   /** Returns the time left of a request, in ms, from its own deadline or that of its route. */
   static long remainingMillis(
-      HttpRequestPacket request, Optional<Route> route, long arrivedNanos, long nowNanos) {
+      HttpRequestPacket request,
+      Optional<Route> route,
+      long arrivedNanos,
+      long nowNanos,
+      RequestDialect dialect) {
     long whole =
-        parseLong(request.getHeaders().getHeader(DEADLINE))
+        dialect
+            .deadlineMillis(request.getHeaders())
             .orElse(route.map(Route::deadlineMillis).orElse(0L));
     return Math.max(0, whole - TimeUnit.NANOSECONDS.toMillis(nowNanos - arrivedNanos));
   }
@@ -66,12 +71,15 @@
    *
    * @param packet empty packet
    * @param remainingMillis time left for the target, in ms
+   * @param target name of the target that must serve the request; empty when it has none
    */
   static void fill(
       HttpRequestPacket packet,
       HttpRequestPacket request,
       Connection<?> caller,
-      long remainingMillis) {
+      long remainingMillis,
+      Optional<String> target,
+      RequestDialect dialect) {
     MimeHeaders from = request.getHeaders();
     packet.setMethod(HeaderText.of(request.getMethodDC()));
     packet.setRequestURI(request.getRequestURI());
@@ -81,11 +89,8 @@
       packet.setQueryString(query);
     }
     MimeHeaders to = packet.getHeaders();
-    copyEndToEnd(from, to);
-    addForwarding(from, to, callerAddress(caller));
-    to.addValue("Chivecross-Deadline-Ms").setString(Long.toString(remainingMillis));
-    long depth = parseLong(from.getHeader(DEPTH)).orElse(0L);
-    to.addValue("Chivecross-Depth").setString(Long.toString(depth + 1));
+    copyEndToEnd(from, to, dialect);
+    dialect.stamp(to, from, remainingMillis, target, callerAddress(caller));
     if (request.isChunked()) {
       packet.setChunked(true);
     } else if (request.getContentLength() >= 0) {
@@ -100,46 +105,17 @@
         : "unknown";
   }
 
-  private static void copyEndToEnd(MimeHeaders from, MimeHeaders to) {
+  private static void copyEndToEnd(MimeHeaders from, MimeHeaders to, RequestDialect dialect) {
     Set<String> hop = HopHeaders.of(from);
     for (int i = 0; i < from.size(); i++) {
       String name = HeaderText.of(from.getName(i)).toLowerCase(Locale.ROOT);
-      if (hop.contains(name) || name.equals(DEADLINE) || name.equals(DEPTH) || isForwarding(name)) {
+      if (hop.contains(name) || dialect.isReplaced(name)) {
         continue;
       }
       to.addValue(name).setString(HeaderText.of(from.getValue(i)));
     }
   }
 
-  private static boolean isForwarding(String name) {
-    return name.equals("x-forwarded-for") || name.equals("forwarded");
-  }
-
-  private static void addForwarding(MimeHeaders from, MimeHeaders to, String address) {
-    String earlier = joined(from, "x-forwarded-for");
-    to.addValue("X-Forwarded-For").setString(earlier + address);
-    if (!from.contains("x-forwarded-proto")) {
-      to.addValue("X-Forwarded-Proto").setString("http");
-    }
-    String host = from.getHeader("host");
-    if (host != null && !from.contains("x-forwarded-host")) {
-      to.addValue("X-Forwarded-Host").setString(host);
-    }
-    String node = address.indexOf(':') >= 0 ? "\"[" + address + "]\"" : address;
-    to.addValue("Forwarded").setString(joined(from, "forwarded") + "for=" + node + ";proto=http");
-  }
-
-  private static String joined(MimeHeaders headers, String name) {
-    if (!headers.contains(name)) {
-      return "";
-    }
-    StringBuilder text = new StringBuilder();
-    for (String value : headers.values(name)) {
-      text.append(value).append(", ");
-    }
-    return text.toString();
-  }
-
   private static String hostWithoutPort(@Nullable String host) {
     if (host == null) {
       return "";
@@ -150,7 +126,8 @@
     return bare.toLowerCase(Locale.ROOT);
   }
 
-  private static Optional<Long> parseLong(@Nullable String text) {
+  /** Returns the number that a header holds, at least 0; empty when it holds none. */
+  static Optional<Long> parseLong(@Nullable String text) {
     if (text == null) {
       return Optional.empty();
     }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/StrictClientFilter.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/StrictClientFilter.java
@@ -32,7 +32,7 @@
 
   @Override
   public NextAction handleRead(FilterChainContext context) throws IOException {
-    if (upstreams.attemptOn(context.getConnection()).isEmpty()) {
+    if (upstreams.userOf(context.getConnection()).isEmpty()) {
       context.getConnection().terminateSilently();
       return context.getStopAction();
     }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/StrictServerFilter.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/StrictServerFilter.java
@@ -29,8 +29,13 @@
   private final RequestHeadGuard guard;
   private final CallerRegistry callers;
   private final ExchangeObserver observer;
+  private final RequestDialect dialect;
 
-  StrictServerFilter(DataPathSettings settings, CallerRegistry callers, ExchangeObserver observer) {
+  StrictServerFilter(
+      DataPathSettings settings,
+      CallerRegistry callers,
+      ExchangeObserver observer,
+      RequestDialect dialect) {
     super(
         true,
         2 * settings.maxHeadBytes(),
@@ -41,6 +46,7 @@
         2 * settings.maxHeaders());
     this.callers = callers;
     this.observer = observer;
+    this.dialect = dialect;
     guard = new RequestHeadGuard(settings);
     StrictChunkedEncoding.install(this, settings.maxHeadBytes());
     setAllowPayloadForUndefinedHttpMethods(true);
@@ -93,7 +99,7 @@
     observer.headRefused(status);
     String peer = RequestHeads.callerAddress(response.getRequest().getConnection());
     LocalResponse answer =
-        ProblemAnswers.of(
+        dialect.answer(
             status, Outcome.NOT_RUN, new Failure(Step.ACCEPT, peer, detail), OptionalLong.empty());
     byte[] body = answer.body();
     response.setStatus(status);
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
@@ -74,6 +74,11 @@
         (SocketAddress) address.get(), new ConnectCompletion(pool, address.get(), handler));
   }
 
+  /** Returns the name by which a target knows itself, when it has one. */
+  Optional<String> identity(int target) {
+    return addresses.identity(target);
+  }
+
   /** Closes idle connections to a target that showed no recent life. */
   int closeSuspects(int target, long nowNanos) {
     return addresses
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamConnection.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamConnection.java
@@ -7,14 +7,14 @@
 /**
  * A connection to a target.
  *
- * <p>Invariant: at most one attempt uses it at a time; it returns to its pool only when request and
+ * <p>Invariant: at most one user has it at a time; it returns to its pool only when request and
  * response were exchanged completely and nothing else was read. Safe for use by many threads.
  */
 final class UpstreamConnection {
 
   private final NIOConnection connection;
   private final UpstreamPool pool;
-  private volatile @Nullable Attempt attempt;
+  private volatile @Nullable UpstreamUser user;
   private volatile long lastLifeNanos;
   private final AtomicBoolean closed = new AtomicBoolean();
 
@@ -32,12 +32,12 @@
     return pool;
   }
 
-  @Nullable Attempt attempt() {
-    return attempt;
+  @Nullable UpstreamUser user() {
+    return user;
   }
 
-  void use(@Nullable Attempt user) {
-    attempt = user;
+  void use(@Nullable UpstreamUser next) {
+    user = next;
   }
 
   /** Returns the monotonic time at which the target last sent a byte, or accepted it. */
@@ -60,7 +60,7 @@
 
   /** Closes the connection at once; the pool forgets it. */
   void close() {
-    attempt = null;
+    user = null;
     connection.terminateSilently();
   }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamFilter.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamFilter.java
@@ -8,9 +8,7 @@
 import org.glassfish.grizzly.http.HttpBrokenContent;
 import org.glassfish.grizzly.http.HttpContent;
 
-/**
- * Gives what targets send to the attempt that uses the connection. Safe for use by many threads.
- */
+/** Gives what targets send to the user of the connection. Safe for use by many threads. */
 final class UpstreamFilter extends BaseFilter {
 
   private final UpstreamRegistry upstreams;
@@ -22,18 +20,17 @@
   @Override
   public NextAction handleRead(FilterChainContext context) {
     HttpContent content = context.getMessage();
-    Optional<Attempt> user = upstreams.attemptOn(context.getConnection());
+    Optional<UpstreamUser> user = upstreams.userOf(context.getConnection());
     if (user.isEmpty()) {
       context.getConnection().terminateSilently();
       return context.getStopAction();
     }
     upstreams.showedLife(context.getConnection(), System.nanoTime());
-    Attempt attempt = user.get();
     if (content instanceof HttpBrokenContent) {
-      attempt.exchange().attemptFailed(attempt, ConnectionFault.MALFORMED);
+      user.get().failed(ConnectionFault.MALFORMED);
       return context.getStopAction();
     }
-    if (attempt.exchange().responseContent(attempt, content) || !attempt.parkReader(context)) {
+    if (user.get().received(content) || !user.get().parkReader(context)) {
       return context.getStopAction();
     }
     return context.getSuspendAction();
@@ -42,8 +39,8 @@
   @Override
   public void exceptionOccurred(FilterChainContext context, Throwable error) {
     upstreams
-        .attemptOn(context.getConnection())
-        .ifPresent(attempt -> attempt.exchange().attemptFailed(attempt, ConnectionFault.MALFORMED));
+        .userOf(context.getConnection())
+        .ifPresent(user -> user.failed(ConnectionFault.MALFORMED));
     context.getConnection().terminateSilently();
   }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamRegistry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamRegistry.java
@@ -12,7 +12,7 @@
   private final Attribute<UpstreamConnection> attribute =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("chivecross.upstream");
 
-  /** Adds a connection that was opened; its end is reported to the attempt that uses it. */
+  /** Adds a connection that was opened; its end is reported to its user. */
   void add(UpstreamConnection upstream) {
     attribute.set(upstream.connection(), upstream);
     upstream.connection().addCloseListener((closeable, type) -> closed(upstream));
@@ -21,10 +21,10 @@
     }
   }
 
-  /** Returns the attempt that uses a connection, if any. */
-  Optional<Attempt> attemptOn(Connection<?> connection) {
+  /** Returns what uses a connection, if anything. */
+  Optional<UpstreamUser> userOf(Connection<?> connection) {
     UpstreamConnection upstream = attribute.get(connection);
-    return upstream == null ? Optional.empty() : Optional.ofNullable(upstream.attempt());
+    return upstream == null ? Optional.empty() : Optional.ofNullable(upstream.user());
   }
 
   /** Records a sign of life. */
@@ -40,9 +40,9 @@
       return;
     }
     upstream.pool().closed(upstream);
-    Attempt attempt = upstream.attempt();
-    if (attempt != null) {
-      attempt.exchange().attemptFailed(attempt, ConnectionFault.CLOSED);
+    UpstreamUser user = upstream.user();
+    if (user != null) {
+      user.failed(ConnectionFault.CLOSED);
     }
   }
 }
--- /dev/null
+++ b/chivecross-wire/src/main/java/org/chivecross/wire/fleet/FleetCodec.java
@@ -0,0 +1,132 @@
+package org.chivecross.wire.fleet;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Optional;
+import org.chivecross.model.failure.Result;
+import org.chivecross.model.failure.Step;
+import org.chivecross.model.fleet.FleetMember;
+import org.chivecross.model.fleet.FleetMessage;
+import org.chivecross.model.fleet.ViewNews;
+import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.ruleset.RuleSet;
+import org.chivecross.wire.generated.fleet.FleetDatagram;
+import org.chivecross.wire.generated.fleet.MemberNote;
+import org.chivecross.wire.generated.fleet.TargetNote;
+import org.chivecross.wire.generated.fleet.ViewNote;
+
+/** Translates messages between entries to and from datagrams. Stateless. */
+final class FleetCodec {
+
+  private static final int PROTOCOL = 1;
+
+  private FleetCodec() {}
+
+  static byte[] encode(FleetMessage message) {
+    FleetDatagram.Builder datagram =
+        FleetDatagram.newBuilder()
+            .setProtocol(PROTOCOL)
+            .setIncarnation(message.incarnation())
+            .setDataCentre(message.dataCentre())
+            .setReady(message.ready())
+            .setAsksMembers(message.asksMembers())
+            .setAsksView(message.asksView())
+            .setKnownRulesVersion(message.knownRulesVersion());
+    for (FleetMember member : message.members()) {
+      datagram.addMembers(
+          MemberNote.newBuilder()
+              .setIp(member.ip())
+              .setIncarnation(member.incarnation())
+              .setDataCentre(member.dataCentre())
+              .setReady(member.ready())
+              .setAgeMillis((int) member.ageMillis()));
+    }
+    message.view().ifPresent(view -> datagram.setView(toNote(view)));
+    return datagram.build().toByteArray();
+  }
+
+  /** Decodes a datagram; fails as a whole when any part of it can't be read. */
+  static Result<FleetMessage> decode(byte[] bytes, String peer) {
+    try {
+      FleetDatagram datagram = FleetDatagram.parseFrom(bytes);
+      if (datagram.getProtocol() != PROTOCOL) {
+        return Result.failed(Step.PEER_MESSAGE, peer, "protocol " + datagram.getProtocol());
+      }
+      Optional<ViewNews> view =
+          datagram.hasView() ? Optional.of(toNews(datagram.getView())) : Optional.empty();
+      return Result.success(
+          new FleetMessage(
+              datagram.getIncarnation(),
+              datagram.getDataCentre(),
+              datagram.getReady(),
+              datagram.getAsksMembers(),
+              datagram.getAsksView(),
+              datagram.getKnownRulesVersion(),
+              datagram.getMembersList().stream().map(FleetCodec::toMember).toList(),
+              view));
+    } catch (InvalidProtocolBufferException e) {
+      return Result.failed(Step.PEER_MESSAGE, peer, String.valueOf(e.getMessage()));
+    }
+  }
+
+  private static FleetMember toMember(MemberNote note) {
+    return new FleetMember(
+        note.getIp(),
+        note.getIncarnation(),
+        note.getDataCentre(),
+        note.getReady(),
+        note.getAgeMillis());
+  }
+
+  private static ViewNote toNote(ViewNews view) {
+    ViewNote.Builder note =
+        ViewNote.newBuilder()
+            .setRevision(view.revision())
+            .setAgeMillis((int) Math.min(Integer.MAX_VALUE, view.ageMillis()))
+            .setDigest(view.digest())
+            .setRulesVersion(view.rulesVersion())
+            .setWhole(view.whole())
+            .addAllRemoved(view.removed());
+    for (RegisteredTarget target : view.registered()) {
+      note.addRegistered(
+          TargetNote.newBuilder()
+              .setId(target.id())
+              .setStartedAtMillis(target.startedAtMillis())
+              .setService(target.service())
+              .setAddress(target.address())
+              .setDataCentre(target.dataCentre())
+              .setSlots(target.slots())
+              .setLeaving(target.leaving())
+              .setWarmupMillis((int) target.warmupMillis()));
+    }
+    view.rules().ifPresent(rules -> note.setRules(RulesCodec.pack(rules)));
+    return note.build();
+  }
+
+  private static ViewNews toNews(ViewNote note) throws InvalidProtocolBufferException {
+    Optional<RuleSet> rules =
+        note.getRules().isEmpty()
+            ? Optional.empty()
+            : Optional.of(RulesCodec.unpack(note.getRules()));
+    return new ViewNews(
+        note.getRevision(),
+        note.getAgeMillis(),
+        note.getDigest(),
+        note.getRulesVersion(),
+        note.getWhole(),
+        note.getRegisteredList().stream().map(FleetCodec::toTarget).toList(),
+        note.getRemovedList(),
+        rules);
+  }
+
+  private static RegisteredTarget toTarget(TargetNote note) {
+    return new RegisteredTarget(
+        note.getId(),
+        note.getStartedAtMillis(),
+        note.getService(),
+        note.getAddress(),
+        note.getDataCentre(),
+        note.getSlots(),
+        note.getLeaving(),
+        note.getWarmupMillis());
+  }
+}
--- /dev/null
+++ b/chivecross-wire/src/main/java/org/chivecross/wire/fleet/FleetSocket.java
@@ -0,0 +1,143 @@
+package org.chivecross.wire.fleet;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.BiConsumer;
+import org.chivecross.model.failure.Failure;
+import org.chivecross.model.failure.Result;
+import org.chivecross.model.failure.Step;
+import org.chivecross.model.fleet.FleetMessage;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+
+/**
+ * Sends and receives datagrams of entries. Safe for use by many threads.
+ *
+ * <p>Invariant: sending never waits; a message that is too large or can't be sent is dropped and
+ * counted.
+ */
+public final class FleetSocket implements AutoCloseable {
+
+  /** Largest payload of a datagram over IPv4. */
+  private static final int MAX_BYTES = 65_507;
+
+  /** Refused datagrams of which one is logged, so that a stray sender can't fill the log. */
+  private static final long LOGGED_EACH = 1_000;
+
+  private static final long CLOSE_MILLIS = 200;
+
+  private final InetSocketAddress listen;
+  private final BiConsumer<String, FleetMessage> receiver;
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final LongAdder sent = new LongAdder();
+  private final LongAdder received = new LongAdder();
+  private final LongAdder dropped = new LongAdder();
+  private volatile @Nullable Channel channel;
+
+  /**
+   * Creates a socket that is not open.
+   *
+   * @param listen address of this entry; all entries use the same port
+   * @param receiver gets the IP number of the sender and the message, on the socket's thread
+   */
+  public FleetSocket(InetSocketAddress listen, BiConsumer<String, FleetMessage> receiver) {
+    this.listen = listen;
+    this.receiver = receiver;
+  }
+
+  /** Opens the socket and returns its port. */
+  public Result<Integer> start() {
+    ChannelFuture bound =
+        new Bootstrap()
+            .group(group)
+            .channel(NioDatagramChannel.class)
+            .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_BYTES))
+            .handler(new Receiver())
+            .bind(listen)
+            .awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      return Result.failed(
+          Step.SETTINGS,
+          Failure.LOCAL,
+          "can't listen for entries on " + listen + ": " + bound.cause().getMessage());
+    }
+    channel = bound.channel();
+    return Result.success(((InetSocketAddress) bound.channel().localAddress()).getPort());
+  }
+
+  /** Sends a message to the entry on a VM. */
+  public void send(String ip, FleetMessage message) {
+    Channel open = channel;
+    byte[] bytes = FleetCodec.encode(message);
+    if (open == null || bytes.length > MAX_BYTES) {
+      dropped.increment();
+      return;
+    }
+    sent.increment();
+    InetSocketAddress to = new InetSocketAddress(ip, listen.getPort());
+    open.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to));
+  }
+
+  /** Returns the number of messages sent. */
+  public long sentCount() {
+    return sent.sum();
+  }
+
+  /** Returns the number of messages received. */
+  public long receivedCount() {
+    return received.sum();
+  }
+
+  /** Returns the number of messages that were dropped, on either way. */
+  public long droppedCount() {
+    return dropped.sum();
+  }
+
+  @Override
+  public void close() {
+    group.shutdownGracefully(0, CLOSE_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Decodes datagrams; those that can't be read are dropped. */
+  private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+      String ip = packet.sender().getAddress().getHostAddress();
+      Result<FleetMessage> message = FleetCodec.decode(ByteBufUtil.getBytes(packet.content()), ip);
+      if (message instanceof Result.Success<FleetMessage> success) {
+        received.increment();
+        receiver.accept(ip, success.value());
+        return;
+      }
+      dropped.increment();
+      if (dropped.sum() % LOGGED_EACH == 1) {
+        Failure failure = ((Result.Failed<FleetMessage>) message).failures().get(0);
+        Logger.warn("datagram refused: {} ({} so far)", failure, dropped.sum());
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      Logger.warn("datagram failed: {}", cause.toString());
+    }
+  }
+}
--- /dev/null
+++ b/chivecross-wire/src/main/java/org/chivecross/wire/fleet/package-info.java
@@ -0,0 +1,5 @@
+/** Datagrams between entries. */
+@NullMarked
+package org.chivecross.wire.fleet;
+
+import org.jspecify.annotations.NullMarked;
