--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -226,6 +226,16 @@
     return board.slowdown(row);
   }
 
+  /** Returns what is known of the target of a row. */
+  public DispatchEvent.TargetFacts facts(int row, long nowNanos) {
+    return board.facts(row, nowNanos);
+  }
+
+  /** Returns the number of targets of a request's service that may be used. */
+  public int usableTargets(PlacementTicket ticket) {
+    return board.usableRows(ticket.service()).length;
+  }
+
   /** Returns the time that an answer of a target is expected to take, in ms. */
   public double expectedMillis(PlacementTicket ticket, int row, long nowNanos) {
     double usual = work.usualMillis(ticket.route());
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetBoard.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetBoard.java
@@ -147,6 +147,17 @@
     return slots[row];
   }
 
+  /** Returns the last report of a target, with the requests sent to it since. */
+  DispatchEvent.TargetFacts facts(int row, long nowNanos) {
+    RegisteredTarget target = registered[row];
+    long age =
+        reportNanos[row] == Long.MIN_VALUE
+            ? -1
+            : TimeUnit.NANOSECONDS.toMillis(nowNanos - reportNanos[row]);
+    return new DispatchEvent.TargetFacts(
+        target == null ? "" : target.id(), running(row), waiting[row], slowdownPercent[row], age);
+  }
+
   /** Returns how many times longer than usual work takes at a target. */
   double slowdown(int row) {
     return slowdownPercent[row] / (double) LoadReport.USUAL_SPEED;
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
@@ -3,6 +3,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import org.chivecross.logic.dispatch.DispatchEvent;
+import org.chivecross.logic.dispatch.DispatchJournal;
 import org.chivecross.logic.dispatch.Dispatcher;
 import org.chivecross.logic.dispatch.Placement;
 import org.chivecross.logic.dispatch.PlacementTicket;
@@ -54,6 +56,7 @@
   }
 
   private final Dispatcher dispatcher;
+  private final DispatchJournal journal;
   private final Runnable wake;
   private final AttemptTable attempts = new AttemptTable();
   private final double[] slowdowns = new double[AttemptTable.CAPACITY];
@@ -64,9 +67,12 @@
   private long overdueNanos = AttemptTable.NEVER;
   private long giveUpNanos = AttemptTable.NEVER;
   private int relayedAttempt;
+  private String requestId = "";
+  private long arrivedNanos;
 
-  DispatchRequestMachine(Dispatcher dispatcher, Runnable wake) {
+  DispatchRequestMachine(Dispatcher dispatcher, DispatchJournal journal, Runnable wake) {
     this.dispatcher = dispatcher;
+    this.journal = journal;
     this.wake = wake;
   }
 
@@ -75,12 +81,14 @@
     if (phase != Phase.ARRIVING) {
       return new Decision.Finish();
     }
+    requestId = head.requestId();
+    arrivedNanos = nowNanos;
     if (!dispatcher.hasRules() || !dispatcher.hasTargets()) {
-      return answer(UNAVAILABLE, Step.ROUTE, "no configuration yet", STARTING_RETRY_AFTER_MILLIS);
+      return answer(UNAVAILABLE, "no configuration yet", STARTING_RETRY_AFTER_MILLIS, nowNanos);
     }
     Optional<RouteRule> route = dispatcher.route(head.host(), head.path());
     if (route.isEmpty()) {
-      return answer(NOT_FOUND, Step.ROUTE, "no route for " + head.path(), 0);
+      return answer(NOT_FOUND, "no route for " + head.path(), 0, nowNanos);
     }
     long wanted = head.deadlineMillis().orElse(DEFAULT_DEADLINE_MILLIS);
     long patience = Math.min(wanted, route.get().timeoutMillis());
@@ -134,7 +142,10 @@
     }
     if (head.status() == UNAVAILABLE) {
       // Without proof that it did not run, the status would promise too much.
-      return answer(BAD_GATEWAY, Step.AWAIT_RESPONSE, "unproved refusal of " + peer(target), 0);
+      Failure unproved =
+          new Failure(
+              Step.AWAIT_RESPONSE, peer(target), "refusal without proof that it did not run");
+      return giveUp(unproved, 0, nowNanos);
     }
     return relay(attempt);
   }
@@ -213,7 +224,7 @@
       return await();
     }
     Placement.Refused refused = (Placement.Refused) placement;
-    return giveUp(refused.failure(), refused.retryAfterMillis());
+    return giveUp(refused.failure(), refused.retryAfterMillis(), nowNanos);
   }
 
   private Decision send(PlacementTicket current, int target, long nowNanos) {
@@ -226,6 +237,11 @@
               OVERDUE_OBJECTIVE_PART * current.route().latencyObjectiveMillis());
       overdueNanos = nowNanos + (long) (millis * NANOS_PER_MILLI);
     }
+    DispatchEvent.TargetFacts facts = dispatcher.facts(target, nowNanos);
+    long expected = Math.round(dispatcher.expectedMillis(current, target, nowNanos));
+    journal.record(
+        requestId,
+        new DispatchEvent.Sent(attempt, facts, expected, dispatcher.usableTargets(current)));
     dispatcher.started(target);
     return new Decision.Send(attempt, target, ConnectionKind.RECENTLY_LIVE, giveUpNanos);
   }
@@ -239,6 +255,12 @@
 
   /** Looks for another target after an attempt failed, or ends the request. */
   private Decision replace(PlacementTicket current, String detail, int target, long nowNanos) {
+    int last = attempts.size() - 1;
+    boolean mayHaveRun = NotRunProof.of(attempts).isEmpty();
+    journal.record(
+        requestId,
+        new DispatchEvent.AttemptFailed(
+            last, dispatcher.facts(target, nowNanos), detail, mayHaveRun));
     if (attempts.hasOpen() || seeking) {
       return await();
     }
@@ -250,7 +272,9 @@
       return seek(current, nowNanos);
     }
     return giveUp(
-        new Failure(Step.AWAIT_RESPONSE, peer(target), detail), STARTING_RETRY_AFTER_MILLIS);
+        new Failure(Step.AWAIT_RESPONSE, peer(target), detail),
+        STARTING_RETRY_AFTER_MILLIS,
+        nowNanos);
   }
 
   private boolean mayRepeat(PlacementTicket current, long nowNanos) {
@@ -276,34 +300,45 @@
     }
     return giveUp(
         new Failure(Step.AWAIT_RESPONSE, Failure.LOCAL, "time-out of the route or the caller"),
-        STARTING_RETRY_AFTER_MILLIS);
+        STARTING_RETRY_AFTER_MILLIS,
+        nowNanos);
   }
 
   /** Ends the request: refused when it surely has not run, otherwise with an unknown outcome. */
-  private Decision giveUp(Failure failure, long retryAfterMillis) {
+  private Decision giveUp(Failure failure, long retryAfterMillis, long nowNanos) {
     abandonAll();
     phase = Phase.DONE;
     Optional<NotRunProof> proof = NotRunProof.of(attempts);
     if (proof.isPresent()) {
+      record(UNAVAILABLE, failure, retryAfterMillis, nowNanos);
       return new Decision.Answer(
           UNAVAILABLE, proof.get().outcome(), failure, OptionalLong.of(retryAfterMillis));
     }
-    boolean late = failure.peer().equals(Failure.LOCAL);
-    return new Decision.Answer(
-        late ? GATEWAY_TIMEOUT : BAD_GATEWAY, Outcome.UNKNOWN, failure, OptionalLong.empty());
+    int status = failure.peer().equals(Failure.LOCAL) ? GATEWAY_TIMEOUT : BAD_GATEWAY;
+    record(status, failure, 0, nowNanos);
+    return new Decision.Answer(status, Outcome.UNKNOWN, failure, OptionalLong.empty());
   }
 
-  private Decision answer(int status, Step step, String detail, long retryAfterMillis) {
+  /** Answers a request that was not given to the dispatcher. */
+  private Decision answer(int status, String detail, long retryAfterMillis, long nowNanos) {
     abandonAll();
     phase = Phase.DONE;
     Outcome outcome = NotRunProof.of(attempts).map(NotRunProof::outcome).orElse(Outcome.UNKNOWN);
+    Failure failure = new Failure(Step.ROUTE, Failure.LOCAL, detail);
+    record(status, failure, retryAfterMillis, nowNanos);
     return new Decision.Answer(
         status,
         outcome,
-        new Failure(step, Failure.LOCAL, detail),
+        failure,
         retryAfterMillis > 0 ? OptionalLong.of(retryAfterMillis) : OptionalLong.empty());
   }
 
+  private void record(int status, Failure failure, long retryAfterMillis, long nowNanos) {
+    long waited = (nowNanos - arrivedNanos) / NANOS_PER_MILLI;
+    journal.record(
+        requestId, new DispatchEvent.Answered(status, failure, retryAfterMillis, waited));
+  }
+
   private void abandonAll() {
     for (int i = 0; i < attempts.size(); i++) {
       if (attempts.isOpen(i)) {
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachines.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachines.java
@@ -1,5 +1,6 @@
 package org.chivecross.logic.request;
 
+import org.chivecross.logic.dispatch.DispatchJournal;
 import org.chivecross.logic.dispatch.Dispatcher;
 
 /**
@@ -9,10 +10,16 @@
 public final class DispatchRequestMachines implements RequestMachines {
 
   private final Dispatcher dispatcher;
+  private final DispatchJournal journal;
 
-  /** Creates a factory of machines. */
-  public DispatchRequestMachines(Dispatcher dispatcher) {
+  /**
+   * Creates a factory of machines.
+   *
+   * @param journal keeps what the machines decide
+   */
+  public DispatchRequestMachines(Dispatcher dispatcher, DispatchJournal journal) {
     this.dispatcher = dispatcher;
+    this.journal = journal;
   }
 
   @Override
@@ -22,6 +29,6 @@
 
   @Override
   public RequestMachine create(Runnable wake) {
-    return new DispatchRequestMachine(dispatcher, wake);
+    return new DispatchRequestMachine(dispatcher, journal, wake);
   }
 }
--- a/chivecross-core/src/main/java/org/chivecross/model/request/RequestHead.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/request/RequestHead.java
@@ -13,6 +13,7 @@
  * @param idempotencyKey value of the {@code Idempotency-Key} header
  * @param hasBody whether a body follows
  * @param bodyBytes size of the body as far as it is known when the request starts
+ * @param requestId name that the caller gave this try of its request; empty when it gave none
  */
 public record RequestHead(
     String method,
@@ -22,7 +23,8 @@
     int depth,
     Optional<String> idempotencyKey,
     boolean hasBody,
-    long bodyBytes) {
+    long bodyBytes,
+    String requestId) {
 
   /** Creates a head of a request whose body's size doesn't matter. */
   public RequestHead(
@@ -33,6 +35,6 @@
       int depth,
       Optional<String> idempotencyKey,
       boolean hasBody) {
-    this(method, host, path, deadlineMillis, depth, idempotencyKey, hasBody, 0);
+    this(method, host, path, deadlineMillis, depth, idempotencyKey, hasBody, 0, "");
   }
 }
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/DecisionLogger.java
@@ -0,0 +1,52 @@
+package org.chivecross.cli.entry.fleet;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.chivecross.cli.log.EventLog;
+import org.chivecross.logic.dispatch.DispatchEvent;
+import org.chivecross.logic.dispatch.DispatchJournal;
+
+/** Writes decisions about requests to the log. Safe for use by many threads. */
+final class DecisionLogger implements DispatchJournal {
+
+  private final EventLog log;
+
+  DecisionLogger(EventLog log) {
+    this.log = log;
+  }
+
+  @Override
+  public void record(String requestId, DispatchEvent event) {
+    Map<String, String> fields = new LinkedHashMap<>();
+    fields.put("request", requestId);
+    if (event instanceof DispatchEvent.Sent sent) {
+      fields.put("attempt", Integer.toString(sent.attempt()));
+      putTarget(fields, sent.target());
+      fields.put("expectedMillis", Long.toString(sent.expectedMillis()));
+      fields.put("usableTargets", Integer.toString(sent.usableTargets()));
+      log.info("request sent", fields);
+    } else if (event instanceof DispatchEvent.AttemptFailed failed) {
+      fields.put("attempt", Integer.toString(failed.attempt()));
+      putTarget(fields, failed.target());
+      fields.put("cause", failed.detail());
+      fields.put("mayHaveRun", Boolean.toString(failed.mayHaveRun()));
+      log.warn("attempt failed", fields);
+    } else if (event instanceof DispatchEvent.Answered answered) {
+      fields.put("status", Integer.toString(answered.status()));
+      fields.put("step", answered.failure().step().name());
+      fields.put("peer", answered.failure().peer());
+      fields.put("cause", answered.failure().detail());
+      fields.put("retryAfterMillis", Long.toString(answered.retryAfterMillis()));
+      fields.put("waitedMillis", Long.toString(answered.waitedMillis()));
+      log.warn("request answered by the entry", fields);
+    }
+  }
+
+  private static void putTarget(Map<String, String> fields, DispatchEvent.TargetFacts target) {
+    fields.put("target", target.id());
+    fields.put("running", Integer.toString(target.running()));
+    fields.put("waiting", Integer.toString(target.waiting()));
+    fields.put("slowdownPercent", Integer.toString(target.slowdownPercent()));
+    fields.put("reportAgeMillis", Long.toString(target.reportAgeMillis()));
+  }
+}
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -20,6 +20,7 @@
 import org.chivecross.cli.entry.http.LocalRoutes;
 import org.chivecross.cli.entry.http.TargetProber;
 import org.chivecross.cli.entry.metrics.EntryMetrics;
+import org.chivecross.cli.log.EventLog;
 import org.chivecross.logic.dispatch.Dispatcher;
 import org.chivecross.logic.fleet.FleetDirectory;
 import org.chivecross.logic.fleet.FleetNode;
@@ -104,7 +105,8 @@
     DispatchAddresses addresses = new DispatchAddresses(guard, dispatcher);
     DataPathPorts ports =
         new DataPathPorts(
-            new DispatchRequestMachines(dispatcher),
+            new DispatchRequestMachines(
+                dispatcher, new DecisionLogger(new EventLog(System::nanoTime))),
             this::route,
             (target, requestClass) -> Long.MAX_VALUE,
             (owner, call, remaining, handler) -> {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/NativeDialect.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/NativeDialect.java
@@ -28,6 +28,11 @@
     return RequestHeads.parseLong(headers.getHeader(DEADLINE));
   }
 
+  @Override
+  public Optional<String> requestId(MimeHeaders headers) {
+    return Optional.empty();
+  }
+
   @Override
   public int depth(MimeHeaders headers) {
     return RequestHeads.parseLong(headers.getHeader(DEPTH)).map(Long::intValue).orElse(0);
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestDialect.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestDialect.java
@@ -17,6 +17,9 @@
   /** Returns the time that a caller waits, in ms; empty when it states none. */
   Optional<Long> deadlineMillis(MimeHeaders headers);
 
+  /** Returns the name that a caller gave this try of its request. */
+  Optional<String> requestId(MimeHeaders headers);
+
   /** Returns how deep in a chain of calls a request is; 0 for a call from outside. */
   int depth(MimeHeaders headers);
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestHeads.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestHeads.java
@@ -39,7 +39,8 @@
         dialect.depth(headers),
         idempotencyKey(request),
         hasBody(request),
-        Math.max(bodyBytes, request.getContentLength()));
+        Math.max(bodyBytes, request.getContentLength()),
+        dialect.requestId(headers).orElse(""));
   }
 
   /** Returns the idempotency key of a request. */
