Run pipelined requests side by side and hold short answers until they are whole

An answer that broke off midway cut the caller's connection, although the read could have been sent elsewhere. Ruled out: slow targets as the main cause; the wait lay before the first send.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -53,6 +53,9 @@
   /** Bytes of a body that are kept, which is more than any upload that callers usually send. */
   private static final int RETAINED_BODY_BYTES = 4 << 20;
 
+  /** Responses up to this size are passed on when they are whole; nearly all are smaller. */
+  private static final int HELD_RESPONSE_BYTES = 64 * 1024;
+
   /** Age of an answer up to which its connection is used for a request without doubt. */
   private static final int RECENT_LIFE_MILLIS = 400;
 
@@ -375,6 +378,7 @@
         CONNECT_TIMEOUT_MILLIS,
         RECENT_LIFE_MILLIS,
         RETAINED_BODY_BYTES,
+        HELD_RESPONSE_BYTES,
         1);
   }
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
@@ -23,11 +23,12 @@
  * that are called without it take it. Invariant: {@code over} is set once, and from then on nothing
  * that arrives on the connection reaches the exchange.
  */
-final class Attempt implements UpstreamUser {
+final class Attempt implements UpstreamUser, UpstreamClient.AcquireHandler {
 
   private final Exchange exchange;
   private final Decision.Send order;
   private final long startedNanos;
+  private final HeldResponse held;
   private @Nullable UpstreamConnection upstream;
   private @Nullable HttpRequestPacket packet;
   private @Nullable FilterChainContext parkedReader;
@@ -35,9 +36,11 @@
   private boolean headReceived;
   private boolean suspect;
   private long sentNanos;
+  private boolean decided;
   private boolean over;
 
-  Attempt(Exchange exchange, Decision.Send order, long startedNanos) {
+  Attempt(Exchange exchange, Decision.Send order, int heldBytes, long startedNanos) {
+    held = new HeldResponse(heldBytes);
     this.startedNanos = startedNanos;
     this.exchange = exchange;
     this.order = order;
@@ -133,6 +136,23 @@
     return false;
   }
 
+  /** Returns true once, when the response is to be decided about. */
+  boolean markDecided() {
+    boolean first = !decided;
+    decided = true;
+    return first;
+  }
+
+  /** Returns the parts of the response that are kept back. */
+  HeldResponse held() {
+    return held;
+  }
+
+  @Override
+  public void acquired(UpstreamConnection connection) {
+    exchange.acquired(this, connection);
+  }
+
   @Override
   public boolean received(HttpContent content) {
     return exchange.responseContent(this, content);
@@ -184,6 +204,18 @@
     connection.pool().release(connection);
   }
 
+  /** A part of a response arrived that nobody gets. */
+  void endUnused(HttpResponsePacket head, boolean last) {
+    if (over) {
+      return;
+    }
+    if (last) {
+      responseEnded(head);
+    } else {
+      abandon();
+    }
+  }
+
   /** Ends the attempt; its connection is closed, so that nothing late can reach anyone else. */
   void abandon() {
     if (over) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
@@ -2,19 +2,31 @@
 
 import java.io.IOException;
 import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.nio.NIOConnection;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Connection of a caller. It serves one exchange at a time; a pipelined request waits until the one
- * before it was answered. Safe for use by many threads.
+ * Connection of a caller, with its exchanges in the order of their requests.
+ *
+ * <p>Invariant: only the first exchange writes to the connection; the others run meanwhile and hold
+ * their answers back until their turn, so answers leave in the order of the requests. Safe for use
+ * by many threads; exchanges are called without the lock.
  */
 final class CallerConnection {
 
+  /** Pipelined requests that run at the same time; the next one waits unread. */
+  private static final int MOST_OPEN = 8;
+
   private final NIOConnection connection;
-  private @Nullable CallerExchange current;
+  private final Deque<CallerExchange> open = new ArrayDeque<>();
+  private final Set<CallerExchange> ended = new HashSet<>();
   private @Nullable HttpRequestPacket finished;
   private @Nullable FilterChainContext pipelined;
   private volatile long idleSinceNanos;
@@ -30,19 +42,40 @@
     return connection;
   }
 
-  synchronized @Nullable CallerExchange current() {
-    return current;
+  /** Returns the exchange of the newest request, if any is open. */
+  synchronized @Nullable CallerExchange newest() {
+    return open.peekLast();
+  }
+
+  /** Returns all open exchanges. */
+  synchronized List<CallerExchange> openExchanges() {
+    return List.copyOf(open);
+  }
+
+  /** Returns whether no request is waiting for its answer. */
+  synchronized boolean isIdle() {
+    return open.isEmpty();
+  }
+
+  /** Returns whether an exchange may write its answer now. */
+  synchronized boolean isTurn(CallerExchange exchange) {
+    return open.peekFirst() == exchange;
+  }
+
+  /** Returns whether requests wait behind that of an exchange. */
+  synchronized boolean isFollowed(CallerExchange exchange) {
+    return pipelined != null || open.peekLast() != exchange;
   }
 
   /** Starts an exchange. */
   synchronized void begin(CallerExchange exchange) {
-    current = exchange;
+    open.addLast(exchange);
     headSinceNanos = 0;
   }
 
-  /** Suspends a pipelined request; returns false when the way is free. */
+  /** Suspends a pipelined request when too many are open; returns false when it may run. */
   synchronized boolean park(FilterChainContext context) {
-    if (current == null) {
+    if (open.size() < MOST_OPEN) {
       return false;
     }
     context.suspend();
@@ -50,16 +83,38 @@
     return true;
   }
 
-  /** Ends the current exchange and returns the request that waited for it, if any. */
-  synchronized @Nullable FilterChainContext end(long nowNanos) {
-    if (current != null) {
-      finished = current.isRequestComplete() ? null : current.request();
-      current = null;
+  /**
+   * Notes that an exchange is over, and gives the turn to the next one that is not.
+   *
+   * @return the request that waited unread, if there is room for it now
+   */
+  @Nullable FilterChainContext end(CallerExchange exchange, long nowNanos) {
+    synchronized (this) {
+      if (open.peekLast() == exchange) {
+        finished = exchange.isRequestComplete() ? null : exchange.request();
+      }
+      ended.add(exchange);
+      idleSinceNanos = nowNanos;
+    }
+    while (true) {
+      CallerExchange next;
+      synchronized (this) {
+        CallerExchange first = open.peekFirst();
+        if (first == null || !ended.remove(first)) {
+          break;
+        }
+        open.removeFirst();
+        next = open.peekFirst();
+      }
+      if (next != null) {
+        next.turn();
+      }
+    }
+    synchronized (this) {
+      FilterChainContext context = pipelined;
+      pipelined = null;
+      return context;
     }
-    idleSinceNanos = nowNanos;
-    FilterChainContext context = pipelined;
-    pipelined = null;
-    return context;
   }
 
   /** Returns whether the request was answered already, so that the rest of it is dropped. */
@@ -101,6 +156,6 @@
 
   /** Returns whether nothing has been in flight for longer than {@code idleNanos}. */
   boolean isIdleLongerThan(long idleNanos, long nowNanos) {
-    return current() == null && nowNanos - idleSinceNanos > idleNanos;
+    return isIdle() && nowNanos - idleSinceNanos > idleNanos;
   }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerExchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerExchange.java
@@ -26,6 +26,9 @@
   /** The body can't be read to its end, since its coding is wrong. */
   void bodyBroken();
 
+  /** All exchanges before this one are over; what was held back for them may be written now. */
+  void turn();
+
   /** The connection is gone. */
   void callerClosed();
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerFilter.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerFilter.java
@@ -33,7 +33,7 @@
     HttpContent content = context.getMessage();
     HttpRequestPacket request = (HttpRequestPacket) content.getHttpHeader();
     CallerConnection caller = callers.of(context.getConnection()).orElseThrow();
-    CallerExchange exchange = caller.current();
+    CallerExchange exchange = caller.newest();
     if (exchange != null && exchange.request() != request) {
       if (caller.park(context)) {
         return context.getSuspendAction();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerRegistry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerRegistry.java
@@ -51,7 +51,7 @@
   /** Returns whether any connection has a request that is not answered. */
   boolean hasExchange() {
     for (CallerConnection caller : open) {
-      if (caller.current() != null) {
+      if (!caller.isIdle()) {
         return true;
       }
     }
@@ -71,9 +71,6 @@
 
   private void closed(CallerConnection caller) {
     open.remove(caller);
-    CallerExchange exchange = caller.current();
-    if (exchange != null) {
-      exchange.callerClosed();
-    }
+    caller.openExchanges().forEach(CallerExchange::callerClosed);
   }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
@@ -3,6 +3,9 @@
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.BooleanSupplier;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -30,18 +33,33 @@
       ACKNOWLEDGED = new EmptyCompletionHandler<>();
 
   private final CallerConnection caller;
+  private final CallerExchange exchange;
   private final RequestDialect dialect;
+  private final BooleanSupplier leaving;
+  private final Deque<Part> held = new ArrayDeque<>();
   private final NIOConnection connection;
   private final HttpRequestPacket request;
   private final HttpResponsePacket packet;
   private boolean closeAfter;
+  private boolean committed;
   private boolean lingering;
 
-  CallerResponse(CallerConnection caller, HttpRequestPacket request, RequestDialect dialect) {
+  /**
+   * Creates the response to the request of an exchange.
+   *
+   * @param leaving whether connections end with their next answer
+   */
+  CallerResponse(
+      CallerConnection caller,
+      CallerExchange exchange,
+      RequestDialect dialect,
+      BooleanSupplier leaving) {
     this.caller = caller;
+    this.exchange = exchange;
     this.dialect = dialect;
+    this.leaving = leaving;
     connection = caller.connection();
-    this.request = request;
+    request = exchange.request();
     packet = request.getResponse();
     closeAfter = HopHeaders.of(request.getHeaders()).contains("close");
   }
@@ -71,11 +89,27 @@
     } else {
       closeAfter = true;
     }
-    prepareConnection();
   }
 
-  /** Writes a part of a relayed body. */
+  /** Writes a part of a relayed body, or holds it back until the turn of this response. */
   void write(Buffer content, boolean last) {
+    held.add(new Part(content, last));
+    flush();
+  }
+
+  /** Writes what was held back, if it is the turn of this response. */
+  void flush() {
+    while (!held.isEmpty() && caller.isTurn(exchange)) {
+      Part part = held.remove();
+      writeNow(part.content(), part.last());
+    }
+  }
+
+  private void writeNow(Buffer content, boolean last) {
+    if (!committed) {
+      committed = true;
+      prepareConnection();
+    }
     HttpContent part = packet.httpContentBuilder().content(content).last(last).build();
     if (last && packet.isCommitted() && !packet.isChunked() && !content.hasRemaining()) {
       endWithoutBytes();
@@ -93,7 +127,6 @@
     answer.headers().forEach(packet::setHeader);
     packet.setContentType(answer.contentType());
     packet.setContentLengthLong(body.length);
-    prepareConnection();
     Buffer content =
         request.isHeadRequest()
             ? Buffers.EMPTY_BUFFER
@@ -114,6 +147,9 @@
    * since it stays as it is once its request expects content again.
    */
   void recycle() {
+    if (!held.isEmpty()) {
+      return;
+    }
     packet.recycle();
     request.recycle();
   }
@@ -132,7 +168,7 @@
 
   /** Returns whether the caller takes more bytes now; otherwise {@code resume} runs later. */
   boolean canWrite(Runnable resume) {
-    if (connection.canWrite()) {
+    if (!held.isEmpty() || connection.canWrite()) {
       return true;
     }
     connection.notifyCanWrite(
@@ -171,12 +207,17 @@
   }
 
   private void prepareConnection() {
+    // Requests behind this one may be at work already, so the connection stays for their answers.
+    closeAfter |= leaving.getAsBoolean() && !caller.isFollowed(exchange);
     if (closeAfter) {
       request.getProcessingState().setKeepAlive(false);
       packet.setHeader("Connection", "close");
     }
   }
 
+  /** Part of a response that waits for its turn. */
+  private record Part(Buffer content, boolean last) {}
+
   /** Closes the connection when the last part was handed to the socket. */
   private final class CloseWhenWritten<M>
       extends EmptyCompletionHandler<WriteResult<M, SocketAddress>> {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPathSettings.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPathSettings.java
@@ -13,6 +13,7 @@
  * @param connectTimeoutMillis time within which a connection to a target must be open, in ms
  * @param recentLifeMillis age of the last sign of life up to which a connection counts as live
  * @param retainedBodyBytes bytes of a request body that are kept, so that it can be sent again
+ * @param heldResponseBytes bytes of a response up to which it is kept until it is whole
  * @param selectorThreads threads that move the bytes of all connections
  */
 public record DataPathSettings(
@@ -24,6 +25,7 @@
     int connectTimeoutMillis,
     int recentLifeMillis,
     int retainedBodyBytes,
+    int heldResponseBytes,
     int selectorThreads) {
 
   /** Bytes of a body that are kept by default, and so the most that can be sent again. */
@@ -47,6 +49,7 @@
         connectTimeoutMillis,
         recentLifeMillis,
         RETAINED_BYTES,
+        0,
         Runtime.getRuntime().availableProcessors());
   }
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -1,5 +1,6 @@
 package org.chivecross.cli.entry.http;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -18,6 +19,7 @@
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.memory.Buffers;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -44,7 +46,7 @@
   private boolean started;
   private boolean callerCongested;
   private boolean over;
-  private Optional<Route> route = Optional.empty();
+  private final Optional<Route> route;
 
   Exchange(
       ExchangeServices services,
@@ -56,16 +58,14 @@
     lock = ports.locks().get();
     this.caller = caller;
     this.request = request;
-    response = new CallerResponse(caller, request, ports.dialect());
+    response = new CallerResponse(caller, this, ports.dialect(), services.leaving());
+    route = RequestHeads.route(request, ports.router());
     timer = new ExchangeTimer(ports.timer(), () -> timer(System.nanoTime()));
     machine = ports.machines().create(timer::wake);
     clock = new ExchangeClock(nowNanos);
     boolean keyed = RequestHeads.idempotencyKey(request).isPresent();
     int retained = keyed ? KeyCall.MAX_BODY_BYTES : services.settings().retainedBodyBytes();
     body = new BodyFlow(lock, new RequestBody(retained), caller.connection().getMemoryManager());
-    if (services.leaving().getAsBoolean()) {
-      response.closeAfterwards();
-    }
   }
 
   Object lock() {
@@ -98,7 +98,7 @@
         return true;
       }
       boolean more = body.receive(buffer, content.isLast());
-      if (!started && body.isReadyToSend()) {
+      if (!started && body.isReadyToSend() && mayStart()) {
         started = true;
         start();
       }
@@ -148,6 +148,17 @@
     refuse(400, "body is not in valid chunks");
   }
 
+  @Override
+  public void turn() {
+    synchronized (lock) {
+      response.flush();
+      if (!started && body.isReadyToSend() && !over) {
+        started = true;
+        start();
+      }
+    }
+  }
+
   @Override
   public void callerClosed() {
     synchronized (lock) {
@@ -175,19 +186,20 @@
           failed(attempt, ConnectionFault.MALFORMED, now);
           return true;
         }
+      }
+      if (!attempt.held().take(content)) {
+        return true;
+      }
+      if (attempt.markDecided()) {
         Decision decision =
             machine.responseHead(attempt.number(), ports.dialect().toDecisionHead(head), now);
         carryOut(decision, now);
         if (!over && relayed == attempt) {
-          clock.headRead(attempt.sentNanos(), now);
-          if (!body.isComplete()) {
-            response.closeWhileReceiving();
-          }
-          response.relayHead(head);
+          relayHead(attempt, head, now);
         }
       }
       if (over || relayed != attempt) {
-        endUnused(attempt, head, content.isLast());
+        attempt.endUnused(head, content.isLast());
         return true;
       }
       return relay(attempt, head, content, now);
@@ -203,13 +215,17 @@
     }
   }
 
+  /** A request that must not run twice waits for those before it, which may end the connection. */
+  private boolean mayStart() {
+    return caller.isTurn(this) || route.filter(Route::isIdempotent).isPresent();
+  }
+
   private void start() {
     long readyNanos = System.nanoTime();
     clock.ready(readyNanos);
     long elapsed = TimeUnit.NANOSECONDS.toMillis(readyNanos - clock.arrivedNanos());
     RequestHead head =
         RequestHeads.toDecisionHead(request, elapsed, body.receivedBytes(), ports.dialect());
-    route = ports.router().route(head.method(), head.host(), head.path());
     services.inFlight().add(this);
     long now = System.nanoTime();
     carryOut(machine.arrived(head, now), now);
@@ -236,32 +252,34 @@
     }
   }
 
+  private void relayHead(Attempt attempt, HttpResponsePacket head, long now) {
+    clock.headRead(attempt.sentNanos(), now);
+    if (!body.isComplete()) {
+      response.closeWhileReceiving();
+    }
+    response.relayHead(head);
+  }
+
   private boolean relay(Attempt attempt, HttpResponsePacket head, HttpContent content, long now) {
+    List<Buffer> parts = attempt.held().release();
+    int ready = parts.size() - (content.isLast() ? 1 : 0);
+    for (int i = 0; i < ready; i++) {
+      response.write(parts.get(i), false);
+    }
     if (content.isLast()) {
+      Buffer rest = ready < 0 ? Buffers.EMPTY_BUFFER : parts.get(ready);
       machine.responseEnd(attempt.number(), now);
       int status = head.getStatus();
       attempt.responseEnded(head);
       over = true;
-      response.write(content.getContent(), true);
+      response.write(rest, true);
       finish(status, Outcome.ANSWERED);
       return true;
     }
-    response.write(content.getContent(), false);
     callerCongested = !response.canWrite(this::callerWritable);
     return !callerCongested;
   }
 
-  private void endUnused(Attempt attempt, HttpResponsePacket head, boolean last) {
-    if (attempt.isOver()) {
-      return;
-    }
-    if (last) {
-      attempt.responseEnded(head);
-    } else {
-      attempt.abandon();
-    }
-  }
-
   private void failed(Attempt attempt, ConnectionFault fault, long now) {
     attempt.abandon();
     carryOut(machine.connectionFailed(attempt.number(), fault, now), now);
@@ -297,9 +315,16 @@
 
   private void send(Decision.Send send, long now) {
     clock.attemptDecided(now);
-    Attempt attempt = new Attempt(this, send, now);
+    Attempt attempt = new Attempt(this, send, services.settings().heldResponseBytes(), now);
     attempts.add(attempt);
-    services.client().acquire(send.target(), send.kind(), now, new SendWhenAcquired(attempt));
+    services.client().acquire(send.target(), send.kind(), now, attempt);
+  }
+
+  /** The connection of an attempt is there. */
+  void acquired(Attempt attempt, UpstreamConnection connection) {
+    synchronized (lock) {
+      sendOn(attempt, connection);
+    }
   }
 
   private void sendOn(Attempt attempt, UpstreamConnection connection) {
@@ -323,9 +348,8 @@
   }
 
   private boolean isUploadWithBody() {
-    return body.receivedBytes() > 0
-        && route.isPresent()
-        && route.get().requestClass() == RequestClass.UPLOAD;
+    boolean upload = route.filter(r -> r.requestClass() == RequestClass.UPLOAD).isPresent();
+    return upload && body.receivedBytes() > 0;
   }
 
   private void answer(LocalResponse answer, Outcome outcome) {
@@ -372,7 +396,7 @@
     callerCongested = false;
     long now = System.nanoTime();
     ports.observer().ended(clock.summary(route, status, outcome, attempts.size(), now));
-    FilterChainContext next = caller.end(now);
+    FilterChainContext next = caller.end(this, now);
     body.discard();
     if (status > 0 && body.isComplete()) {
       response.recycle();
@@ -392,26 +416,4 @@
       reader.resume(reader.getStopAction());
     }
   }
-
-  /** Sends the request when the connection is there. */
-  private final class SendWhenAcquired implements UpstreamClient.AcquireHandler {
-
-    private final Attempt attempt;
-
-    SendWhenAcquired(Attempt attempt) {
-      this.attempt = attempt;
-    }
-
-    @Override
-    public void acquired(UpstreamConnection connection) {
-      synchronized (lock) {
-        sendOn(attempt, connection);
-      }
-    }
-
-    @Override
-    public void failed(ConnectionFault fault) {
-      attemptFailed(attempt, fault);
-    }
-  }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
@@ -27,7 +27,7 @@
     this.caller = caller;
     this.request = request;
     this.handler = handler;
-    response = new CallerResponse(caller, request, dialect);
+    response = new CallerResponse(caller, this, dialect, () -> false);
   }
 
   @Override
@@ -61,6 +61,11 @@
         LocalResponse.text(400, Map.of(), "application/json", "{\"error\":\"malformed body\"}\n"));
   }
 
+  @Override
+  public synchronized void turn() {
+    response.flush();
+  }
+
   @Override
   public synchronized void callerClosed() {
     over = true;
@@ -74,7 +79,7 @@
       }
       over = true;
       response.answer(answer);
-      next = caller.end(System.nanoTime());
+      next = caller.end(this, System.nanoTime());
     }
     if (next != null) {
       next.resume();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestHeads.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestHeads.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.chivecross.logic.routing.RequestRouter;
 import org.chivecross.logic.routing.Route;
 import org.chivecross.model.request.RequestHead;
 import org.glassfish.grizzly.Connection;
@@ -33,7 +34,7 @@
         dialect.deadlineMillis(headers).map(millis -> Math.max(0, millis - elapsedMillis));
     return new RequestHead(
         HeaderText.of(request.getMethodDC()),
-        hostWithoutPort(headers.getHeader("host")),
+        host(request),
         request.getRequestURI(),
         deadline,
         dialect.depth(headers),
@@ -43,6 +44,17 @@
         dialect.requestId(headers).orElse(""));
   }
 
+  /** Returns the host of a request, in lower case and without port. */
+  static String host(HttpRequestPacket request) {
+    return hostWithoutPort(request.getHeaders().getHeader("host"));
+  }
+
+  /** Returns the route of a request, if it has one. */
+  static Optional<Route> route(HttpRequestPacket request, RequestRouter router) {
+    String method = HeaderText.of(request.getMethodDC());
+    return router.route(method, host(request), request.getRequestURI());
+  }
+
   /** Returns the idempotency key of a request. */
   static Optional<String> idempotencyKey(HttpRequestPacket request) {
     return Optional.ofNullable(request.getHeaders().getHeader(IDEMPOTENCY_KEY));
