--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -38,8 +38,14 @@
   /** Rounds after which the best target so far is judged, whatever it is. */
   private static final int MAX_ROUNDS = 3;
 
-  /** Pause after which busy targets are asked again. */
-  private static final long ASK_AGAIN_NANOS = 20 * NANOS_PER_MILLI;
+  /** Pause after which busy targets are asked again, a fraction of a phase of slowness. */
+  private static final long ASK_AGAIN_NANOS = 30 * NANOS_PER_MILLI;
+
+  /** Age up to which a bad report keeps a target from being asked before others. */
+  private static final long REMEMBERED_NANOS = 120 * NANOS_PER_MILLI;
+
+  /** Disadvantage of such a target when it is chosen whom to ask, as that of a far one. */
+  private static final double REMEMBERED_COST = 1.0;
 
   /**
    * Part of the latency objective for which a request waits for a target that serves it in time.
@@ -158,11 +164,8 @@
     if (leftMillis < usual / 2) {
       return refuse("too little time left for a target", MIN_RETRY_AFTER_MILLIS);
     }
-    int best = best(ticket, rows, usual, nowNanos);
-    double bestMillis =
-        best == TargetBoard.NONE
-            ? Double.MAX_VALUE
-            : expected.millis(best, usual, ticket.bodyBytes(), nowNanos);
+    int best = best(ticket, rows, FRESH_NANOS, nowNanos);
+    double bestMillis = expectedMillis(ticket, best, nowNanos);
     if (bestMillis <= usual * GOOD_ENOUGH) {
       return choose(ticket, best);
     }
@@ -172,6 +175,11 @@
     if (ticket.rounds() < MAX_ROUNDS && startRound(ticket, rows, nowNanos)) {
       return new Placement.Pending(nowNanos + PROBE_TIMEOUT_NANOS);
     }
+    if (best == TargetBoard.NONE) {
+      // The allowance for probes is used up, and an old report is better than a refusal.
+      best = best(ticket, rows, Long.MAX_VALUE, nowNanos);
+      bestMillis = expectedMillis(ticket, best, nowNanos);
+    }
     return judge(ticket, best, bestMillis, nowNanos);
   }
 
@@ -238,6 +246,9 @@
 
   /** Returns the time that an answer of a target is expected to take, in ms. */
   public double expectedMillis(PlacementTicket ticket, int row, long nowNanos) {
+    if (row == TargetBoard.NONE) {
+      return Double.MAX_VALUE;
+    }
     double usual = work.usualMillis(ticket.route());
     return expected.millis(row, usual, ticket.bodyBytes(), nowNanos);
   }
@@ -270,14 +281,15 @@
     return PROBE_TIMEOUT_NANOS / NANOS_PER_MILLI;
   }
 
-  private int best(PlacementTicket ticket, int[] rows, double usual, long nowNanos) {
+  /** Returns the best target whose report is not older than {@code maxAgeNanos}. */
+  private int best(PlacementTicket ticket, int[] rows, long maxAgeNanos, long nowNanos) {
     int best = TargetBoard.NONE;
     double least = Double.MAX_VALUE;
     for (int row : rows) {
-      if (ticket.isTried(row) || !board.isFresh(row, FRESH_NANOS, nowNanos)) {
+      if (ticket.isTried(row) || !board.isFresh(row, maxAgeNanos, nowNanos)) {
         continue;
       }
-      double millis = expected.millis(row, usual, ticket.bodyBytes(), nowNanos);
+      double millis = expectedMillis(ticket, row, nowNanos);
       if (millis < least) {
         least = millis;
         best = row;
@@ -315,14 +327,19 @@
   private int nextToAsk(PlacementTicket ticket, int[] rows, long nowNanos) {
     int next = TargetBoard.NONE;
     double least = Double.MAX_VALUE;
+    double usual = work.usualMillis(ticket.route());
     for (int row : rows) {
       if (ticket.isTried(row) || ticket.isAsked(row)) {
         continue;
       }
+      boolean badBefore =
+          board.isFresh(row, REMEMBERED_NANOS, nowNanos)
+              && expectedMillis(ticket, row, nowNanos) > usual * GOOD_ENOUGH;
       double order =
           random.nextDouble()
               + expected.crossing(row, ticket.bodyBytes()) / preferences.crossingMillis()
-              + FAILURE_COST * board.failures(row, nowNanos);
+              + FAILURE_COST * board.failures(row, nowNanos)
+              + (badBefore ? REMEMBERED_COST : 0);
       if (order < least) {
         least = order;
         next = row;
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/ProbeAllowance.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/ProbeAllowance.java
@@ -9,10 +9,10 @@
 final class ProbeAllowance {
 
   /** Part of the agreed rate that is used, since entries disagree on their number for a while. */
-  private static final double USED_PART = 0.6;
+  private static final double USED_PART = 0.9;
 
-  /** Time whose probes may be sent at once. */
-  private static final double BURST_SECONDS = 1.0;
+  /** Time whose probes may be sent at once; the agreed rate is a mean over a much longer time. */
+  private static final double BURST_SECONDS = 2.0;
 
   private final double perTargetAndSecond;
   private double tokens;
