Ask the sender for rules it has, and tell an outage of the store by the age of the view

(2) whether registrations lapsed was judged by an entry's own failed reads, so one whose last failure was older dropped targets that were about to be back.

--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
@@ -47,9 +47,6 @@
   /** Least time between two questions for a whole view. */
   private static final long ASK_NANOS = 150 * NANOS_PER_MILLI;
 
-  /** Time after a failed read in which registrations are taken as lapsed rather than withdrawn. */
-  private static final long OUTAGE_MEMORY_NANOS = 2_300 * NANOS_PER_MILLI;
-
   private final FleetPreferences preferences;
   private final FleetPort port;
   private final RandomGenerator random;
@@ -60,7 +57,6 @@
   private long readSentNanos;
   private int failedReads;
   private long noReadBeforeNanos = Long.MIN_VALUE;
-  private long lastFailureNanos = Long.MIN_VALUE / 2;
   private boolean wholeNext = true;
   private long heartbeatNanos = Long.MIN_VALUE;
   private long askedNanos = Long.MIN_VALUE / 2;
@@ -102,12 +98,11 @@
   /** A read of the store ended. */
   public void readEnded(StoreChange change, long nowNanos) {
     reading = false;
-    boolean afterOutage = nowNanos - lastFailureNanos < OUTAGE_MEMORY_NANOS;
     failedReads = 0;
     wholeNext = false;
     jitterNanos = random.nextLong(RANK_STEP_NANOS / 2);
     boolean first = !view.isKnown();
-    PlatformView.Update update = view.apply(change, readSentNanos, afterOutage, nowNanos);
+    PlatformView.Update update = view.apply(change, readSentNanos, nowNanos);
     if (first || !update.isEmpty()) {
       port.viewChanged(update.newRules());
     }
@@ -126,7 +121,6 @@
       return;
     }
     failedReads++;
-    lastFailureNanos = nowNanos;
     long pause = FIRST_PAUSE_NANOS << Math.min(failedReads - 1, 3);
     long bounded = Math.min(LONGEST_PAUSE_NANOS, pause);
     noReadBeforeNanos = nowNanos + bounded / 2 + random.nextLong(bounded);
@@ -208,11 +202,7 @@
     if (!differs && !lacksRules && view.isKnown()) {
       return;
     }
-    if (foreign && lacksRules && view.isKnown()) {
-      // Rules are large, and a read costs less than sending them between data centres.
-      wholeNext = true;
-      noReadBeforeNanos = Long.MIN_VALUE;
-    } else if (nowNanos - askedNanos >= ASK_NANOS) {
+    if (nowNanos - askedNanos >= ASK_NANOS) {
       askedNanos = nowNanos;
       port.send(ip, message(List.of(), Optional.empty(), false, true));
     }
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/PlatformView.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/PlatformView.java
@@ -29,11 +29,15 @@
    */
   private static final long LAPSE_NANOS = 2_300 * NANOS_PER_MILLI;
 
+  /** Step in the age of the view that tells an outage; the last in rank reads well before. */
+  private static final long OUTAGE_NANOS = 1_600 * NANOS_PER_MILLI;
+
   private final Map<String, RegisteredTarget> targets = new TreeMap<>();
   private final Map<String, Long> lapsedUntilNanos = new HashMap<>();
   private Optional<RuleSet> rules = Optional.empty();
   private long revision;
   private long asOfNanos = Long.MIN_VALUE;
+  private long outageEndNanos = Long.MIN_VALUE / 2;
   private boolean known;
 
   /** What an update changed. */
@@ -48,9 +52,10 @@
    * Takes over a read of the store.
    *
    * @param sentNanos time at which the read was sent; the store is at least that new
-   * @param afterOutage whether reads failed shortly before, so that registrations may have lapsed
    */
-  Update apply(StoreChange change, long sentNanos, boolean afterOutage, long nowNanos) {
+  Update apply(StoreChange change, long sentNanos, long nowNanos) {
+    noteOutage(sentNanos);
+    boolean afterOutage = nowNanos - outageEndNanos < LAPSE_NANOS;
     if (known && change.revision() < revision) {
       return new Update(List.of(), List.of(), false);
     }
@@ -72,6 +77,7 @@
   /** Takes over what another entry knows. */
   Update apply(ViewNews news, long nowNanos) {
     long asOf = nowNanos - news.ageMillis() * NANOS_PER_MILLI;
+    noteOutage(asOf);
     if (known && news.revision() < revision) {
       return update(List.of(), List.of(), news.rules(), revision, asOfNanos);
     }
@@ -98,6 +104,13 @@
     return update(List.of(), removed, Optional.empty(), revision, asOfNanos);
   }
 
+  /** Nobody could read the store for a while, so registrations may have lapsed meanwhile. */
+  private void noteOutage(long newAsOfNanos) {
+    if (known && newAsOfNanos - asOfNanos > OUTAGE_NANOS) {
+      outageEndNanos = newAsOfNanos;
+    }
+  }
+
   private Update update(
       List<RegisteredTarget> registered,
       List<String> removed,
--- /dev/null
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/DispatchWorld.java
@@ -0,0 +1,225 @@
+package org.chivecross.logic.dispatch;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
+import org.chivecross.model.fileset.RequestClass;
+import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.request.LoadReport;
+import org.chivecross.model.ruleset.CallerLimits;
+import org.chivecross.model.ruleset.RouteRule;
+import org.chivecross.model.ruleset.RuleSet;
+import org.chivecross.model.ruleset.ServiceRule;
+import org.chivecross.model.ruleset.WeightedService;
+
+/**
+ * Dispatchers and targets in virtual time, without network. Targets have slots and a queue; a part
+ * of them is five times slower in each phase of 150 ms. Not thread-safe.
+ */
+final class DispatchWorld {
+
+  static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+  static final long OBJECTIVE_MILLIS = 400;
+  static final long DEADLINE_MILLIS = 1_200;
+  private static final long PHASE_MILLIS = 150;
+  private static final long PROBE_MILLIS = 2;
+  private static final int SLOW_FACTOR = 5;
+
+  /** Something that happens at a time; the number keeps the order of events at the same time. */
+  private record Event(long nanos, long number, LongConsumer action) {}
+
+  /** A target that serves requests one after the other in each slot. */
+  static final class FakeTarget {
+    final RegisteredTarget registered;
+    int running;
+    int waiting;
+    boolean silent;
+
+    FakeTarget(RegisteredTarget registered) {
+      this.registered = registered;
+    }
+  }
+
+  final SplittableRandom random;
+  final List<FakeTarget> targets = new ArrayList<>();
+  final List<Dispatcher> entries = new ArrayList<>();
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::nanos).thenComparingLong(Event::number));
+  private final double slowPart;
+  private final long workMillis;
+  private long number;
+  int sent;
+  int inTime;
+  int late;
+  int refused;
+  int probes;
+
+  DispatchWorld(long seed, double slowPart, long workMillis) {
+    random = new SplittableRandom(seed);
+    this.slowPart = slowPart;
+    this.workMillis = workMillis;
+  }
+
+  void addTargets(String dataCentre, int count, int slots) {
+    for (int i = 0; i < count; i++) {
+      String id = dataCentre + "-" + targets.size();
+      String address = "10.0.0." + targets.size() + ":80";
+      targets.add(
+          new FakeTarget(new RegisteredTarget(id, 1, "s", address, dataCentre, slots, false, 0)));
+    }
+  }
+
+  void addEntries(String dataCentre, int count, double probesPerSecond) {
+    for (int i = 0; i < count; i++) {
+      int index = entries.size();
+      DispatchPreferences preferences =
+          new DispatchPreferences(dataCentre, 20, 10, probesPerSecond, 0.2, 75, 10_000);
+      Dispatcher entry = new Dispatcher(preferences, row -> probe(index, row), random.split());
+      entry.applyRules(rules());
+      entry.applyTargets(targets.stream().map(t -> t.registered).toList(), 0);
+      entries.add(entry);
+    }
+  }
+
+  static RouteRule route() {
+    return new RouteRule(
+        "r",
+        "h",
+        "/s/",
+        List.of(new WeightedService("s", 1)),
+        RequestClass.READ,
+        DEADLINE_MILLIS,
+        OBJECTIVE_MILLIS,
+        2,
+        1);
+  }
+
+  private static RuleSet rules() {
+    return new RuleSet(
+        1,
+        List.of(route()),
+        List.of(new ServiceRule("s", "/health", 300)),
+        new CallerLimits(1 << 14, 1 << 20, 1_000, 1_000));
+  }
+
+  /** Sends requests from one entry at a mean rate for a time. */
+  void load(int entry, double perSecond, long seconds) {
+    double at = 0;
+    while (at < seconds) {
+      at += -Math.log(1 - random.nextDouble()) / perSecond;
+      schedule((long) (at * 1e9), now -> request(entry, now));
+    }
+  }
+
+  void run() {
+    entries.forEach(entry -> entry.setEntries(entries.size()));
+    while (!events.isEmpty()) {
+      Event event = events.remove();
+      event.action().accept(event.nanos());
+    }
+  }
+
+  int slowdown(FakeTarget target, long now) {
+    long phase = now / (PHASE_MILLIS * MILLI);
+    long hash = (phase * 1_000_003 + target.registered.id().hashCode()) * 0x9E3779B97F4A7C15L;
+    boolean slow = (hash >>> 40) / (double) (1 << 24) < slowPart;
+    return slow ? SLOW_FACTOR : 1;
+  }
+
+  private void request(int entry, long now) {
+    sent++;
+    Dispatcher dispatcher = entries.get(entry);
+    PlacementTicket[] ticket = new PlacementTicket[1];
+    boolean[] done = new boolean[1];
+    Runnable wake = () -> schedule(latest, at -> seek(dispatcher, ticket[0], done, at));
+    ticket[0] = dispatcher.open(route(), now + DEADLINE_MILLIS * MILLI, 0, wake, now);
+    seek(dispatcher, ticket[0], done, now);
+  }
+
+  private void seek(Dispatcher dispatcher, PlacementTicket ticket, boolean[] done, long now) {
+    if (done[0]) {
+      return;
+    }
+    Placement placement = dispatcher.seek(ticket, now);
+    if (placement instanceof Placement.Pending pending) {
+      schedule(pending.wakeNanos(), at -> seek(dispatcher, ticket, done, at));
+      return;
+    }
+    done[0] = true;
+    if (placement instanceof Placement.Chosen chosen) {
+      serve(dispatcher, ticket, chosen.target(), now);
+    } else {
+      refused++;
+    }
+  }
+
+  private void serve(Dispatcher dispatcher, PlacementTicket ticket, int row, long now) {
+    FakeTarget target = find(dispatcher, row);
+    dispatcher.started(row);
+    double slowdown = dispatcher.slowdown(row);
+    long begin = now;
+    if (target.running >= target.registered.slots()) {
+      target.waiting++;
+      begin = now + (target.waiting * workMillis * MILLI) / target.registered.slots();
+    }
+    boolean queued = begin > now;
+    target.running++;
+    long end = begin + workMillis * MILLI * slowdown(target, begin);
+    schedule(
+        end,
+        at -> {
+          target.running--;
+          target.waiting -= queued ? 1 : 0;
+          dispatcher.served(ticket, row, at - now, slowdown, at);
+          if (at - ticket.arrivedNanos() <= OBJECTIVE_MILLIS * MILLI) {
+            inTime++;
+          } else {
+            late++;
+          }
+        });
+  }
+
+  private void probe(int entry, int row) {
+    probes++;
+    Dispatcher dispatcher = entries.get(entry);
+    FakeTarget target = find(dispatcher, row);
+    long answer = latest + PROBE_MILLIS * MILLI;
+    if (target.silent) {
+      long timeout = latest + Dispatcher.probeTimeoutMillis() * MILLI;
+      schedule(timeout, at -> dispatcher.probeEnded(row, false, Optional.empty(), at));
+      return;
+    }
+    schedule(
+        answer,
+        at -> {
+          int running = Math.min(target.running, target.registered.slots());
+          LoadReport report =
+              new LoadReport(
+                  running, target.waiting, target.registered.slots(), 100 * slowdown(target, at));
+          dispatcher.probeEnded(row, true, Optional.of(report), at);
+        });
+  }
+
+  private FakeTarget find(Dispatcher dispatcher, int row) {
+    String id = dispatcher.target(row).orElseThrow().id();
+    return targets.stream().filter(t -> t.registered.id().equals(id)).findFirst().orElseThrow();
+  }
+
+  private long latest;
+
+  private void schedule(long nanos, LongConsumer action) {
+    events.add(
+        new Event(
+            Math.max(nanos, latest),
+            number++,
+            now -> {
+              latest = now;
+              action.accept(now);
+            }));
+  }
+}
--- /dev/null
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/LoadPatternTest.java
@@ -0,0 +1,74 @@
+package org.chivecross.logic.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** Load patterns that were seen at the users, each in virtual time. */
+class LoadPatternTest {
+
+  private static final long SECONDS = 20;
+
+  /** A quarter of the targets is five times slower for any 150 ms; a blind choice is late there. */
+  @Test
+  void quarterOfTheTargetsSlowForShortPhases() {
+    DispatchWorld world = new DispatchWorld(1, 0.25, 120);
+    world.addTargets("a", 16, 4);
+    world.addEntries("a", 6, 60);
+    for (int entry = 0; entry < 6; entry++) {
+      world.load(entry, 12, SECONDS);
+    }
+    world.run();
+    assertEquals(world.sent, world.inTime + world.late + world.refused);
+    assertTrue(world.inTime >= 0.97 * world.sent, world.inTime + " of " + world.sent);
+  }
+
+  /** One data centre has far more callers than entries and targets of its own. */
+  @Test
+  void dataCentreWithMoreCallersThanTargets() {
+    DispatchWorld world = new DispatchWorld(2, 0.35, 120);
+    world.addTargets("a", 13, 6);
+    world.addTargets("b", 4, 6);
+    world.addEntries("a", 16, 60);
+    world.addEntries("b", 4, 60);
+    for (int entry = 0; entry < 16; entry++) {
+      world.load(entry, 5, SECONDS);
+    }
+    for (int entry = 16; entry < 20; entry++) {
+      world.load(entry, 18, SECONDS);
+    }
+    world.run();
+    assertTrue(world.refused <= 0.005 * world.sent, world.refused + " of " + world.sent);
+    assertTrue(world.inTime >= 0.95 * world.sent, world.inTime + " of " + world.sent);
+  }
+
+  /** Probes stay within the agreed rate when no target has room and every request asks again. */
+  @Test
+  void probesStayWithinTheirRateWhenAllTargetsAreFull() {
+    DispatchWorld world = new DispatchWorld(3, 0, 2_000);
+    world.addTargets("a", 5, 1);
+    world.addEntries("a", 4, 10);
+    for (int entry = 0; entry < 4; entry++) {
+      world.load(entry, 30, SECONDS);
+    }
+    world.run();
+    double perTargetAndSecond = world.probes / (double) SECONDS / 5;
+    assertTrue(perTargetAndSecond <= 10, perTargetAndSecond + " probes");
+  }
+
+  /** Targets that don't answer probes get no request while others do. */
+  @Test
+  void silentTargetsGetNoRequests() {
+    DispatchWorld world = new DispatchWorld(4, 0, 100);
+    world.addTargets("a", 8, 4);
+    world.targets.get(0).silent = true;
+    world.targets.get(1).silent = true;
+    world.addEntries("a", 4, 60);
+    for (int entry = 0; entry < 4; entry++) {
+      world.load(entry, 10, SECONDS);
+    }
+    world.run();
+    assertTrue(world.inTime >= 0.99 * world.sent, world.inTime + " of " + world.sent);
+  }
+}
