Keep to the targets' keep-alive time, log to standard output without waiting, reload settings

Cause: SIGHUP ended the JVM; a reader of standard output that stops would have held up requests; idle connections were used up to the moment of the target's close. Probes on a kept connection that was closed are sent once more.

--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
@@ -52,6 +52,7 @@
   private final RandomGenerator random;
   private final EntryRoster roster = new EntryRoster();
   private final PlatformView view = new PlatformView();
+  private List<String> seeds;
   private boolean ready;
   private boolean reading;
   private long readSentNanos;
@@ -65,6 +66,7 @@
   /** Creates a node that knows nothing. */
   public FleetNode(FleetPreferences preferences, FleetPort port, RandomGenerator random) {
     this.preferences = preferences;
+    seeds = preferences.seeds();
     this.port = port;
     this.random = random;
   }
@@ -126,6 +128,11 @@
     noReadBeforeNanos = nowNanos + bounded / 2 + random.nextLong(bounded);
   }
 
+  /** Replaces the IP numbers of VMs on which entries are likely to run. */
+  public void setSeeds(List<String> next) {
+    seeds = List.copyOf(next);
+  }
+
   /** Tells the others at once whether this entry takes new callers. */
   public void setReady(boolean value, long nowNanos) {
     if (ready != value) {
@@ -248,7 +255,7 @@
       sendFar(near, far);
     }
     FleetMessage hello = message(List.of(), Optional.empty(), true, !view.isKnown());
-    for (String seed : preferences.seeds()) {
+    for (String seed : seeds) {
       if (!seed.equals(preferences.ip()) && !roster.contains(seed)) {
         port.send(seed, hello);
       }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -1,10 +1,7 @@
 package org.chivecross.cli.entry.fleet;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,7 +13,6 @@
 import org.chivecross.cli.entry.http.DataPath;
 import org.chivecross.cli.entry.http.DataPathPorts;
 import org.chivecross.cli.entry.http.DataPathSettings;
-import org.chivecross.cli.entry.http.LocalResponse;
 import org.chivecross.cli.entry.http.LocalRoutes;
 import org.chivecross.cli.entry.http.TargetProber;
 import org.chivecross.cli.entry.metrics.EntryMetrics;
@@ -32,6 +28,7 @@
 import org.chivecross.model.fleet.FleetMember;
 import org.chivecross.model.fleet.FleetMessage;
 import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.request.LoadReport;
 import org.chivecross.model.ruleset.RouteRule;
 import org.chivecross.model.ruleset.RuleSet;
 import org.chivecross.model.ruleset.ServiceRule;
@@ -123,7 +120,7 @@
             () -> guard);
     dataPath = new DataPath(ports, dataPathSettings());
     prober = dataPath.prober(adapter.dialect(), scheduler);
-    addGauges();
+    FleetMetrics.addGauges(metrics, guard, dataPath, socket, node, dispatcher);
   }
 
   /**
@@ -139,7 +136,7 @@
     dataPath.start(settings.callers());
     dataPath.serveLocally(settings.directory(), adapter.directory(this::named));
     dataPath.serveLocally(settings.readiness(), adapter.readiness(this::isReady));
-    dataPath.serveLocally(settings.metrics(), metricsRoutes());
+    dataPath.serveLocally(settings.metrics(), FleetMetrics.routes(metrics));
     scheduler.every(CLOSE_IDLE_MILLIS, () -> dataPath.closeIdle(System.nanoTime()));
     scheduler.execute(this::tick);
     Logger.info(
@@ -152,6 +149,21 @@
     return port;
   }
 
+  /**
+   * Takes over settings that may change while the entry runs: the seeds. Safe for use by many
+   * threads.
+   */
+  public void reload(FleetEntrySettings next) {
+    synchronized (guard) {
+      node.setSeeds(next.seeds());
+    }
+    boolean restart =
+        !next.callers().equals(settings.callers())
+            || !next.dataCentre().equals(settings.dataCentre())
+            || !next.dispatch().equals(settings.dispatch());
+    Logger.info("settings reloaded: seeds {}; restart needed: {}", next.seeds(), restart);
+  }
+
   /** Starts a graceful stop. Safe for use by many threads. */
   public void requestStop() {
     scheduler.execute(this::startLeaving);
@@ -314,60 +326,12 @@
         (healthy, report) -> probeEnded(row, healthy, report));
   }
 
-  private void probeEnded(
-      int row, boolean healthy, Optional<org.chivecross.model.request.LoadReport> report) {
+  private void probeEnded(int row, boolean healthy, Optional<LoadReport> report) {
     synchronized (guard) {
       dispatcher.probeEnded(row, healthy, report, System.nanoTime());
     }
   }
 
-  private LocalRoutes metricsRoutes() {
-    return new LocalRoutes(
-        "/",
-        Map.of(
-            "/metrics",
-            (request, responder) -> {
-              try {
-                ByteArrayOutputStream out = new ByteArrayOutputStream();
-                metrics.write(out);
-                responder.accept(new LocalResponse(200, Map.of(), "text/plain", out.toByteArray()));
-              } catch (IOException e) {
-                throw new UncheckedIOException(e);
-              }
-            }));
-  }
-
-  private void addGauges() {
-    metrics.gauge("chivecross_in_flight", "Requests in flight", dataPath::inFlightCount);
-    metrics.gauge("chivecross_callers", "Open connections of callers", dataPath::callerCount);
-    metrics.counter("chivecross_peer_sent", "Messages sent to entries", socket::sentCount);
-    metrics.counter(
-        "chivecross_peer_received", "Messages received from entries", socket::receivedCount);
-    metrics.counter("chivecross_peer_dropped", "Messages dropped", socket::droppedCount);
-    metrics.gauge(
-        "chivecross_view_age_millis",
-        "Age of what is known of the platform's store in ms",
-        () -> guarded(() -> node.viewAgeMillis(System.nanoTime())));
-    metrics.gauge(
-        "chivecross_rules_version",
-        "Version of the rules in force",
-        () -> guarded(() -> node.rules().map(RuleSet::version).orElse(0L)));
-    metrics.gauge(
-        "chivecross_usable_targets",
-        "Targets that may get requests",
-        () -> guarded(() -> (long) dispatcher.usableTargets()));
-    metrics.gauge(
-        "chivecross_entries",
-        "Entries known to be alive, this one included",
-        () -> guarded(() -> node.others(System.nanoTime()).size() + 1L));
-  }
-
-  private long guarded(java.util.function.LongSupplier value) {
-    synchronized (guard) {
-      return value.getAsLong();
-    }
-  }
-
   private static DataPathSettings dataPathSettings() {
     return new DataPathSettings(
         MAX_HEAD_BYTES,
@@ -400,9 +364,4 @@
       applyView(rules);
     }
   }
-
-  /** Returns the address for callers, for tests. */
-  InetSocketAddress callerAddress() {
-    return settings.callers();
-  }
 }
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
@@ -0,0 +1,80 @@
+package org.chivecross.cli.entry.fleet;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import org.chivecross.cli.entry.http.DataPath;
+import org.chivecross.cli.entry.http.LocalRequest;
+import org.chivecross.cli.entry.http.LocalResponse;
+import org.chivecross.cli.entry.http.LocalRoutes;
+import org.chivecross.cli.entry.metrics.EntryMetrics;
+import org.chivecross.logic.dispatch.Dispatcher;
+import org.chivecross.logic.fleet.FleetNode;
+import org.chivecross.model.ruleset.RuleSet;
+import org.chivecross.wire.fleet.FleetSocket;
+
+/** Metrics of an entry on the platform. Stateless. */
+final class FleetMetrics {
+
+  private static final int OK = 200;
+
+  private FleetMetrics() {}
+
+  /** Returns the path on which metrics are served. */
+  static LocalRoutes routes(EntryMetrics metrics) {
+    return new LocalRoutes(
+        "/", Map.of("/metrics", (request, responder) -> responder.accept(page(metrics, request))));
+  }
+
+  /** Adds gauges of what an entry believes; {@code guard} guards the node and the dispatcher. */
+  static void addGauges(
+      EntryMetrics metrics,
+      Object guard,
+      DataPath dataPath,
+      FleetSocket socket,
+      FleetNode node,
+      Dispatcher dispatcher) {
+    metrics.gauge("chivecross_in_flight", "Requests in flight", dataPath::inFlightCount);
+    metrics.gauge("chivecross_callers", "Open connections of callers", dataPath::callerCount);
+    metrics.counter("chivecross_peer_sent", "Messages sent to entries", socket::sentCount);
+    metrics.counter(
+        "chivecross_peer_received", "Messages received from entries", socket::receivedCount);
+    metrics.counter("chivecross_peer_dropped", "Messages dropped", socket::droppedCount);
+    metrics.gauge(
+        "chivecross_view_age_millis",
+        "Age of what is known of the platform's store in ms",
+        guarded(guard, () -> node.viewAgeMillis(System.nanoTime())));
+    metrics.gauge(
+        "chivecross_rules_version",
+        "Version of the rules in force",
+        guarded(guard, () -> node.rules().map(RuleSet::version).orElse(0L)));
+    metrics.gauge(
+        "chivecross_usable_targets",
+        "Targets that may get requests",
+        guarded(guard, dispatcher::usableTargets));
+    metrics.gauge(
+        "chivecross_entries",
+        "Entries known to be alive, this one included",
+        guarded(guard, () -> node.others(System.nanoTime()).size() + 1L));
+  }
+
+  private static LocalResponse page(EntryMetrics metrics, LocalRequest request) {
+    try {
+      ByteArrayOutputStream out = new ByteArrayOutputStream();
+      metrics.write(out);
+      return new LocalResponse(OK, Map.of(), "text/plain", out.toByteArray());
+    } catch (IOException e) {
+      throw new UncheckedIOException("metrics for " + request.callerAddress(), e);
+    }
+  }
+
+  private static LongSupplier guarded(Object guard, LongSupplier value) {
+    return () -> {
+      synchronized (guard) {
+        return value.getAsLong();
+      }
+    };
+  }
+}
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
@@ -200,6 +200,7 @@
       connection.close();
       return;
     }
+    connection.noteKeepAlive(head, System.nanoTime());
     connection.use(null);
     connection.pool().release(connection);
   }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/TargetProber.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/TargetProber.java
@@ -54,7 +54,7 @@
    */
   public void probe(
       int target, String host, String path, long timeoutMillis, ProbeListener listener) {
-    Probe probe = new Probe(host, path, listener);
+    Probe probe = new Probe(target, host, path, listener);
     long now = System.nanoTime();
     timer.wakeAt(
         now + TimeUnit.MILLISECONDS.toNanos(timeoutMillis),
@@ -68,12 +68,15 @@
     private final String host;
     private final String path;
     private final ProbeListener listener;
+    private final int target;
+    private boolean retried;
     private @Nullable UpstreamConnection connection;
     private boolean over;
     private boolean healthy;
     private Optional<LoadReport> report = Optional.empty();
 
-    Probe(String host, String path, ProbeListener listener) {
+    Probe(int target, String host, String path, ProbeListener listener) {
+      this.target = target;
       this.host = host;
       this.path = path;
       this.listener = listener;
@@ -121,6 +124,7 @@
         reusable = head.getProcessingState().isKeepAlive() && !SurplusAwareEncoding.isMarked(head);
       }
       if (used != null && reusable) {
+        used.noteKeepAlive(head, System.nanoTime());
         used.use(null);
         used.pool().release(used);
       } else if (used != null) {
@@ -133,13 +137,21 @@
     @Override
     public void failed(ConnectionFault fault) {
       UpstreamConnection used;
+      boolean again;
       synchronized (this) {
         if (over) {
           return;
         }
-        over = true;
         used = connection;
         connection = null;
+        // A kept connection may have been closed by the target; that tells nothing of its health.
+        again = fault == ConnectionFault.CLOSED && used != null && !retried;
+        retried = true;
+        over = !again;
+      }
+      if (again) {
+        client.acquire(target, ConnectionKind.FRESH, System.nanoTime(), this);
+        return;
       }
       if (used != null) {
         used.close();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamConnection.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamConnection.java
@@ -1,6 +1,10 @@
 package org.chivecross.cli.entry.http;
 
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.nio.NIOConnection;
 import org.jspecify.annotations.Nullable;
 
@@ -12,10 +16,16 @@
  */
 final class UpstreamConnection {
 
+  private static final Pattern TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
+
+  /** Time before the announced close from which a connection is not used any more, in ms. */
+  private static final long KEEP_ALIVE_MARGIN_MILLIS = 1_000;
+
   private final NIOConnection connection;
   private final UpstreamPool pool;
   private volatile @Nullable UpstreamUser user;
   private volatile long lastLifeNanos;
+  private volatile long reusableUntilNanos = Long.MAX_VALUE;
   private final AtomicBoolean closed = new AtomicBoolean();
 
   UpstreamConnection(NIOConnection connection, UpstreamPool pool, long nowNanos) {
@@ -49,6 +59,22 @@
     lastLifeNanos = nowNanos;
   }
 
+  /** Takes over for how long the target keeps the connection, if the head of its answer tells. */
+  void noteKeepAlive(HttpResponsePacket head, long nowNanos) {
+    String text = head.getHeader("Keep-Alive");
+    Matcher matcher = TIMEOUT.matcher(text == null ? "" : text);
+    if (matcher.find()) {
+      long millis = TimeUnit.SECONDS.toMillis(Long.parseLong(matcher.group(1)));
+      long margin = Math.min(KEEP_ALIVE_MARGIN_MILLIS, millis / 2);
+      reusableUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(millis - margin);
+    }
+  }
+
+  /** Returns whether a request may be sent without crossing the target's close on its way. */
+  boolean isReusable(long nowNanos) {
+    return isOpen() && nowNanos < reusableUntilNanos;
+  }
+
   boolean isOpen() {
     return connection.isOpen();
   }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamPool.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamPool.java
@@ -25,7 +25,15 @@
   }
 
   /** Takes an idle connection that suits {@code kind}. */
-  synchronized Optional<UpstreamConnection> takeIdle(ConnectionKind kind, long nowNanos) {
+  Optional<UpstreamConnection> takeIdle(ConnectionKind kind, long nowNanos) {
+    List<UpstreamConnection> expired = new ArrayList<>();
+    Optional<UpstreamConnection> taken = takeIdle(kind, nowNanos, expired);
+    expired.forEach(UpstreamConnection::close);
+    return taken;
+  }
+
+  private synchronized Optional<UpstreamConnection> takeIdle(
+      ConnectionKind kind, long nowNanos, List<UpstreamConnection> expired) {
     if (kind == ConnectionKind.FRESH) {
       return Optional.empty();
     }
@@ -35,9 +43,10 @@
         return Optional.empty();
       }
       idle.pollFirst();
-      if (connection.isOpen()) {
+      if (connection.isReusable(nowNanos)) {
         return Optional.of(connection);
       }
+      expired.add(connection);
     }
     return Optional.empty();
   }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/log/JsonLinesWriter.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/log/JsonLinesWriter.java
@@ -3,12 +3,12 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
-import java.io.PrintStream;
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.util.Collection;
 import java.util.EnumSet;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.tinylog.core.LogEntry;
 import org.tinylog.core.LogEntryValue;
 import org.tinylog.writers.Writer;
@@ -23,21 +23,34 @@
 
   private static final int MAX_TRACE = 2_000;
 
+  /** Time for which the end of the process waits for lines that are not written yet, in ms. */
+  private static final long DRAIN_MILLIS = 200;
+
   private final JsonFactory json = new JsonFactory();
-  private final PrintStream out;
+  private final Consumer<String> out;
+  private final Runnable drain;
 
   /**
    * Creates the writer that tinylog finds under the name {@code json lines}.
    *
-   * @param properties properties of the writer; none is used
+   * @param properties properties of the writer; {@code stream = out} writes to standard output
+   *     instead of standard error, through a bounded queue
    */
   public JsonLinesWriter(Map<String, String> properties) {
-    this(System.err);
+    if ("out".equals(properties.get("stream"))) {
+      LineQueue queue = LineQueue.to(System.out);
+      out = queue;
+      drain = () -> queue.drain(DRAIN_MILLIS);
+    } else {
+      out = System.err::println;
+      drain = System.err::flush;
+    }
   }
 
   /** Creates a writer to a stream. */
-  JsonLinesWriter(PrintStream out) {
+  JsonLinesWriter(Consumer<String> out) {
     this.out = out;
+    drain = () -> {};
   }
 
   @Override
@@ -68,17 +81,17 @@
       }
       generator.writeEndObject();
     }
-    out.println(line);
+    out.accept(line.toString());
   }
 
   @Override
   public void flush() {
-    out.flush();
+    drain.run();
   }
 
   @Override
   public void close() {
-    out.flush();
+    drain.run();
   }
 
   private static String stackTrace(Throwable error) {
--- a/chivecross-entry/src/test/java/org/chivecross/cli/log/JsonLinesWriterTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/log/JsonLinesWriterTest.java
@@ -19,7 +19,7 @@
 
   private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
   private final JsonLinesWriter writer =
-      new JsonLinesWriter(new PrintStream(bytes, true, StandardCharsets.UTF_8));
+      new JsonLinesWriter(new PrintStream(bytes, true, StandardCharsets.UTF_8)::println);
 
   @Test
   void entryIsOneLineWithStepAndPeer() throws IOException {
--- /dev/null
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/log/LineQueueTest.java
@@ -0,0 +1,46 @@
+package org.chivecross.cli.log;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+class LineQueueTest {
+
+  /** A reader that stops reading must not hold up the threads that log. */
+  @Test
+  @Timeout(20)
+  void addingNeverWaitsForTheReader() throws InterruptedException {
+    CountDownLatch release = new CountDownLatch(1);
+    OutputStream stuck =
+        new OutputStream() {
+          @Override
+          public void write(int b) {
+            try {
+              release.await();
+            } catch (InterruptedException e) {
+              Thread.currentThread().interrupt();
+            }
+          }
+        };
+    LineQueue queue = LineQueue.to(new PrintStream(stuck, true));
+    for (int i = 0; i < 5_000; i++) {
+      queue.accept("line");
+    }
+    assertTrue(queue.droppedCount() >= 4_000, queue.droppedCount() + " dropped");
+    release.countDown();
+  }
+
+  @Test
+  void countsWhatFindsTheQueueFull() {
+    LineQueue queue = new LineQueue(System.out);
+    for (int i = 0; i < 600; i++) {
+      queue.accept("line");
+    }
+    assertEquals(88, queue.droppedCount());
+  }
+}
