--- /dev/null
+++ b/chivecross-core/src/test/java/org/chivecross/logic/request/DispatchRequestMachineTest.java
@@ -0,0 +1,282 @@
+package org.chivecross.logic.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.chivecross.logic.dispatch.DispatchEvent;
+import org.chivecross.logic.dispatch.DispatchPreferences;
+import org.chivecross.logic.dispatch.Dispatcher;
+import org.chivecross.model.fileset.RequestClass;
+import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.request.ConnectionFault;
+import org.chivecross.model.request.Decision;
+import org.chivecross.model.request.LoadReport;
+import org.chivecross.model.request.Outcome;
+import org.chivecross.model.request.RequestHead;
+import org.chivecross.model.request.ResponseHead;
+import org.chivecross.model.ruleset.CallerLimits;
+import org.chivecross.model.ruleset.RouteRule;
+import org.chivecross.model.ruleset.RuleSet;
+import org.chivecross.model.ruleset.ServiceRule;
+import org.chivecross.model.ruleset.WeightedService;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** One request and a few idle targets whose probes answer 1 ms after they were asked. */
+class DispatchRequestMachineTest {
+
+  private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+  private static final ResponseHead OK = new ResponseHead(200, false, false, Optional.empty());
+  private static final ResponseHead SHED = new ResponseHead(503, true, false, Optional.empty());
+  private static final ResponseHead ERROR = new ResponseHead(500, false, false, Optional.empty());
+  private static final ResponseHead UNPROVED =
+      new ResponseHead(503, false, false, Optional.empty());
+
+  private final Deque<Integer> probes = new ArrayDeque<>();
+  private final List<DispatchEvent> journal = new ArrayList<>();
+  private final Dispatcher dispatcher =
+      new Dispatcher(
+          new DispatchPreferences("a", 20, 10, 1_000, 0.5, 100, 10_000),
+          probes::add,
+          new SplittableRandom(5));
+  private final DispatchRequestMachines machines =
+      new DispatchRequestMachines(dispatcher, (id, event) -> journal.add(event));
+  private long now = MILLI;
+
+  private RequestMachine machine() {
+    return machines.create(() -> {});
+  }
+
+  private void rulesAndTargets(int targets) {
+    List<RouteRule> routes = new ArrayList<>();
+    for (RequestClass requestClass : RequestClass.values()) {
+      routes.add(
+          new RouteRule(
+              requestClass.name(),
+              "h",
+              "/" + requestClass.name() + "/",
+              List.of(new WeightedService("s", 1)),
+              requestClass,
+              1_200,
+              400,
+              2,
+              1));
+    }
+    dispatcher.applyRules(
+        new RuleSet(
+            1,
+            routes,
+            List.of(new ServiceRule("s", "/health", 300)),
+            new CallerLimits(1, 1, 1, 1)));
+    List<RegisteredTarget> registered = new ArrayList<>();
+    for (int i = 0; i < targets; i++) {
+      registered.add(
+          new RegisteredTarget("t" + i, 1, "s", "10.0.0." + i + ":80", "a", 4, false, 0));
+    }
+    dispatcher.applyTargets(registered, now);
+  }
+
+  private static RequestHead head(RequestClass requestClass) {
+    return new RequestHead(
+        "GET",
+        "h",
+        "/" + requestClass + "/x",
+        Optional.of(1_000L),
+        0,
+        Optional.empty(),
+        false,
+        0,
+        "id-1");
+  }
+
+  /** Answers all probes with an idle target and lets the machine go on. */
+  private Decision settle(RequestMachine machine, Decision first) {
+    Decision decision = first;
+    while (decision instanceof Decision.Await && !probes.isEmpty()) {
+      now += MILLI;
+      while (!probes.isEmpty()) {
+        dispatcher.probeEnded(probes.remove(), true, Optional.of(new LoadReport(0, 0, 4)), now);
+      }
+      decision = machine.timer(now);
+    }
+    return decision;
+  }
+
+  private Decision.Send sent(RequestMachine machine, RequestClass requestClass) {
+    Decision.Send send =
+        assertInstanceOf(
+            Decision.Send.class, settle(machine, machine.arrived(head(requestClass), now)));
+    assertTrue(machine.sending(send.attempt(), now));
+    return send;
+  }
+
+  private static Decision.Answer answer(Decision decision) {
+    return assertInstanceOf(Decision.Answer.class, decision);
+  }
+
+  @Test
+  void entryWithoutConfigurationSaysSoAndNeverThatThereIsNoRoute() {
+    Decision.Answer answer = answer(machine().arrived(head(RequestClass.READ), now));
+    assertEquals(503, answer.status());
+    assertEquals(Outcome.NOT_RUN, answer.outcome());
+    assertTrue(answer.retryAfterMillis().isPresent());
+  }
+
+  @Test
+  void requestWithoutRouteIsNotFound() {
+    rulesAndTargets(2);
+    RequestHead other =
+        new RequestHead("GET", "h", "/none", Optional.empty(), 0, Optional.empty(), false);
+    assertEquals(404, answer(machine().arrived(other, now)).status());
+  }
+
+  @Test
+  void serviceWithoutTargetsIsRefusedAtOnce() {
+    rulesAndTargets(0);
+    Decision.Answer answer = answer(machine().arrived(head(RequestClass.READ), now));
+    assertEquals(503, answer.status());
+    assertEquals(Outcome.NOT_RUN, answer.outcome());
+  }
+
+  @ParameterizedTest
+  @EnumSource(RequestClass.class)
+  void answerOfTheTargetIsRelayed(RequestClass requestClass) {
+    rulesAndTargets(3);
+    RequestMachine machine = machine();
+    Decision.Send send = sent(machine, requestClass);
+    assertInstanceOf(Decision.Relay.class, machine.responseHead(send.attempt(), OK, now));
+    assertInstanceOf(Decision.Finish.class, machine.responseEnd(send.attempt(), now));
+  }
+
+  /** After a reset a target may have run the request. */
+  @ParameterizedTest
+  @EnumSource(
+      value = RequestClass.class,
+      names = {"WRITE", "UPLOAD"})
+  void nonIdempotentRequestIsNeverSentAgainAfterDoubt(RequestClass requestClass) {
+    rulesAndTargets(3);
+    RequestMachine machine = machine();
+    Decision.Send send = sent(machine, requestClass);
+    Decision.Answer answer =
+        answer(machine.connectionFailed(send.attempt(), ConnectionFault.CLOSED, now));
+    assertEquals(502, answer.status());
+    assertEquals(Outcome.UNKNOWN, answer.outcome());
+  }
+
+  @ParameterizedTest
+  @EnumSource(RequestClass.class)
+  void requestThatWasProvedNotToRunGoesToAnotherTarget(RequestClass requestClass) {
+    rulesAndTargets(3);
+    RequestMachine machine = machine();
+    Decision.Send first = sent(machine, requestClass);
+    Decision decision = settle(machine, machine.responseHead(first.attempt(), SHED, now));
+    Decision.Send second = assertInstanceOf(Decision.Send.class, decision);
+    assertNotEquals(first.target(), second.target());
+  }
+
+  @Test
+  void requestIsSentToNoMoreTargetsThanItsRouteAllows() {
+    rulesAndTargets(4);
+    RequestMachine machine = machine();
+    Decision.Send first = sent(machine, RequestClass.READ);
+    Decision next = settle(machine, machine.responseHead(first.attempt(), SHED, now));
+    Decision.Send second = assertInstanceOf(Decision.Send.class, next);
+    assertTrue(machine.sending(second.attempt(), now));
+    Decision.Answer answer =
+        answer(settle(machine, machine.responseHead(second.attempt(), SHED, now)));
+    assertEquals(503, answer.status());
+    assertEquals(Outcome.NOT_RUN, answer.outcome());
+  }
+
+  /** A refusal without proof promises too much when it is passed on. */
+  @ParameterizedTest
+  @EnumSource(
+      value = RequestClass.class,
+      names = {"WRITE", "UPLOAD"})
+  void refusalWithoutProofIsNotPassedOn(RequestClass requestClass) {
+    rulesAndTargets(2);
+    RequestMachine machine = machine();
+    Decision.Send send = sent(machine, requestClass);
+    Decision.Answer answer = answer(machine.responseHead(send.attempt(), UNPROVED, now));
+    assertEquals(502, answer.status());
+    assertEquals(Outcome.UNKNOWN, answer.outcome());
+  }
+
+  @Test
+  void failedReadGoesToAnotherTarget() {
+    rulesAndTargets(3);
+    RequestMachine machine = machine();
+    Decision.Send first = sent(machine, RequestClass.READ);
+    Decision decision = settle(machine, machine.responseHead(first.attempt(), ERROR, now));
+    assertInstanceOf(Decision.Send.class, decision);
+  }
+
+  /** A target that turned slow, or silent, holds a read up; another one may still be in time. */
+  @Test
+  void overdueReadGoesToASecondTargetAndTheFirstAnswerWins() {
+    rulesAndTargets(3);
+    RequestMachine machine = machine();
+    Decision.Send first = sent(machine, RequestClass.READ);
+    now = machine.nextTimerNanos();
+    Decision.Send second =
+        assertInstanceOf(Decision.Send.class, settle(machine, machine.timer(now)));
+    assertTrue(machine.sending(second.attempt(), now));
+    assertInstanceOf(Decision.Relay.class, machine.responseHead(first.attempt(), OK, now));
+    assertFalse(machine.sending(second.attempt(), now));
+  }
+
+  @ParameterizedTest
+  @EnumSource(
+      value = RequestClass.class,
+      names = {"WRITE", "UPLOAD"})
+  void overdueRequestThatMustNotRunTwiceWaitsForItsAnswer(RequestClass requestClass) {
+    rulesAndTargets(3);
+    RequestMachine machine = machine();
+    sent(machine, requestClass);
+    now = machine.nextTimerNanos();
+    Decision.Answer answer = answer(machine.timer(now));
+    assertEquals(504, answer.status());
+    assertEquals(Outcome.UNKNOWN, answer.outcome());
+  }
+
+  @Test
+  void requestIsAnsweredWhenItsTimeIsUp() {
+    rulesAndTargets(1);
+    RequestMachine machine = machine();
+    long arrived = now;
+    sent(machine, RequestClass.READ);
+    now = arrived + 1_000 * MILLI;
+    assertEquals(504, answer(machine.timer(now)).status());
+  }
+
+  @Test
+  void nothingIsSentAfterTheCallerLeft() {
+    rulesAndTargets(2);
+    RequestMachine machine = machine();
+    Decision first = machine.arrived(head(RequestClass.READ), now);
+    assertInstanceOf(Decision.Await.class, first);
+    machine.cancelled(now);
+    assertInstanceOf(Decision.Finish.class, settle(machine, machine.timer(now)));
+  }
+
+  @Test
+  void eachDecisionIsKeptWithWhatDecidedIt() {
+    rulesAndTargets(2);
+    sent(machine(), RequestClass.READ);
+    DispatchEvent.Sent event =
+        assertInstanceOf(DispatchEvent.Sent.class, journal.get(journal.size() - 1));
+    assertEquals(2, event.usableTargets());
+    assertTrue(event.target().reportAgeMillis() >= 0);
+  }
+}
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/DataPathTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/DataPathTest.java
@@ -16,6 +16,8 @@
 import java.net.http.HttpResponse.BodyHandlers;
 import java.nio.charset.StandardCharsets;
 import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -150,6 +152,40 @@
     assertTrue(0 < first && first < second && second < local && local < third, answers);
   }
 
+  /** A read must not wait unread behind a slow one on the same connection. */
+  @Test
+  void pipelinedReadsRunSideBySideAndAreAnsweredInOrder() throws Exception {
+    CountDownLatch secondArrived = new CountDownLatch(1);
+    upstream.become(
+        call -> {
+          boolean first = call.head().startsWith("GET /read/1");
+          if (first) {
+            await(secondArrived);
+          } else {
+            secondArrived.countDown();
+          }
+          call.reply("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + (first ? "1" : "2"));
+        });
+
+    String answers =
+        entry.exchange(
+            "GET /read/1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                + "GET /read/2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+
+    assertEquals(0, secondArrived.getCount());
+    int first = answers.indexOf("\r\n\r\n1");
+    int second = answers.indexOf("\r\n\r\n2");
+    assertTrue(0 < first && first < second, answers);
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await(5, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   @Test
   void servesOldVersionWithoutChunks() throws Exception {
     upstream.become(
