--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/EntryScheduler.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/EntryScheduler.java
@@ -1,5 +1,6 @@
 package org.chivecross.cli.entry.fleet;
 
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.chivecross.cli.entry.http.WakeTimer;
@@ -28,12 +29,16 @@
   @Override
   public void wakeAt(long nanos, Runnable task) {
     long delay = Math.max(0, nanos - System.nanoTime());
-    executor.schedule(() -> runSafely(task), delay, TimeUnit.NANOSECONDS);
+    try {
+      executor.schedule(() -> runSafely(task), delay, TimeUnit.NANOSECONDS);
+    } catch (RejectedExecutionException e) {
+      Logger.debug("task dropped: the entry has stopped");
+    }
   }
 
   /** Runs a task as soon as the thread is free. */
   void execute(Runnable task) {
-    executor.execute(() -> runSafely(task));
+    wakeAt(System.nanoTime(), task);
   }
 
   /** Runs a task with pauses of {@code periodMillis} between the runs. */
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
@@ -14,6 +14,7 @@
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.memory.Buffers;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -155,9 +156,26 @@
 
   @Override
   public boolean received(HttpContent content) {
+    HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
+    if (content.isLast() && HeldResponse.isUntilClose(head)) {
+      // The library says so for any end of the connection; closed() knows whether it was a reset.
+      return true;
+    }
     return exchange.responseContent(this, content);
   }
 
+  @Override
+  public void closed(boolean orderly) {
+    HttpResponsePacket head = held.untilClose();
+    if (orderly && head != null) {
+      // The end of the connection is the end of such a body.
+      exchange.responseContent(
+          this, head.httpContentBuilder().content(Buffers.EMPTY_BUFFER).last(true).build());
+    } else {
+      failed(ConnectionFault.CLOSED);
+    }
+  }
+
   @Override
   public void failed(ConnectionFault fault) {
     exchange.attemptFailed(this, fault);
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/HeldResponse.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/HeldResponse.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Parts of a response that are kept until it is whole, so that one that breaks off can be replaced
@@ -13,6 +15,7 @@
 
   private final int limit;
   private final List<Buffer> parts = new ArrayList<>(2);
+  private @Nullable HttpResponsePacket head;
   private int bytes;
   private boolean released;
 
@@ -23,8 +26,20 @@
     this.limit = limit;
   }
 
+  /** Returns the head of a response whose body ends with its connection; null for others. */
+  @Nullable HttpResponsePacket untilClose() {
+    HttpResponsePacket known = head;
+    return known != null && isUntilClose(known) ? known : null;
+  }
+
+  /** Returns whether the body of a response ends with its connection. */
+  static boolean isUntilClose(HttpResponsePacket head) {
+    return !head.isChunked() && head.getContentLength() < 0;
+  }
+
   /** Takes a part; returns whether all parts so far may go on to the caller. */
   boolean take(HttpContent content) {
+    head = (HttpResponsePacket) content.getHttpHeader();
     Buffer buffer = content.getContent();
     if (buffer.hasRemaining()) {
       parts.add(buffer);
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ResetAwareFilter.java
@@ -0,0 +1,41 @@
+package org.chivecross.cli.entry.http;
+
+import java.io.EOFException;
+import java.io.IOException;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnection;
+import org.glassfish.grizzly.nio.transport.TCPNIOUtils;
+
+/**
+ * Reads from connections and tells a reset from an orderly end. The library's own filter reports
+ * both as the end of the stream, but a body that ends with its connection is whole only after an
+ * orderly end. Safe for use by many threads.
+ */
+final class ResetAwareFilter extends TransportFilter {
+
+  @Override
+  public NextAction handleRead(FilterChainContext context) throws IOException {
+    if (!(context.getConnection() instanceof TCPNIOConnection tcp)) {
+      return super.handleRead(context);
+    }
+    try {
+      Buffer read = TCPNIOUtils.allocateAndReadBuffer(tcp);
+      if (read.position() == 0) {
+        return context.getStopAction();
+      }
+      read.trim();
+      context.setMessage(read);
+      context.setAddress(tcp.getPeerAddress());
+      return context.getInvokeAction();
+    } catch (EOFException e) {
+      // The stream stays at its end, so the library finds it as well and closes the connection.
+      return super.handleRead(context);
+    } catch (IOException e) {
+      tcp.terminateWithReason(e);
+      return context.getStopAction();
+    }
+  }
+}
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
@@ -14,7 +14,6 @@
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
-import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.nio.NIOConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
@@ -46,7 +45,7 @@
     this.settings = settings;
     FilterChain chain =
         FilterChainBuilder.stateless()
-            .add(new TransportFilter())
+            .add(new ResetAwareFilter())
             .add(new StrictClientFilter(settings.maxHeadBytes(), upstreams))
             .add(new UpstreamFilter(upstreams))
             .build();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamRegistry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamRegistry.java
@@ -1,10 +1,13 @@
 package org.chivecross.cli.entry.http;
 
+import java.io.EOFException;
 import java.util.Optional;
-import org.chivecross.model.request.ConnectionFault;
+import org.glassfish.grizzly.CloseReason;
+import org.glassfish.grizzly.CloseType;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
+import org.jspecify.annotations.Nullable;
 
 /** Finds what a connection to a target is used for. Safe for use by many threads. */
 final class UpstreamRegistry {
@@ -42,7 +45,13 @@
     upstream.pool().closed(upstream);
     UpstreamUser user = upstream.user();
     if (user != null) {
-      user.failed(ConnectionFault.CLOSED);
+      user.closed(isOrderly(upstream.connection().getCloseReason()));
     }
   }
+
+  private static boolean isOrderly(@Nullable CloseReason reason) {
+    return reason != null
+        && reason.getType() == CloseType.REMOTELY
+        && reason.getCause() instanceof EOFException;
+  }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamUser.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamUser.java
@@ -13,6 +13,15 @@
   /** The connection is of no more use. */
   void failed(ConnectionFault fault);
 
+  /**
+   * The connection was closed.
+   *
+   * @param orderly whether the target ended it in order, rather than with a reset
+   */
+  default void closed(boolean orderly) {
+    failed(ConnectionFault.CLOSED);
+  }
+
   /** Suspends reading, unless the reason for it has gone; returns whether it was suspended. */
   boolean parkReader(FilterChainContext context);
 }
