--- /dev/null
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetDirectoryTest.java
@@ -0,0 +1,39 @@
+package org.chivecross.logic.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.chivecross.model.fleet.FleetMember;
+import org.junit.jupiter.api.Test;
+
+class FleetDirectoryTest {
+
+  private static FleetMember member(String ip, String dataCentre, boolean ready) {
+    return new FleetMember(ip, 1, dataCentre, ready, 0);
+  }
+
+  private static final List<FleetMember> OTHERS =
+      List.of(member("2", "a", true), member("3", "b", true), member("4", "b", false));
+
+  @Test
+  void callerIsSentToItsOwnDataCentre() {
+    assertEquals(List.of("1", "2"), FleetDirectory.answer(member("1", "a", true), OTHERS, "a", 64));
+  }
+
+  @Test
+  void allAreNamedWhenTheOwnDataCentreHasTooFew() {
+    assertEquals(
+        List.of("1", "2", "3"), FleetDirectory.answer(member("1", "a", true), OTHERS, "b", 64));
+  }
+
+  @Test
+  void entryThatIsLeavingIsNotNamed() {
+    assertEquals(
+        List.of("2", "3"), FleetDirectory.answer(member("1", "a", false), OTHERS, "a", 64));
+  }
+
+  @Test
+  void answerIsBounded() {
+    assertEquals(List.of("1"), FleetDirectory.answer(member("1", "a", true), OTHERS, "a", 1));
+  }
+}
--- /dev/null
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/log/EventLogTest.java
@@ -0,0 +1,39 @@
+package org.chivecross.cli.log;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+import org.tinylog.ThreadContext;
+
+class EventLogTest {
+
+  /** Fields belong to one line; what the thread had set for itself is as before. */
+  @Test
+  void contextOfTheThreadIsAsBefore() {
+    ThreadContext.put("step", "ACCEPT");
+    new EventLog(System::nanoTime).info("event", Map.of("request", "id"));
+    assertEquals(Map.of("step", "ACCEPT"), ThreadContext.getMapping());
+    ThreadContext.clear();
+  }
+
+  @Test
+  void linesOfASecondAreBounded() {
+    AtomicLong reads = new AtomicLong();
+    EventLog log = new EventLog(() -> 5_000_000_000L);
+    Map<String, String> counted =
+        new java.util.AbstractMap<>() {
+          @Override
+          public java.util.Set<Entry<String, String>> entrySet() {
+            reads.incrementAndGet();
+            return java.util.Set.of();
+          }
+        };
+    for (int i = 0; i < 500; i++) {
+      log.info("event", counted);
+    }
+    assertTrue(reads.get() <= 60, reads + " lines");
+  }
+}
--- /dev/null
+++ b/chivecross-wire/src/test/java/org/chivecross/wire/fleet/FleetCodecTest.java
@@ -0,0 +1,105 @@
+package org.chivecross.wire.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.chivecross.model.failure.Result;
+import org.chivecross.model.fileset.RequestClass;
+import org.chivecross.model.fleet.FleetMember;
+import org.chivecross.model.fleet.FleetMessage;
+import org.chivecross.model.fleet.ViewNews;
+import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.ruleset.CallerLimits;
+import org.chivecross.model.ruleset.RouteRule;
+import org.chivecross.model.ruleset.RuleSet;
+import org.chivecross.model.ruleset.ServiceRule;
+import org.chivecross.model.ruleset.WeightedService;
+import org.junit.jupiter.api.Test;
+
+class FleetCodecTest {
+
+  private static final int LARGEST_DATAGRAM = 65_507;
+
+  private static RuleSet rules(int routes) {
+    List<RouteRule> all = new ArrayList<>();
+    for (int i = 0; i < routes; i++) {
+      all.add(
+          new RouteRule(
+              "route-" + i,
+              "host" + i % 7 + ".example",
+              "/prefix" + i * 7919 + "/",
+              List.of(new WeightedService("s1", 90), new WeightedService("s2", 10)),
+              RequestClass.values()[i % 3],
+              1_200 + i,
+              400,
+              2,
+              i % 4));
+    }
+    return new RuleSet(
+        12,
+        all,
+        List.of(new ServiceRule("s1", "/health", 300)),
+        new CallerLimits(16_384, 1L << 30, 3_000, 15_000));
+  }
+
+  private static FleetMessage message(int routes) {
+    RegisteredTarget target =
+        new RegisteredTarget("i-1", 1790000000123L, "s1", "10.0.0.1:80", "a", 4, true, 1_500);
+    ViewNews news =
+        new ViewNews(
+            530,
+            42,
+            0x1234567890L,
+            12,
+            false,
+            List.of(target),
+            List.of("i-2"),
+            Optional.of(rules(routes)));
+    return new FleetMessage(
+        -7,
+        "a",
+        true,
+        false,
+        true,
+        11,
+        List.of(new FleetMember("10.0.0.9", 99, "b", false, 250)),
+        Optional.of(news));
+  }
+
+  @Test
+  void messageSurvivesItsDatagram() {
+    FleetMessage message = message(5);
+    Result<FleetMessage> decoded = FleetCodec.decode(FleetCodec.encode(message), "peer");
+    assertEquals(new Result.Success<>(message), decoded);
+  }
+
+  @Test
+  void rulesWithManyRoutesFitIntoOneDatagram() {
+    int bytes = FleetCodec.encode(message(1_000)).length;
+    assertTrue(bytes <= LARGEST_DATAGRAM, bytes + " bytes");
+  }
+
+  /** Strangers may send to the port; whatever they send is refused as a whole. */
+  @Test
+  void spoiledDatagramsAreRefusedWithoutAnException() {
+    byte[] good = FleetCodec.encode(message(5));
+    SplittableRandom random = new SplittableRandom(11);
+    for (int i = 0; i < 2_000; i++) {
+      byte[] spoiled = Arrays.copyOf(good, random.nextInt(good.length) + 1);
+      spoiled[random.nextInt(spoiled.length)] = (byte) random.nextInt();
+      FleetCodec.decode(spoiled, "peer");
+    }
+    assertInstanceOf(Result.Failed.class, FleetCodec.decode(new byte[] {1, 2, 3}, "peer"));
+  }
+
+  @Test
+  void unknownProtocolIsRefused() {
+    assertInstanceOf(Result.Failed.class, FleetCodec.decode(new byte[] {8, 9}, "peer"));
+  }
+}
