Decide at the start of a request whether its answer ends the connection while leaving

Cause: ConnectionCareTest.endsConnectionsWhileLeaving failed once beside load (expected 2 answers, got 1). Since pipelined reads run side by side, leaving was looked at when the answer was written, so the answer to a request from before the stop could close a connection on which the next request was already on its way. The new test holds the answer back until after the stop: red before (1 of 2 answers), green after. The bound of the old test is unchanged.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
@@ -35,7 +35,7 @@
   private final CallerConnection caller;
   private final CallerExchange exchange;
   private final RequestDialect dialect;
-  private final BooleanSupplier leaving;
+  private final boolean lastWhenLeaving;
   private final Deque<Part> held = new ArrayDeque<>();
   private final NIOConnection connection;
   private final HttpRequestPacket request;
@@ -47,7 +47,7 @@
   /**
    * Creates the response to the request of an exchange.
    *
-   * @param leaving whether connections end with their next answer
+   * @param leaving whether connections end with the answers to requests that begin now
    */
   CallerResponse(
       CallerConnection caller,
@@ -57,7 +57,7 @@
     this.caller = caller;
     this.exchange = exchange;
     this.dialect = dialect;
-    this.leaving = leaving;
+    lastWhenLeaving = leaving.getAsBoolean();
     connection = caller.connection();
     request = exchange.request();
     packet = request.getResponse();
@@ -208,7 +208,7 @@
 
   private void prepareConnection() {
     // Requests behind this one may be at work already, so the connection stays for their answers.
-    closeAfter |= leaving.getAsBoolean() && !caller.isFollowed(exchange);
+    closeAfter |= lastWhenLeaving && !caller.isFollowed(exchange);
     if (closeAfter) {
       request.getProcessingState().setKeepAlive(false);
       packet.setHeader("Connection", "close");
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/ConnectionCareTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/ConnectionCareTest.java
@@ -125,6 +125,33 @@
     done.await();
   }
 
+  /** The caller may have sent its next request already, trusting the connection. */
+  @Test
+  void requestThatBeganBeforeLeavingDoesNotEndItsConnection() throws Exception {
+    CountDownLatch leaving = new CountDownLatch(1);
+    upstream.become(
+        call -> {
+          try {
+            leaving.await();
+          } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+          }
+          call.reply(ScriptedUpstream.OK);
+        });
+    try (DataPathFixture entry = DataPathFixture.to(upstream);
+        Socket socket = send(entry, "GET /read HTTP/1.1\r\nHost: a\r\n\r\n")) {
+      upstream.nextCall();
+      entry.dataPath().startLeaving();
+      leaving.countDown();
+      entry.observer().nextSummary();
+      socket
+          .getOutputStream()
+          .write("GET /read HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+
+      assertEquals(2, readAll(socket).split("HTTP/1.1 200 OK", -1).length - 1);
+    }
+  }
+
   @Test
   void endsConnectionsWhileLeaving() throws Exception {
     try (DataPathFixture entry = DataPathFixture.to(upstream);
