Tell that targets are back after an outage, and let lapsed registrations end locally

Log lines 'targets: 33 usable' and 2.5 s later 'targets: 9 usable' in all entries: registrations that had lapsed while the store was away were dropped though the targets were back. The entry that read the loss never heard that another one read the return, since a target that looks as before was no news; when its time for lapsed ones ended, it told all others to drop them. Ruled out: slow targets and probes used up (both followed from the lack of targets).

--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
@@ -74,10 +74,8 @@
   /** Does what is due. */
   public void tick(long nowNanos) {
     roster.expire(nowNanos);
-    PlatformView.Update lapsed = view.expire(nowNanos);
-    if (!lapsed.isEmpty()) {
+    if (view.expire(nowNanos)) {
       port.viewChanged(false);
-      publish(lapsed, nowNanos);
     }
     if (nowNanos >= heartbeatNanos) {
       heartbeatNanos = nowNanos + HEARTBEAT_NANOS;
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/PlatformView.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/PlatformView.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,7 +16,9 @@
  * What this entry knows of the platform's store: the rules and the registered targets, each change
  * with the revision that it belongs to. Not thread-safe.
  *
- * <p>Invariants: the version of the rules never goes back; neither does the revision.
+ * <p>Invariants: the version of the rules never goes back; neither does the revision. A lapsed
+ * registration is a belief of this entry alone: it is in no digest and in no news, so the end of
+ * its time here never takes a target from an entry that knows it to be back.
  */
 final class PlatformView {
 
@@ -33,13 +34,16 @@
   private static final long OUTAGE_NANOS = 1_600 * NANOS_PER_MILLI;
 
   private final Map<String, RegisteredTarget> targets = new TreeMap<>();
-  private final Map<String, Long> lapsedUntilNanos = new HashMap<>();
+  private final Map<String, Lapsed> lapsed = new TreeMap<>();
   private Optional<RuleSet> rules = Optional.empty();
   private long revision;
   private long asOfNanos = Long.MIN_VALUE;
   private long outageEndNanos = Long.MIN_VALUE / 2;
   private boolean known;
 
+  /** A target whose registration is gone from the store, and until when it may come back. */
+  private record Lapsed(RegisteredTarget target, long untilNanos) {}
+
   /** What an update changed. */
   record Update(List<RegisteredTarget> registered, List<String> removed, boolean newRules) {
 
@@ -55,22 +59,14 @@
    */
   Update apply(StoreChange change, long sentNanos, long nowNanos) {
     noteOutage(sentNanos);
-    boolean afterOutage = nowNanos - outageEndNanos < LAPSE_NANOS;
     if (known && change.revision() < revision) {
       return new Update(List.of(), List.of(), false);
     }
-    List<String> gone = new ArrayList<>(change.removed());
+    List<String> removed = new ArrayList<>(change.removed());
     if (change.whole()) {
-      gone.addAll(missing(change.registered()));
-    }
-    List<String> removed = new ArrayList<>();
-    for (String id : gone) {
-      if (afterOutage && targets.containsKey(id) && !targets.get(id).leaving()) {
-        lapsedUntilNanos.putIfAbsent(id, nowNanos + LAPSE_NANOS);
-      } else {
-        removed.add(id);
-      }
+      removed.addAll(missing(change.registered()));
     }
+    keepLapsed(removed, nowNanos);
     return update(change.registered(), removed, change.rules(), change.revision(), sentNanos);
   }
 
@@ -89,19 +85,26 @@
     if (!complete) {
       return update(List.of(), List.of(), news.rules(), revision, asOfNanos);
     }
+    keepLapsed(removed, nowNanos);
     return update(news.registered(), removed, news.rules(), news.revision(), asOf);
   }
 
-  /** Drops lapsed registrations that did not come back in time. */
-  Update expire(long nowNanos) {
-    List<String> removed = new ArrayList<>();
-    lapsedUntilNanos.forEach(
-        (id, until) -> {
-          if (nowNanos >= until) {
-            removed.add(id);
-          }
-        });
-    return update(List.of(), removed, Optional.empty(), revision, asOfNanos);
+  /** Drops lapsed registrations that did not come back in time; returns whether there were any. */
+  boolean expire(long nowNanos) {
+    return lapsed.values().removeIf(entry -> nowNanos >= entry.untilNanos());
+  }
+
+  /** After an outage, keeps targets that did not tell that they leave. */
+  private void keepLapsed(List<String> removed, long nowNanos) {
+    if (nowNanos - outageEndNanos >= LAPSE_NANOS) {
+      return;
+    }
+    for (String id : removed) {
+      RegisteredTarget target = targets.get(id);
+      if (target != null && !target.leaving()) {
+        lapsed.put(id, new Lapsed(target, nowNanos + LAPSE_NANOS));
+      }
+    }
   }
 
   /** Nobody could read the store for a while, so registrations may have lapsed meanwhile. */
@@ -119,7 +122,7 @@
       long newAsOfNanos) {
     List<RegisteredTarget> changed = new ArrayList<>();
     for (RegisteredTarget target : registered) {
-      lapsedUntilNanos.remove(target.id());
+      lapsed.remove(target.id());
       RegisteredTarget before = targets.put(target.id(), target);
       if (before == null || !isAlike(before, target)) {
         changed.add(target);
@@ -127,7 +130,6 @@
     }
     List<String> dropped = new ArrayList<>();
     for (String id : removed) {
-      lapsedUntilNanos.remove(id);
       if (targets.remove(id) != null) {
         dropped.add(id);
       }
@@ -175,8 +177,11 @@
     return known;
   }
 
+  /** Returns the targets that may be used: the registered ones and those that lapsed of late. */
   Collection<RegisteredTarget> targets() {
-    return targets.values();
+    List<RegisteredTarget> all = new ArrayList<>(targets.values());
+    lapsed.values().forEach(entry -> all.add(entry.target()));
+    return all;
   }
 
   Optional<RuleSet> rules() {
--- a/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetNodeTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetNodeTest.java
@@ -31,6 +31,7 @@
 
   private final Map<String, Entry> entries = new TreeMap<>();
   private final Map<String, RegisteredTarget> stored = new TreeMap<>();
+  private final Map<String, Long> changedAt = new TreeMap<>();
   private final SplittableRandom random = new SplittableRandom(7);
   private RuleSet rules = rules(1);
   private long revision = 1;
@@ -80,10 +81,7 @@
         node.readFailed(false, now);
         return;
       }
-      node.readEnded(
-          new StoreChange(
-              true, revision, List.copyOf(stored.values()), List.of(), Optional.of(rules)),
-          now);
+      node.readEnded(wanted.isPresent() ? changesAfter(wanted.getAsLong()) : everything(), now);
     }
   }
 
@@ -110,8 +108,39 @@
   }
 
   private void put(String id, long startedAt, boolean leaving) {
-    stored.put(id, new RegisteredTarget(id, startedAt, "s", "10.9.0.1:80", "dc1", 4, leaving, 0));
+    put(new RegisteredTarget(id, startedAt, "s", "10.9.0.1:80", "dc1", 4, leaving, 0));
+  }
+
+  private void put(RegisteredTarget target) {
+    stored.put(target.id(), target);
+    revision++;
+    changedAt.put(target.id(), revision);
+  }
+
+  private RegisteredTarget remove(String id) {
     revision++;
+    changedAt.put(id, revision);
+    return java.util.Objects.requireNonNull(stored.remove(id));
+  }
+
+  private StoreChange everything() {
+    return new StoreChange(
+        true, revision, List.copyOf(stored.values()), List.of(), Optional.of(rules));
+  }
+
+  private StoreChange changesAfter(long known) {
+    List<RegisteredTarget> registered = new ArrayList<>();
+    List<String> removed = new ArrayList<>();
+    changedAt.forEach(
+        (id, at) -> {
+          RegisteredTarget target = stored.get(id);
+          if (at > known && target == null) {
+            removed.add(id);
+          } else if (at > known) {
+            registered.add(target);
+          }
+        });
+    return new StoreChange(false, revision, registered, removed, Optional.of(rules));
   }
 
   private static RuleSet rules(long version) {
@@ -218,20 +247,36 @@
     runMillis(5_000);
     storeDown = true;
     runMillis(4_000);
-    RegisteredTarget lapsed = stored.remove("t1");
-    RegisteredTarget gone = stored.remove("t2");
-    assertTrue(lapsed != null && gone != null);
-    revision++;
+    RegisteredTarget lapsed = remove("t1");
+    RegisteredTarget gone = remove("t2");
     storeDown = false;
     runMillis(1_500);
     assertEquals(12, count(node -> node.targets().size() == 6));
-    stored.put("t1", lapsed);
-    revision++;
+    put(lapsed);
     runMillis(3_500);
     assertEquals(12, count(node -> node.targets().size() == 5));
     assertEquals(0, count(node -> node.targets().contains(gone)));
   }
 
+  /** The entry that reads that targets are back is another one than read that they had lapsed. */
+  @Test
+  void targetsThatAreBackStayKnownWhicheverEntryReadsIt() {
+    runMillis(5_000);
+    storeDown = true;
+    runMillis(4_000);
+    RegisteredTarget lapsed = remove("t1");
+    entries.values().forEach(entry -> entry.turnedAway = true);
+    entry("10.2.0.3").turnedAway = false;
+    storeDown = false;
+    runMillis(1_300);
+    assertEquals(12, count(node -> node.targets().size() == 6));
+    put(lapsed);
+    entry("10.2.0.3").turnedAway = true;
+    entry("10.1.0.1").turnedAway = false;
+    runMillis(5_000);
+    assertEquals(12, count(node -> node.targets().size() == 6));
+  }
+
   @Test
   void outageOfTheStoreIsNotAnsweredByAStampede() {
     runMillis(5_000);
