--- a/chivecross-core/src/main/java/org/chivecross/logic/settings/ProgramLauncher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/settings/ProgramLauncher.java
@@ -21,6 +21,7 @@
   /** Exit code of a run with a bad setting. */
   public static final int BAD_SETTING = 2;
 
+  private static final String HELP_FLAG = "--help";
   private static final String VERSION = "0.1.0";
 
   private final String program;
@@ -48,7 +49,8 @@
   public <T extends ProgramOptions> int launch(
       T options, List<String> arguments, ToIntFunction<T> run) {
     SettingsParser parser = new SettingsParser(program, environment);
-    String help = parser.help(options);
+    // The help text shows defaults, so it is made before the options are filled.
+    String help = arguments.contains(HELP_FLAG) ? parser.help(options) : "";
     Result<T> parsed = parser.parse(options, arguments);
     if (parsed instanceof Result.Failed<T> failed) {
       err.println(program + ": " + failed.failures().get(0).detail());
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/SurplusAwareEncoding.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/SurplusAwareEncoding.java
@@ -11,10 +11,16 @@
  * Marks a message that other bytes follow, so that its connection is not used again. Safe for use
  * by many threads.
  */
-record SurplusAwareEncoding(TransferEncoding inner) implements TransferEncoding {
+final class SurplusAwareEncoding implements TransferEncoding {
 
   private static final String SURPLUS = "chivecross.surplus";
 
+  private final TransferEncoding inner;
+
+  SurplusAwareEncoding(TransferEncoding inner) {
+    this.inner = inner;
+  }
+
   /** Marks that bytes follow the message. */
   static void mark(HttpHeader header) {
     header.getAttributes().setAttribute(SURPLUS, Boolean.TRUE);
