Wait out short slow phases, ignore failures that all targets share, spend budgets where the load is

Change: a reported slowness counts for the rest of a phase, longer only for a target that has been slower than others; the usual time is learned from targets with room; failures only rank; advice is short while there is room; parts of budgets follow the requests of each entry, which the others learn with its heartbeats, and don't grow while entries are cut off.

--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -53,22 +53,18 @@
   private static final double PATIENCE = 0.25;
 
   /** Expected time, relative to the usual time, up to which a target is taken without comparing. */
-  private static final double GOOD_ENOUGH = 1.4;
+  private static final double GOOD_ENOUGH = 1.3;
 
   /** Part of the time left that a target may be expected to need. */
   private static final double SAFE_PART = 0.85;
 
-  /** Usual times that each remembered failure of a target adds to its expected time. */
+  /** Disadvantage of each remembered failure when it is chosen whom to ask. */
   private static final double FAILURE_COST = 2.0;
 
-  /** Shortest and longest advice to callers when to come back. */
-  private static final long MIN_RETRY_AFTER_MILLIS = 100;
-
-  private static final long MAX_RETRY_AFTER_MILLIS = 1_000;
-
   private final DispatchPreferences preferences;
   private final ProbeSender probes;
   private final RandomGenerator random;
+  private final RetryAdvice advice;
   private final TargetBoard board = new TargetBoard();
   private final WorkEstimates work = new WorkEstimates();
   private final ServiceShares shares = new ServiceShares();
@@ -78,13 +74,15 @@
   private final Map<Integer, Set<PlacementTicket>> waiters = new HashMap<>();
   private Optional<RouteTable> routes = Optional.empty();
   private boolean targetsKnown;
-  private int entries = 1;
+  private final RequestRate rate = new RequestRate();
+  private double budgetPart = 1;
 
   /** Creates a dispatcher that knows no route and no target. */
   public Dispatcher(DispatchPreferences preferences, ProbeSender probes, RandomGenerator random) {
     this.preferences = preferences;
     this.probes = probes;
     this.random = random;
+    advice = new RetryAdvice(random);
     expected = new ExpectedTime(board, preferences);
     probeAllowance = new ProbeAllowance(preferences.probesPerSecond());
   }
@@ -101,9 +99,18 @@
     targetsKnown = true;
   }
 
-  /** Tells how many entries share the budgets. */
-  public void setEntries(int count) {
-    entries = Math.max(1, count);
+  /**
+   * Tells this entry's part of the budgets that all entries share.
+   *
+   * @param part from 0 to 1
+   */
+  public void setBudgetPart(double part) {
+    budgetPart = part;
+  }
+
+  /** Returns the requests that this entry takes in a second, a mean over some seconds. */
+  public double requestsPerSecond(long nowNanos) {
+    return rate.perSecond(nowNanos);
   }
 
   /** Returns whether rules are in force. */
@@ -138,6 +145,7 @@
    */
   public PlacementTicket open(
       RouteRule route, long deadlineNanos, long bodyBytes, Runnable wake, long nowNanos) {
+    rate.count(nowNanos);
     String service = shares.next(route, random.nextDouble());
     allowance(service).request(nowNanos);
     return new PlacementTicket(route, service, nowNanos, deadlineNanos, bodyBytes, wake);
@@ -145,7 +153,7 @@
 
   /** Takes a send beyond the first from the budget; false when it is used up. */
   public boolean tryRepeat(PlacementTicket ticket, long nowNanos) {
-    return allowance(ticket.service()).tryRepeat(entries, nowNanos);
+    return allowance(ticket.service()).tryRepeat(budgetPart, nowNanos);
   }
 
   /** Starts to look for another target than those that were tried. */
@@ -153,20 +161,31 @@
     ticket.seekAgain(nowNanos);
   }
 
+  /**
+   * Returns when another try of a request that a target turned away is likely to succeed, in ms:
+   * soon while another target has room, else when about half of the backlog is done.
+   */
+  public long retryAfterMillis(PlacementTicket ticket, long nowNanos) {
+    int best = best(ticket, board.usableRows(ticket.service()), Long.MAX_VALUE, nowNanos);
+    double millis = expectedMillis(ticket, best, nowNanos);
+    boolean hasRoom = millis <= ticket.route().latencyObjectiveMillis();
+    return hasRoom ? advice.soonMillis() : advice.afterBacklogMillis(millis);
+  }
+
   /** Looks for a target; may send probes. */
   public Placement seek(PlacementTicket ticket, long nowNanos) {
     int[] rows = board.usableRows(ticket.service());
     if (rows.length == 0) {
-      return refuse("no usable target of " + ticket.service(), MAX_RETRY_AFTER_MILLIS);
+      return refuse("no usable target of " + ticket.service(), advice.longestMillis());
     }
     double usual = work.usualMillis(ticket.route());
     double leftMillis = (ticket.deadlineNanos() - nowNanos) / (double) NANOS_PER_MILLI;
     if (leftMillis < usual / 2) {
-      return refuse("too little time left for a target", MIN_RETRY_AFTER_MILLIS);
+      return refuse("too little time left for a target", advice.soonMillis());
     }
     int best = best(ticket, rows, FRESH_NANOS, nowNanos);
-    double bestMillis = expectedMillis(ticket, best, nowNanos);
-    if (bestMillis <= usual * GOOD_ENOUGH) {
+    double shared = board.sharedFailures(rows, nowNanos);
+    if (rankingMillis(ticket, best, shared, nowNanos) <= usual * GOOD_ENOUGH) {
       return choose(ticket, best);
     }
     if (ticket.isWaiting()) {
@@ -178,13 +197,13 @@
     if (best == TargetBoard.NONE) {
       // The allowance for probes is used up, and an old report is better than a refusal.
       best = best(ticket, rows, Long.MAX_VALUE, nowNanos);
-      bestMillis = expectedMillis(ticket, best, nowNanos);
     }
-    return judge(ticket, best, bestMillis, nowNanos);
+    return judge(ticket, best, nowNanos);
   }
 
   /** All rounds are over; takes the best target, waits or gives up. */
-  private Placement judge(PlacementTicket ticket, int best, double bestMillis, long nowNanos) {
+  private Placement judge(PlacementTicket ticket, int best, long nowNanos) {
+    double bestMillis = expectedMillis(ticket, best, nowNanos);
     double leftMillis = (ticket.deadlineNanos() - nowNanos) / (double) NANOS_PER_MILLI;
     double waited = (nowNanos - ticket.seekingSinceNanos()) / (double) NANOS_PER_MILLI;
     double objective = ticket.route().latencyObjectiveMillis();
@@ -198,8 +217,9 @@
       return choose(ticket, best);
     }
     if (!patient) {
-      double backlog = best == TargetBoard.NONE ? objective : bestMillis;
-      return refuse("all targets of " + ticket.service() + " are busy", (long) (backlog / 2));
+      return refuse(
+          "all targets of " + ticket.service() + " are busy",
+          advice.afterBacklogMillis(bestMillis));
     }
     ticket.restartRounds();
     return new Placement.Pending(nowNanos + ASK_AGAIN_NANOS);
@@ -215,12 +235,18 @@
     board.ended(row);
   }
 
-  /** A target answered; {@code slowdown} is what {@link #slowdown} said when it was chosen. */
+  /**
+   * A target answered.
+   *
+   * @param usualPace what {@link #isUsualPace} said when it was chosen
+   */
   public void served(
-      PlacementTicket ticket, int row, long elapsedNanos, double slowdown, long nowNanos) {
+      PlacementTicket ticket, int row, long elapsedNanos, boolean usualPace, long nowNanos) {
     board.ended(row);
     board.served(row, nowNanos);
-    work.answered(ticket.route(), elapsedNanos, slowdown);
+    if (usualPace) {
+      work.answered(ticket.route(), elapsedNanos);
+    }
   }
 
   /** An attempt failed through the target. */
@@ -229,9 +255,9 @@
     board.failed(row, 1, nowNanos);
   }
 
-  /** Returns how many times longer than usual work takes at a target, as it last reported. */
-  public double slowdown(int row) {
-    return board.slowdown(row);
+  /** Returns whether a target has room and works at usual speed, as it last reported. */
+  public boolean isUsualPace(int row, long nowNanos) {
+    return expected.isUsualPace(row, nowNanos);
   }
 
   /** Returns what is known of the target of a row. */
@@ -253,6 +279,16 @@
     return expected.millis(row, usual, ticket.bodyBytes(), nowNanos);
   }
 
+  /** Returns the expected time of a target with the disadvantage of its failures, in ms. */
+  private double rankingMillis(PlacementTicket ticket, int row, double shared, long nowNanos) {
+    if (row == TargetBoard.NONE) {
+      return Double.MAX_VALUE;
+    }
+    double usual = work.usualMillis(ticket.route());
+    return expected.millis(row, usual, ticket.bodyBytes(), nowNanos)
+        + expected.failureMillis(row, usual, shared, nowNanos);
+  }
+
   /** A target told its load with an answer. */
   public void loadReported(int row, LoadReport report, long nowNanos) {
     board.report(row, report, nowNanos);
@@ -285,11 +321,12 @@
   private int best(PlacementTicket ticket, int[] rows, long maxAgeNanos, long nowNanos) {
     int best = TargetBoard.NONE;
     double least = Double.MAX_VALUE;
+    double shared = board.sharedFailures(rows, nowNanos);
     for (int row : rows) {
       if (ticket.isTried(row) || !board.isFresh(row, maxAgeNanos, nowNanos)) {
         continue;
       }
-      double millis = expectedMillis(ticket, row, nowNanos);
+      double millis = rankingMillis(ticket, row, shared, nowNanos);
       if (millis < least) {
         least = millis;
         best = row;
@@ -307,7 +344,7 @@
         break;
       }
       if (!board.isProbing(row)) {
-        if (!probeAllowance.tryTake(board.usableCount(), entries, nowNanos)) {
+        if (!probeAllowance.tryTake(board.usableCount(), budgetPart, nowNanos)) {
           break;
         }
         board.setProbing(row, true);
@@ -354,11 +391,8 @@
   }
 
   private Placement refuse(String detail, long retryAfterMillis) {
-    long base =
-        Math.max(MIN_RETRY_AFTER_MILLIS, Math.min(MAX_RETRY_AFTER_MILLIS, retryAfterMillis));
-    long jittered = base / 2 + (long) (random.nextDouble() * base);
     return new Placement.Refused(
-        new Failure(Step.SELECT_TARGET, Failure.LOCAL, detail), Math.max(1, jittered));
+        new Failure(Step.SELECT_TARGET, Failure.LOCAL, detail), retryAfterMillis);
   }
 
   private RetryAllowance allowance(String service) {
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/ExpectedTime.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/ExpectedTime.java
@@ -17,9 +17,15 @@
   /** How many times longer than usual a target works that has just started. */
   private static final double COLD_FACTOR = 2.0;
 
-  /** Usual times that each remembered failure adds. */
+  /** Usual times that each remembered failure counts when targets are compared. */
   private static final double FAILURE_FACTOR = 1.5;
 
+  /** Time that a reported slowness still lasts on average: half of a phase of 150 ms. */
+  private static final double SLOW_PHASE_LEFT_MILLIS = 75;
+
+  /** How much slower than others a target must report for long to count as slow for good. */
+  private static final double LASTING_SLOWNESS = 1.5;
+
   private static final double BYTES_PER_KILOBYTE = 1024;
 
   private final TargetBoard board;
@@ -31,25 +37,44 @@
   }
 
   /**
-   * Returns the expected time, in ms.
+   * Returns the expected time if the target answers, in ms.
    *
-   * @param usualMillis time that the work takes at usual speed, in ms
+   * @param usualMillis time that the work takes at a target that has room, in ms
    * @param bodyBytes size of the request's body
    */
   double millis(int row, double usualMillis, long bodyBytes, long nowNanos) {
     int slots = board.slots(row);
     double before = board.running(row) + board.waiting(row);
-    double pace = board.slowdown(row);
+    double lasting = board.relativeSlowdown(row);
+    double service = usualMillis * (lasting > LASTING_SLOWNESS ? lasting : 1);
     if (!board.isWarm(row, nowNanos)) {
-      pace = Math.max(pace, COLD_FACTOR);
+      service *= COLD_FACTOR;
     }
-    double service = usualMillis * pace;
-    if (before + 1 > NEARLY_FULL * slots) {
+    if (isNearlyFull(row)) {
       service *= NEARLY_FULL_FACTOR;
     }
     double queue = Math.max(0, before + 1 - slots) / slots * service;
-    double failures = FAILURE_FACTOR * usualMillis * board.failures(row, nowNanos);
-    return service + queue + failures + crossing(row, bodyBytes);
+    double slowPhase = SLOW_PHASE_LEFT_MILLIS * (1 - 1 / Math.max(1, board.slowdown(row)));
+    return service + slowPhase + queue + crossing(row, bodyBytes);
+  }
+
+  /**
+   * Returns the disadvantage of failures that were seen of late, in ms. Failures that all targets
+   * share are no reason to prefer one to another.
+   *
+   * @param shared failures that each target of the service has at least
+   */
+  double failureMillis(int row, double usualMillis, double shared, long nowNanos) {
+    return FAILURE_FACTOR * usualMillis * Math.max(0, board.failures(row, nowNanos) - shared);
+  }
+
+  /** Returns whether a target works at its usual speed, as far as its last report tells. */
+  boolean isUsualPace(int row, long nowNanos) {
+    return board.isWarm(row, nowNanos) && board.slowdown(row) <= 1 && !isNearlyFull(row);
+  }
+
+  private boolean isNearlyFull(int row) {
+    return board.running(row) + board.waiting(row) + 1 > NEARLY_FULL * board.slots(row);
   }
 
   /** Returns the disadvantage of a target in another data centre, in ms. */
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/ProbeAllowance.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/ProbeAllowance.java
@@ -4,7 +4,7 @@
 
 /**
  * This entry's part of the probes that targets may get: a token bucket whose rate follows the
- * number of targets and entries. Not thread-safe.
+ * number of targets and the entry's part of the requests. Not thread-safe.
  */
 final class ProbeAllowance {
 
@@ -23,8 +23,13 @@
     this.perTargetAndSecond = perTargetAndSecond;
   }
 
-  boolean tryTake(int targets, int entries, long nowNanos) {
-    double rate = USED_PART * perTargetAndSecond * targets / entries;
+  /**
+   * Takes one probe; false when the allowance is used up.
+   *
+   * @param part this entry's part of all probes, from 0 to 1
+   */
+  boolean tryTake(int targets, double part, long nowNanos) {
+    double rate = USED_PART * perTargetAndSecond * targets * part;
     double most = Math.max(1, rate * BURST_SECONDS);
     if (filledNanos == Long.MIN_VALUE) {
       tokens = most;
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/RetryAllowance.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/RetryAllowance.java
@@ -4,16 +4,19 @@
  * This entry's part of the budget for sending requests of one service more than once.
  *
  * <p>The budget bounds the sends beyond the first of each request within any window. The fixed part
- * is divided by the number of entries, the part in proportion to the traffic needs no division:
- * each entry counts its own requests. Not thread-safe.
+ * is divided among the entries, the part in proportion to the traffic needs no division: each entry
+ * counts its own requests. Not thread-safe.
  */
 final class RetryAllowance {
 
   /** Parts of a window that are counted on their own. */
   private static final int BUCKETS = 20;
 
-  /** Part of the budget that is used, since windows of entries don't begin together. */
-  private static final double USED_PART = 0.7;
+  /** Part of the proportional budget that is used: all but one of the parts of a window. */
+  private static final double USED_RATIO = 1 - 1.0 / BUCKETS;
+
+  /** Part of the fixed repeats that is used; entries agree on their parts only after a while. */
+  private static final double USED_FIXED = 0.6;
 
   private final double ratio;
   private final double fixed;
@@ -40,8 +43,12 @@
     requests[index(currentBucket)]++;
   }
 
-  /** Takes one repeat; false when the allowance is used up. */
-  boolean tryRepeat(int entries, long nowNanos) {
+  /**
+   * Takes one repeat; false when the allowance is used up.
+   *
+   * @param part this entry's part of the fixed repeats, from 0 to 1
+   */
+  boolean tryRepeat(double part, long nowNanos) {
     roll(nowNanos);
     int requested = 0;
     int repeated = 0;
@@ -49,7 +56,7 @@
       requested += requests[i];
       repeated += repeats[i];
     }
-    double allowed = USED_PART * (ratio * requested + fixed / Math.max(1, entries));
+    double allowed = USED_RATIO * ratio * requested + USED_FIXED * fixed * part;
     if (repeated + 1 > allowed) {
       return false;
     }
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetBoard.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetBoard.java
@@ -31,6 +31,12 @@
   /** Time in which the memory of failures fades to half; failures that last outlive it by far. */
   private static final double FAILURE_HALF_LIFE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+  /** Weight of the newest report in a target's mean; about the last ten count. */
+  private static final double REPORT_GAIN = 0.1;
+
+  /** Weight of the newest report in the mean over all targets. */
+  private static final double COMMON_GAIN = 0.02;
+
   /** Age from which remembered failures are taken as forgotten, in half-lives. */
   private static final double FORGOTTEN_HALF_LIVES = 8;
 
@@ -42,6 +48,8 @@
   private int[] waiting = new int[FIRST_CAPACITY];
   private int[] slots = new int[FIRST_CAPACITY];
   private int[] slowdownPercent = new int[FIRST_CAPACITY];
+  private double[] meanSlowdown = new double[FIRST_CAPACITY];
+  private double commonSlowdown = 1;
   private int[] sentSinceReport = new int[FIRST_CAPACITY];
   private long[] reportNanos = new long[FIRST_CAPACITY];
   private long[] warmNanos = new long[FIRST_CAPACITY];
@@ -126,6 +134,8 @@
     waiting[row] = report.queued();
     slots[row] = Math.max(1, report.slots());
     slowdownPercent[row] = report.slowdownPercent();
+    meanSlowdown[row] += REPORT_GAIN * (slowdown(row) - meanSlowdown[row]);
+    commonSlowdown += COMMON_GAIN * (slowdown(row) - commonSlowdown);
     sentSinceReport[row] = 0;
     reportNanos[row] = nowNanos;
   }
@@ -163,6 +173,20 @@
     return slowdownPercent[row] / (double) LoadReport.USUAL_SPEED;
   }
 
+  /** Returns how many times slower than the others a target has been over its last reports. */
+  double relativeSlowdown(int row) {
+    return meanSlowdown[row] / commonSlowdown;
+  }
+
+  /** Returns the failures that each of some targets has at least. */
+  double sharedFailures(int[] rows, long nowNanos) {
+    double least = Double.MAX_VALUE;
+    for (int row : rows) {
+      least = Math.min(least, failures(row, nowNanos));
+    }
+    return rows.length == 0 ? 0 : least;
+  }
+
   boolean isWarm(int row, long nowNanos) {
     return nowNanos >= warmNanos[row];
   }
@@ -201,6 +225,7 @@
     reportNanos[row] = Long.MIN_VALUE;
     slots[row] = Math.max(1, target.slots());
     slowdownPercent[row] = LoadReport.USUAL_SPEED;
+    meanSlowdown[row] = commonSlowdown;
     warmNanos[row] = nowNanos + TimeUnit.MILLISECONDS.toNanos(target.warmupMillis());
     failures[row] = 0;
     return row;
@@ -227,6 +252,7 @@
     waiting = Arrays.copyOf(waiting, capacity);
     slots = Arrays.copyOf(slots, capacity);
     slowdownPercent = Arrays.copyOf(slowdownPercent, capacity);
+    meanSlowdown = Arrays.copyOf(meanSlowdown, capacity);
     sentSinceReport = Arrays.copyOf(sentSinceReport, capacity);
     reportNanos = Arrays.copyOf(reportNanos, capacity);
     warmNanos = Arrays.copyOf(warmNanos, capacity);
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/WorkEstimates.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/WorkEstimates.java
@@ -6,7 +6,8 @@
 import org.chivecross.model.ruleset.RouteRule;
 
 /**
- * Usual time that targets need for the requests of a route, learned from answers. Not thread-safe.
+ * Usual time that targets need for the requests of a route, learned from answers of targets that
+ * had room and were at usual speed when they were chosen. Not thread-safe.
  */
 final class WorkEstimates {
 
@@ -28,10 +29,9 @@
    * Takes an answer into account.
    *
    * @param elapsedNanos time from sending to the head of the answer
-   * @param slowdown how many times longer than usual the target took when it was chosen
    */
-  void answered(RouteRule route, long elapsedNanos, double slowdown) {
-    double millis = elapsedNanos / (double) TimeUnit.MILLISECONDS.toNanos(1) / slowdown;
+  void answered(RouteRule route, long elapsedNanos) {
+    double millis = elapsedNanos / (double) TimeUnit.MILLISECONDS.toNanos(1);
     double before = usualMillis(route);
     millisByRoute.put(key(route), before + GAIN * (millis - before));
   }
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/EntryRoster.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/EntryRoster.java
@@ -8,6 +8,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import org.chivecross.model.fleet.FleetMember;
+import org.chivecross.model.fleet.FleetMessage;
 
 /**
  * The other entries that were heard of late. Not thread-safe.
@@ -23,14 +24,26 @@
 
   /** What is known of one entry. */
   private record Row(
-      String ip, long incarnation, String dataCentre, boolean ready, long heardNanos) {}
+      String ip,
+      long incarnation,
+      String dataCentre,
+      boolean ready,
+      long heardNanos,
+      int requestsPerSecond) {}
 
   private final Map<String, Row> rows = new TreeMap<>();
 
-  /** Notes a message of an entry; returns whether it was not known as it is now. */
-  boolean heard(String ip, long incarnation, String dataCentre, boolean ready, long nowNanos) {
-    Row before = rows.put(ip, new Row(ip, incarnation, dataCentre, ready, nowNanos));
-    return before == null || before.incarnation() != incarnation || before.ready() != ready;
+  /** Notes a message of an entry. */
+  void heard(String ip, FleetMessage message, long nowNanos) {
+    rows.put(
+        ip,
+        new Row(
+            ip,
+            message.incarnation(),
+            message.dataCentre(),
+            message.ready(),
+            nowNanos,
+            message.requestsPerSecond()));
   }
 
   /** Takes over what another entry has heard. */
@@ -47,7 +60,8 @@
                 member.incarnation(),
                 member.dataCentre(),
                 member.ready(),
-                heardNanos));
+                heardNanos,
+                member.requestsPerSecond()));
       }
     }
   }
@@ -62,12 +76,24 @@
     List<FleetMember> members = new ArrayList<>();
     for (Row row : rows.values()) {
       long age = Math.max(0, (nowNanos - row.heardNanos()) / NANOS_PER_MILLI);
-      members.add(new FleetMember(row.ip(), row.incarnation(), row.dataCentre(), row.ready(), age));
+      members.add(
+          new FleetMember(
+              row.ip(),
+              row.incarnation(),
+              row.dataCentre(),
+              row.ready(),
+              age,
+              row.requestsPerSecond()));
     }
     members.sort(Comparator.comparing(FleetMember::ip));
     return members;
   }
 
+  /** Returns the requests that all of them take in a second, each with at least one. */
+  long totalLoad() {
+    return rows.values().stream().mapToLong(row -> row.requestsPerSecond() + 1L).sum();
+  }
+
   boolean contains(String ip) {
     return rows.containsKey(ip);
   }
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
@@ -44,6 +44,12 @@
   /** Time between heartbeats; an entry counts as gone after three and a half. */
   private static final long HEARTBEAT_NANOS = 1_000 * NANOS_PER_MILLI;
 
+  /**
+   * Time for which the load of entries that fell silent still counts: they may be cut off from here
+   * and go on using their parts of the budgets.
+   */
+  private static final long LOAD_MEMORY_NANOS = 30_000 * NANOS_PER_MILLI;
+
   /** Least time between two questions for a whole view. */
   private static final long ASK_NANOS = 150 * NANOS_PER_MILLI;
 
@@ -62,6 +68,9 @@
   private long heartbeatNanos = Long.MIN_VALUE;
   private long askedNanos = Long.MIN_VALUE / 2;
   private long jitterNanos;
+  private int requestsPerSecond;
+  private long largestLoad;
+  private long largestLoadNanos = Long.MIN_VALUE / 2;
 
   /** Creates a node that knows nothing. */
   public FleetNode(FleetPreferences preferences, FleetPort port, RandomGenerator random) {
@@ -131,6 +140,32 @@
     seeds = List.copyOf(next);
   }
 
+  /** Notes the requests that this entry takes from callers in a second, for the others to know. */
+  public void setRequestsPerSecond(int value) {
+    requestsPerSecond = value;
+  }
+
+  /**
+   * Returns this entry's part of budgets that all entries share, from 0 to 1: its part of the
+   * requests. The parts of all entries add up to 1 at the most, also while some can't hear others.
+   */
+  public double budgetPart(long nowNanos) {
+    boolean alone = roster.size() == 0;
+    if (alone && seeds.stream().anyMatch(seed -> !seed.equals(preferences.ip()))) {
+      return largestLoad == 0 ? 0 : part();
+    }
+    long load = roster.totalLoad() + requestsPerSecond + 1;
+    if (load >= largestLoad || nowNanos - largestLoadNanos > LOAD_MEMORY_NANOS) {
+      largestLoad = load;
+      largestLoadNanos = nowNanos;
+    }
+    return part();
+  }
+
+  private double part() {
+    return Math.min(1, (requestsPerSecond + 1.0) / largestLoad);
+  }
+
   /** Tells the others at once whether this entry takes new callers. */
   public void setReady(boolean value, long nowNanos) {
     if (ready != value) {
@@ -146,7 +181,7 @@
     if (message.incarnation() == preferences.incarnation() || ip.equals(preferences.ip())) {
       return;
     }
-    roster.heard(ip, message.incarnation(), message.dataCentre(), message.ready(), nowNanos);
+    roster.heard(ip, message, nowNanos);
     roster.merge(message.members(), preferences.ip(), nowNanos);
     message.view().ifPresent(news -> receivedView(ip, message, news, nowNanos));
     if (message.asksMembers() || message.asksView()) {
@@ -315,6 +350,7 @@
         asksMembers,
         asksView,
         view.rulesVersion(),
+        requestsPerSecond,
         members,
         news);
   }
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
@@ -59,7 +59,7 @@
   private final DispatchJournal journal;
   private final Runnable wake;
   private final AttemptTable attempts = new AttemptTable();
-  private final double[] slowdowns = new double[AttemptTable.CAPACITY];
+  private final boolean[] usualPace = new boolean[AttemptTable.CAPACITY];
   private Phase phase = Phase.ARRIVING;
   private @Nullable PlacementTicket ticket;
   private boolean seeking;
@@ -136,7 +136,7 @@
     attempts.close(attempt);
     if (head.status() < SERVER_ERROR) {
       long elapsed = nowNanos - attempts.startedNanos(attempt);
-      dispatcher.served(current, target, elapsed, slowdowns[attempt], nowNanos);
+      dispatcher.served(current, target, elapsed, usualPace[attempt], nowNanos);
     } else {
       dispatcher.failed(target, nowNanos);
     }
@@ -229,7 +229,7 @@
 
   private Decision send(PlacementTicket current, int target, long nowNanos) {
     int attempt = attempts.open(target, nowNanos);
-    slowdowns[attempt] = Math.max(1, dispatcher.slowdown(target));
+    usualPace[attempt] = dispatcher.isUsualPace(target, nowNanos);
     if (current.route().isIdempotent()) {
       double millis =
           Math.max(
@@ -273,7 +273,7 @@
     }
     return giveUp(
         new Failure(Step.AWAIT_RESPONSE, peer(target), detail),
-        STARTING_RETRY_AFTER_MILLIS,
+        dispatcher.retryAfterMillis(current, nowNanos),
         nowNanos);
   }
 
--- a/chivecross-core/src/main/java/org/chivecross/model/fleet/FleetMember.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/fleet/FleetMember.java
@@ -8,6 +8,12 @@
  * @param dataCentre data centre that it runs in
  * @param ready whether it takes new callers
  * @param ageMillis time since it was heard, in ms
+ * @param requestsPerSecond requests that it takes from callers in a second
  */
 public record FleetMember(
-    String ip, long incarnation, String dataCentre, boolean ready, long ageMillis) {}
+    String ip,
+    long incarnation,
+    String dataCentre,
+    boolean ready,
+    long ageMillis,
+    int requestsPerSecond) {}
--- a/chivecross-core/src/main/java/org/chivecross/model/fleet/FleetMessage.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/fleet/FleetMessage.java
@@ -12,6 +12,7 @@
  * @param asksMembers whether the sender wants to know all entries
  * @param asksView whether the sender wants all targets and the rules
  * @param knownRulesVersion version of the rules that the sender has; 0 for none
+ * @param requestsPerSecond requests that the sender takes from callers in a second
  * @param members other entries that the sender has heard
  * @param view news of the platform's store
  */
@@ -22,6 +23,7 @@
     boolean asksMembers,
     boolean asksView,
     long knownRulesVersion,
+    int requestsPerSecond,
     List<FleetMember> members,
     Optional<ViewNews> view) {
 
--- a/chivecross-core/src/test/java/org/chivecross/logic/dispatch/DispatchWorld.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/DispatchWorld.java
@@ -19,7 +19,8 @@
 
 /**
  * Dispatchers and targets in virtual time, without network. Targets have slots and a queue; a part
- * of them is five times slower in each phase of 150 ms. Not thread-safe.
+ * of them is five times slower in each phase of 150 ms, which also holds for work that has begun.
+ * Not thread-safe.
  */
 final class DispatchWorld {
 
@@ -39,6 +40,7 @@
     int running;
     int waiting;
     boolean silent;
+    double shedPart;
 
     FakeTarget(RegisteredTarget registered) {
       this.registered = registered;
@@ -53,11 +55,14 @@
   private final double slowPart;
   private final long workMillis;
   private long number;
+  private boolean partsGiven;
   int sent;
   int inTime;
   int late;
   int refused;
+  int shed;
   int probes;
+  long longestAdviceMillis;
 
   DispatchWorld(long seed, double slowPart, long workMillis) {
     random = new SplittableRandom(seed);
@@ -116,8 +121,19 @@
     }
   }
 
+  /** Gives the first entries, which take all requests, parts of the budgets by their load. */
+  void shareBudgetsByLoad(int perSecond, int loaded) {
+    double total = (double) perSecond * loaded + entries.size();
+    for (int i = 0; i < entries.size(); i++) {
+      entries.get(i).setBudgetPart(((i < loaded ? perSecond : 0) + 1) / total);
+    }
+    partsGiven = true;
+  }
+
   void run() {
-    entries.forEach(entry -> entry.setEntries(entries.size()));
+    if (!partsGiven) {
+      entries.forEach(entry -> entry.setBudgetPart(1.0 / entries.size()));
+    }
     while (!events.isEmpty()) {
       Event event = events.remove();
       event.action().accept(event.nanos());
@@ -131,6 +147,22 @@
     return slow ? SLOW_FACTOR : 1;
   }
 
+  /** Returns when work that begins at a time is done; each phase has its own speed. */
+  private long finish(FakeTarget target, long begin) {
+    long at = begin;
+    double leftNanos = workMillis * MILLI;
+    while (true) {
+      long phaseEnd = (at / (PHASE_MILLIS * MILLI) + 1) * PHASE_MILLIS * MILLI;
+      int slowdown = slowdown(target, at);
+      double needed = leftNanos * slowdown;
+      if (at + needed <= phaseEnd) {
+        return at + (long) needed;
+      }
+      leftNanos -= (phaseEnd - at) / (double) slowdown;
+      at = phaseEnd;
+    }
+  }
+
   private void request(int entry, long now) {
     sent++;
     Dispatcher dispatcher = entries.get(entry);
@@ -152,16 +184,36 @@
     }
     done[0] = true;
     if (placement instanceof Placement.Chosen chosen) {
-      serve(dispatcher, ticket, chosen.target(), now);
+      int row = chosen.target();
+      if (random.nextDouble() < find(dispatcher, row).shedPart) {
+        turnAway(dispatcher, ticket, row, done, now);
+      } else {
+        serve(dispatcher, ticket, row, now);
+      }
     } else {
       refused++;
     }
   }
 
+  /** The target turns the request away, which is then sent to another one or given up. */
+  private void turnAway(
+      Dispatcher dispatcher, PlacementTicket ticket, int row, boolean[] done, long now) {
+    dispatcher.started(row);
+    dispatcher.failed(row, now);
+    if (dispatcher.tryRepeat(ticket, now)) {
+      done[0] = false;
+      dispatcher.seekAgain(ticket, now);
+      schedule(now, at -> seek(dispatcher, ticket, done, at));
+      return;
+    }
+    shed++;
+    longestAdviceMillis = Math.max(longestAdviceMillis, dispatcher.retryAfterMillis(ticket, now));
+  }
+
   private void serve(Dispatcher dispatcher, PlacementTicket ticket, int row, long now) {
     FakeTarget target = find(dispatcher, row);
     dispatcher.started(row);
-    double slowdown = dispatcher.slowdown(row);
+    boolean usualPace = dispatcher.isUsualPace(row, now);
     long begin = now;
     if (target.running >= target.registered.slots()) {
       target.waiting++;
@@ -169,13 +221,13 @@
     }
     boolean queued = begin > now;
     target.running++;
-    long end = begin + workMillis * MILLI * slowdown(target, begin);
+    long end = finish(target, begin);
     schedule(
         end,
         at -> {
           target.running--;
           target.waiting -= queued ? 1 : 0;
-          dispatcher.served(ticket, row, at - now, slowdown, at);
+          dispatcher.served(ticket, row, at - now, usualPace, at);
           if (at - ticket.arrivedNanos() <= OBJECTIVE_MILLIS * MILLI) {
             inTime++;
           } else {
--- a/chivecross-core/src/test/java/org/chivecross/logic/dispatch/LoadPatternTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/LoadPatternTest.java
@@ -71,4 +71,48 @@
     world.run();
     assertTrue(world.inTime >= 0.99 * world.sent, world.inTime + " of " + world.sent);
   }
+
+  /** All targets of a service turn half of their requests away, though they have room. */
+  @Test
+  void everyTargetTurnsRequestsAway() {
+    DispatchWorld world = new DispatchWorld(5, 0.35, 120);
+    world.addTargets("a", 17, 6);
+    world.targets.forEach(target -> target.shedPart = 0.55);
+    world.addEntries("a", 20, 60);
+    for (int entry = 0; entry < 20; entry++) {
+      world.load(entry, 12, SECONDS);
+    }
+    world.run();
+    assertEquals(0, world.refused, "refused though targets have room");
+    assertTrue(world.longestAdviceMillis <= 50, world.longestAdviceMillis + " ms");
+  }
+
+  /** Probes are scarce, so most reports are old; a slow phase is over before it matters. */
+  @Test
+  void oldReportsOfSlownessAreNoReasonToRefuse() {
+    DispatchWorld world = new DispatchWorld(6, 0.35, 120);
+    world.addTargets("a", 17, 6);
+    world.addEntries("a", 20, 8);
+    for (int entry = 0; entry < 20; entry++) {
+      world.load(entry, 14, SECONDS);
+    }
+    world.run();
+    assertTrue(world.refused <= 0.001 * world.sent, world.refused + " of " + world.sent);
+  }
+
+  /** Few entries take most of the requests; probes are for where requests come in. */
+  @Test
+  void fewEntriesTakeMostOfTheRequests() {
+    DispatchWorld world = new DispatchWorld(7, 0.35, 120);
+    world.addTargets("a", 17, 6);
+    world.addEntries("a", 20, 14);
+    for (int entry = 0; entry < 4; entry++) {
+      world.load(entry, 30, SECONDS);
+    }
+    world.shareBudgetsByLoad(30, 4);
+    world.run();
+    assertTrue(world.inTime >= 0.97 * world.sent, world.inTime + " of " + world.sent);
+    double perTargetAndSecond = world.probes / (double) SECONDS / 17;
+    assertTrue(perTargetAndSecond <= 14, perTargetAndSecond + " probes");
+  }
 }
--- a/chivecross-core/src/test/java/org/chivecross/logic/dispatch/RetryAllowanceTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/RetryAllowanceTest.java
@@ -20,7 +20,7 @@
       if (i % 100 == 0) {
         allowance.request(now);
       }
-      repeats += allowance.tryRepeat(ENTRIES, now) ? 1 : 0;
+      repeats += allowance.tryRepeat(1.0 / ENTRIES, now) ? 1 : 0;
     }
     double budget = 0.2 * 100 + 75.0 / ENTRIES;
     assertTrue(repeats > 0 && repeats <= budget, repeats + " of " + budget);
--- a/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetNodeTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetNodeTest.java
@@ -44,6 +44,7 @@
     final FleetNode node;
     final String ip;
     boolean running = true;
+    boolean reachable = true;
     boolean turnedAway;
     OptionalLong wanted = OptionalLong.empty();
     long readEndsNanos = Long.MAX_VALUE;
@@ -60,7 +61,7 @@
     @Override
     public void send(String to, FleetMessage message) {
       Entry other = entries.get(to);
-      if (other != null && other.running && running) {
+      if (other != null && other.running && running && other.reachable && reachable) {
         inbox.add(new Mail(ip, to, message, now + MILLI));
       }
     }
@@ -297,4 +298,30 @@
     runMillis(2_000);
     assertEquals(12, count(node -> node.rules().orElseThrow().version() == 9));
   }
+
+  private double partsOfAll() {
+    return entries.values().stream().mapToDouble(entry -> entry.node.budgetPart(now)).sum();
+  }
+
+  /** One data centre has most of the callers. */
+  @Test
+  void partsOfBudgetsFollowTheLoadAndAddUpToOne() {
+    entry("10.1.0.1").node.setRequestsPerSecond(99);
+    assertTrue(partsOfAll() <= 1, "before they know each other");
+    runMillis(5_000);
+    assertEquals(1.0, partsOfAll(), 0.01);
+    assertEquals(100.0 / 111, entry("10.1.0.1").node.budgetPart(now), 0.01);
+  }
+
+  /** An entry that is cut off from the others goes on serving; its part is still its own. */
+  @Test
+  void partsOfBudgetsDoNotGrowWhileEntriesAreCutOff() {
+    runMillis(5_000);
+    assertEquals(1.0, partsOfAll(), 0.01);
+    Entry cut = entry("10.2.0.2");
+    cut.reachable = false;
+    runMillis(8_000);
+    assertEquals(0, cut.node.others(now).size());
+    assertTrue(partsOfAll() <= 1.01, "parts add up to " + partsOfAll());
+  }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -210,8 +210,9 @@
     long next;
     synchronized (guard) {
       long now = System.nanoTime();
+      node.setRequestsPerSecond((int) Math.round(dispatcher.requestsPerSecond(now)));
       node.tick(now);
-      dispatcher.setEntries(node.others(now).size() + 1);
+      dispatcher.setBudgetPart(node.budgetPart(now));
       next = node.nextTickNanos(now);
     }
     scheduler.wakeAt(next, this::tick);
@@ -283,7 +284,7 @@
     synchronized (guard) {
       long now = System.nanoTime();
       FleetMember self =
-          new FleetMember(settings.ip(), incarnation, settings.dataCentre(), isReady(), 0);
+          new FleetMember(settings.ip(), incarnation, settings.dataCentre(), isReady(), 0, 0);
       int port = settings.callers().getPort();
       return FleetDirectory.answer(self, node.others(now), dataCentre, MOST_NAMED).stream()
           .map(ip -> ip + ":" + port)
--- a/chivecross-wire/src/main/java/org/chivecross/wire/fleet/FleetCodec.java
+++ b/chivecross-wire/src/main/java/org/chivecross/wire/fleet/FleetCodec.java
@@ -30,7 +30,8 @@
             .setReady(message.ready())
             .setAsksMembers(message.asksMembers())
             .setAsksView(message.asksView())
-            .setKnownRulesVersion(message.knownRulesVersion());
+            .setKnownRulesVersion(message.knownRulesVersion())
+            .setRequestsPerSecond(message.requestsPerSecond());
     for (FleetMember member : message.members()) {
       datagram.addMembers(
           MemberNote.newBuilder()
@@ -38,7 +39,8 @@
               .setIncarnation(member.incarnation())
               .setDataCentre(member.dataCentre())
               .setReady(member.ready())
-              .setAgeMillis((int) member.ageMillis()));
+              .setAgeMillis((int) member.ageMillis())
+              .setRequestsPerSecond(member.requestsPerSecond()));
     }
     message.view().ifPresent(view -> datagram.setView(toNote(view)));
     return datagram.build().toByteArray();
@@ -61,6 +63,7 @@
               datagram.getAsksMembers(),
               datagram.getAsksView(),
               datagram.getKnownRulesVersion(),
+              datagram.getRequestsPerSecond(),
               datagram.getMembersList().stream().map(FleetCodec::toMember).toList(),
               view));
     } catch (InvalidProtocolBufferException e) {
@@ -74,7 +77,8 @@
         note.getIncarnation(),
         note.getDataCentre(),
         note.getReady(),
-        note.getAgeMillis());
+        note.getAgeMillis(),
+        note.getRequestsPerSecond());
   }
 
   private static ViewNote toNote(ViewNews view) {
--- a/chivecross-wire/src/test/java/org/chivecross/wire/fleet/FleetCodecTest.java
+++ b/chivecross-wire/src/test/java/org/chivecross/wire/fleet/FleetCodecTest.java
@@ -68,7 +68,8 @@
         false,
         true,
         11,
-        List.of(new FleetMember("10.0.0.9", 99, "b", false, 250)),
+        23,
+        List.of(new FleetMember("10.0.0.9", 99, "b", false, 250, 17)),
         Optional.of(news));
   }
 
