Take work to keep the speed at which it began, and weigh reports by their age

A trial that logs each answer shows why: work begun at usual speed took 154 ms at the median and 226 at the 90th percentile, work begun at five times 731 ms; the pace at the beginning holds to the end. Change: a young report counts as it is, an old one as the mean of the target's reports; a slow target with a free slot is worth advice of half a phase, not of a backlog. The model of the tests is as it was.

--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -53,7 +53,7 @@
   private static final double PATIENCE = 0.25;
 
   /** Expected time, relative to the usual time, up to which a target is taken without comparing. */
-  private static final double GOOD_ENOUGH = 1.3;
+  private static final double GOOD_ENOUGH = 1.4;
 
   /** Part of the time left that a target may be expected to need. */
   private static final double SAFE_PART = 0.85;
@@ -166,10 +166,12 @@
    * soon while another target has room, else when about half of the backlog is done.
    */
   public long retryAfterMillis(PlacementTicket ticket, long nowNanos) {
-    int best = best(ticket, board.usableRows(ticket.service()), Long.MAX_VALUE, nowNanos);
-    double millis = expectedMillis(ticket, best, nowNanos);
-    boolean hasRoom = millis <= ticket.route().latencyObjectiveMillis();
-    return hasRoom ? advice.soonMillis() : advice.afterBacklogMillis(millis);
+    int[] rows = board.usableRows(ticket.service());
+    if (board.hasFreeSlot(rows)) {
+      return advice.soonMillis();
+    }
+    int best = best(ticket, rows, Long.MAX_VALUE, nowNanos);
+    return advice.afterBacklogMillis(expectedMillis(ticket, best, nowNanos));
   }
 
   /** Looks for a target; may send probes. */
@@ -194,10 +196,8 @@
     if (ticket.rounds() < MAX_ROUNDS && startRound(ticket, rows, nowNanos)) {
       return new Placement.Pending(nowNanos + PROBE_TIMEOUT_NANOS);
     }
-    if (best == TargetBoard.NONE) {
-      // The allowance for probes is used up, and an old report is better than a refusal.
-      best = best(ticket, rows, Long.MAX_VALUE, nowNanos);
-    }
+    // An old report may promise more than a young one that tells of slowness or a queue.
+    best = best(ticket, rows, Long.MAX_VALUE, nowNanos);
     return judge(ticket, best, nowNanos);
   }
 
@@ -217,9 +217,10 @@
       return choose(ticket, best);
     }
     if (!patient) {
+      boolean slowOnly = board.hasFreeSlot(board.usableRows(ticket.service()));
       return refuse(
-          "all targets of " + ticket.service() + " are busy",
-          advice.afterBacklogMillis(bestMillis));
+          "all targets of " + ticket.service() + (slowOnly ? " are slow" : " are busy"),
+          slowOnly ? advice.nextPhaseMillis() : advice.afterBacklogMillis(bestMillis));
     }
     ticket.restartRounds();
     return new Placement.Pending(nowNanos + ASK_AGAIN_NANOS);
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/ExpectedTime.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/ExpectedTime.java
@@ -1,5 +1,6 @@
 package org.chivecross.logic.dispatch;
 
+import java.util.concurrent.TimeUnit;
 import org.chivecross.model.registry.RegisteredTarget;
 
 /**
@@ -20,11 +21,8 @@
   /** Usual times that each remembered failure counts when targets are compared. */
   private static final double FAILURE_FACTOR = 1.5;
 
-  /** Time that a reported slowness still lasts on average: half of a phase of 150 ms. */
-  private static final double SLOW_PHASE_LEFT_MILLIS = 75;
-
-  /** How much slower than others a target must report for long to count as slow for good. */
-  private static final double LASTING_SLOWNESS = 1.5;
+  /** Length of a phase of slowness; a report that is older says nothing of the present one. */
+  private static final double PHASE_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
 
   private static final double BYTES_PER_KILOBYTE = 1024;
 
@@ -45,17 +43,16 @@
   double millis(int row, double usualMillis, long bodyBytes, long nowNanos) {
     int slots = board.slots(row);
     double before = board.running(row) + board.waiting(row);
-    double lasting = board.relativeSlowdown(row);
-    double service = usualMillis * (lasting > LASTING_SLOWNESS ? lasting : 1);
+    double pace = pace(row, nowNanos);
     if (!board.isWarm(row, nowNanos)) {
-      service *= COLD_FACTOR;
+      pace = Math.max(pace, COLD_FACTOR);
     }
+    double service = usualMillis * pace;
     if (isNearlyFull(row)) {
       service *= NEARLY_FULL_FACTOR;
     }
     double queue = Math.max(0, before + 1 - slots) / slots * service;
-    double slowPhase = SLOW_PHASE_LEFT_MILLIS * (1 - 1 / Math.max(1, board.slowdown(row)));
-    return service + slowPhase + queue + crossing(row, bodyBytes);
+    return service + queue + crossing(row, bodyBytes);
   }
 
   /**
@@ -68,6 +65,16 @@
     return FAILURE_FACTOR * usualMillis * Math.max(0, board.failures(row, nowNanos) - shared);
   }
 
+  /**
+   * Returns how many times longer than usual work takes that begins now: what the last report tells
+   * while it is young, what reports of the target told on average when it is old.
+   */
+  private double pace(int row, long nowNanos) {
+    double age = board.reportAgeNanos(row, nowNanos) / PHASE_NANOS;
+    double trust = Math.max(0, 1 - age);
+    return trust * board.slowdown(row) + (1 - trust) * board.meanSlowdown(row);
+  }
+
   /** Returns whether a target works at its usual speed, as far as its last report tells. */
   boolean isUsualPace(int row, long nowNanos) {
     return board.isWarm(row, nowNanos) && board.slowdown(row) <= 1 && !isNearlyFull(row);
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/RetryAdvice.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/RetryAdvice.java
@@ -11,6 +11,9 @@
   /** While another target has room: about the time until the next report tells its load. */
   private static final long SOON_MILLIS = 20;
 
+  /** While targets have room but are slow: half of a phase of slowness. */
+  private static final long NEXT_PHASE_MILLIS = 75;
+
   /** Shortest time in which a backlog shrinks by a noticeable part. */
   private static final long SHORTEST_BACKLOG_MILLIS = 100;
 
@@ -28,6 +31,11 @@
     return jittered(SOON_MILLIS);
   }
 
+  /** Returns the advice while targets have room but are slow for the moment, in ms. */
+  long nextPhaseMillis() {
+    return jittered(NEXT_PHASE_MILLIS);
+  }
+
   /**
    * Returns the advice while all targets are busy: the time until about half of the backlog is
    * done, in ms.
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetBoard.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetBoard.java
@@ -173,9 +173,14 @@
     return slowdownPercent[row] / (double) LoadReport.USUAL_SPEED;
   }
 
-  /** Returns how many times slower than the others a target has been over its last reports. */
-  double relativeSlowdown(int row) {
-    return meanSlowdown[row] / commonSlowdown;
+  /** Returns how many times longer than usual work takes at a target, a mean of its reports. */
+  double meanSlowdown(int row) {
+    return meanSlowdown[row];
+  }
+
+  /** Returns the age of the last report, in ns; very large when there is none. */
+  double reportAgeNanos(int row, long nowNanos) {
+    return reportNanos[row] == Long.MIN_VALUE ? Double.MAX_VALUE : nowNanos - reportNanos[row];
   }
 
   /** Returns the failures that each of some targets has at least. */
@@ -187,6 +192,16 @@
     return rows.length == 0 ? 0 : least;
   }
 
+  /** Returns whether any of some targets has a free slot, as far as their last reports tell. */
+  boolean hasFreeSlot(int[] rows) {
+    for (int row : rows) {
+      if (running(row) + waiting(row) < slots(row)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   boolean isWarm(int row, long nowNanos) {
     return nowNanos >= warmNanos[row];
   }
