Let three entries of a data centre pass heartbeats on, and start from another entry's view

Change: heartbeats go to the first three entries of a data centre, which pass them to all there; an entry that starts asks these for the view, waits for it (0.5 to 2 s at the first start, up to 0.15 s after a restart) and reads the store only without an answer; later places in rank no longer read together. Connections to a target are shared by load, as the other budgets.

--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -133,6 +133,13 @@
     return board.target(row);
   }
 
+  /** Returns the most connections that this entry may have to a target. */
+  public int connectionLimit(int row) {
+    String service = board.target(row).map(RegisteredTarget::service).orElse("");
+    int accepted = routes.map(table -> table.maxConnections(service)).orElse(0);
+    return ConnectionShare.limit(accepted, budgetPart);
+  }
+
   /** Returns the number of targets that may be used. */
   public int usableTargets() {
     return board.usableCount();
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/RouteTable.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/RouteTable.java
@@ -16,6 +16,7 @@
 public final class RouteTable {
 
   private final Map<String, List<RouteRule>> byHost;
+  private final Map<String, Integer> maxConnections = new HashMap<>();
 
   /** Creates a table of the routes of a rule set. */
   public RouteTable(RuleSet rules) {
@@ -27,6 +28,14 @@
       routes.sort(Comparator.comparingInt((RouteRule route) -> route.prefix().length()).reversed());
     }
     byHost = Map.copyOf(hosts);
+    rules
+        .services()
+        .forEach(service -> maxConnections.put(service.name(), service.maxConnections()));
+  }
+
+  /** Returns the connections that a target of a service accepts from all entries together. */
+  int maxConnections(String service) {
+    return maxConnections.getOrDefault(service, 0);
   }
 
   /**
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.chivecross.model.fleet.FleetMember;
@@ -30,11 +32,17 @@
   /** Age of the view at which the first in rank reads again; the drain bound is four times that. */
   private static final long READ_AGE_NANOS = 400 * NANOS_PER_MILLI;
 
-  /** Additional age for each place in rank, several times the way of a read and its news. */
-  private static final long RANK_STEP_NANOS = 120 * NANOS_PER_MILLI;
+  /**
+   * Entries of a data centre to which the others tell that they live, and which tell it to all
+   * there; with three of them, the loss of two delays no news.
+   */
+  private static final int HUBS = 3;
+
+  /** Longest wait for the view of another entry before the store is read after a restart. */
+  private static final long RESTART_WAIT_NANOS = 150 * NANOS_PER_MILLI;
 
-  /** Places in rank that are told apart; the rest read at about the same time. */
-  private static final int MAX_RANK = 5;
+  /** The same at the first start of all, when no caller waits yet. */
+  private static final long FIRST_START_WAIT_NANOS = 2_000 * NANOS_PER_MILLI;
 
   /** Pause after failed reads, doubled with each failure in a row. */
   private static final long FIRST_PAUSE_NANOS = 150 * NANOS_PER_MILLI;
@@ -44,12 +52,6 @@
   /** Time between heartbeats; an entry counts as gone after three and a half. */
   private static final long HEARTBEAT_NANOS = 1_000 * NANOS_PER_MILLI;
 
-  /**
-   * Time for which the load of entries that fell silent still counts: they may be cut off from here
-   * and go on using their parts of the budgets.
-   */
-  private static final long LOAD_MEMORY_NANOS = 30_000 * NANOS_PER_MILLI;
-
   /** Least time between two questions for a whole view. */
   private static final long ASK_NANOS = 150 * NANOS_PER_MILLI;
 
@@ -64,13 +66,14 @@
   private long readSentNanos;
   private int failedReads;
   private long noReadBeforeNanos = Long.MIN_VALUE;
-  private boolean wholeNext = true;
+  private boolean wholeNext;
+  private boolean started;
+  private final Set<String> waitingForView = new TreeSet<>();
   private long heartbeatNanos = Long.MIN_VALUE;
   private long askedNanos = Long.MIN_VALUE / 2;
   private long jitterNanos;
   private int requestsPerSecond;
-  private long largestLoad;
-  private long largestLoadNanos = Long.MIN_VALUE / 2;
+  private final LoadShare share = new LoadShare();
 
   /** Creates a node that knows nothing. */
   public FleetNode(FleetPreferences preferences, FleetPort port, RandomGenerator random) {
@@ -82,6 +85,10 @@
 
   /** Does what is due. */
   public void tick(long nowNanos) {
+    if (!started) {
+      started = true;
+      noReadBeforeNanos = nowNanos + firstWaitNanos();
+    }
     roster.expire(nowNanos);
     if (view.expire(nowNanos)) {
       port.viewChanged(false);
@@ -109,13 +116,14 @@
     reading = false;
     failedReads = 0;
     wholeNext = false;
-    jitterNanos = random.nextLong(RANK_STEP_NANOS / 2);
+    jitterNanos = random.nextLong(ReadOrder.STEP_NANOS / 2);
     boolean first = !view.isKnown();
     PlatformView.Update update = view.apply(change, readSentNanos, nowNanos);
     if (first || !update.isEmpty()) {
       port.viewChanged(update.newRules());
     }
     publish(update, nowNanos);
+    tellWaiting(nowNanos);
   }
 
   /**
@@ -150,29 +158,19 @@
    * requests. The parts of all entries add up to 1 at the most, also while some can't hear others.
    */
   public double budgetPart(long nowNanos) {
-    boolean alone = roster.size() == 0;
-    if (alone && seeds.stream().anyMatch(seed -> !seed.equals(preferences.ip()))) {
-      return largestLoad == 0 ? 0 : part();
+    boolean expectsOthers = seeds.stream().anyMatch(seed -> !seed.equals(preferences.ip()));
+    if (roster.size() > 0 || !expectsOthers) {
+      share.noteOthers(roster.totalLoad(), requestsPerSecond, nowNanos);
     }
-    long load = roster.totalLoad() + requestsPerSecond + 1;
-    if (load >= largestLoad || nowNanos - largestLoadNanos > LOAD_MEMORY_NANOS) {
-      largestLoad = load;
-      largestLoadNanos = nowNanos;
-    }
-    return part();
-  }
-
-  private double part() {
-    return Math.min(1, (requestsPerSecond + 1.0) / largestLoad);
+    return share.part(requestsPerSecond);
   }
 
   /** Tells the others at once whether this entry takes new callers. */
   public void setReady(boolean value, long nowNanos) {
     if (ready != value) {
       ready = value;
-      for (FleetMember member : roster.members(nowNanos)) {
-        port.send(member.ip(), message(List.of(), Optional.empty(), false, false));
-      }
+      FleetMessage news = message(List.of(), Optional.empty(), false, false);
+      near(nowNanos).forEach(member -> port.send(member.ip(), news));
     }
   }
 
@@ -185,15 +183,48 @@
     roster.merge(message.members(), preferences.ip(), nowNanos);
     message.view().ifPresent(news -> receivedView(ip, message, news, nowNanos));
     if (message.asksMembers() || message.asksView()) {
-      boolean lacksRules = message.knownRulesVersion() < view.rulesVersion();
-      Optional<ViewNews> whole =
-          message.asksView() && view.isKnown()
-              ? Optional.of(view.whole(lacksRules, nowNanos))
-              : Optional.empty();
-      List<FleetMember> members =
-          message.asksMembers() ? roster.members(nowNanos) : List.<FleetMember>of();
-      port.send(ip, message(members, whole, false, false));
+      answer(ip, message, nowNanos);
+    }
+  }
+
+  private void answer(String ip, FleetMessage question, long nowNanos) {
+    boolean isNear = question.dataCentre().equals(preferences.dataCentre());
+    boolean startsAnew = question.knownRulesVersion() == 0;
+    // A whole view is large, so an entry that has just started gets it from its own data centre.
+    boolean mayHaveView = question.asksView() && (isNear || !startsAnew);
+    if (mayHaveView && !view.isKnown()) {
+      waitingForView.add(ip);
+    }
+    boolean lacksRules = question.knownRulesVersion() < view.rulesVersion();
+    Optional<ViewNews> whole =
+        mayHaveView && view.isKnown()
+            ? Optional.of(view.whole(lacksRules, nowNanos))
+            : Optional.empty();
+    List<FleetMember> members =
+        question.asksMembers() ? roster.members(nowNanos) : List.<FleetMember>of();
+    port.send(ip, message(members, whole, false, false));
+  }
+
+  /** Sends the view to entries that asked for it before it was known. */
+  private void tellWaiting(long nowNanos) {
+    if (waitingForView.isEmpty() || !view.isKnown()) {
+      return;
     }
+    FleetMessage whole = message(List.of(), Optional.of(view.whole(true, nowNanos)), false, false);
+    waitingForView.forEach(ip -> port.send(ip, whole));
+    waitingForView.clear();
+  }
+
+  /**
+   * Returns how long to wait for the view of another entry before the store is read. The seeds
+   * don't wait; the others read at different times.
+   */
+  private long firstWaitNanos() {
+    if (seeds.isEmpty() || seeds.contains(preferences.ip())) {
+      return 0;
+    }
+    long most = preferences.firstStart() ? FIRST_START_WAIT_NANOS : RESTART_WAIT_NANOS;
+    return most / 4 + random.nextLong(most - most / 4);
   }
 
   /** Returns the rules in force, if any are known. */
@@ -234,6 +265,7 @@
     if (!update.isEmpty()) {
       port.viewChanged(update.newRules());
     }
+    tellWaiting(nowNanos);
     if (foreign && (newer || !update.isEmpty() || news.ageMillis() + 100 < ageBefore)) {
       sendNear(update, nowNanos);
     }
@@ -266,28 +298,32 @@
     FleetMessage near =
         message(
             List.of(), Optional.of(view.news(update, update.newRules(), nowNanos)), false, false);
-    for (FleetMember member : roster.members(nowNanos)) {
-      if (member.dataCentre().equals(preferences.dataCentre())) {
-        port.send(member.ip(), near);
-      }
-    }
+    near(nowNanos).forEach(member -> port.send(member.ip(), near));
+  }
+
+  /** Returns the other entries of this data centre, by IP number. */
+  private List<FleetMember> near(long nowNanos) {
+    return roster.members(nowNanos).stream()
+        .filter(member -> member.dataCentre().equals(preferences.dataCentre()))
+        .toList();
   }
 
   private void heartbeat(long nowNanos) {
     List<FleetMember> members = roster.members(nowNanos);
-    List<FleetMember> near = new ArrayList<>();
-    List<FleetMember> far = new ArrayList<>();
-    for (FleetMember member : members) {
-      boolean isNear = member.dataCentre().equals(preferences.dataCentre());
-      (isNear ? near : far).add(member);
-    }
-    FleetMessage alive = message(far, Optional.empty(), false, false);
-    near.forEach(member -> port.send(member.ip(), alive));
-    boolean delegate = near.isEmpty() || preferences.ip().compareTo(near.get(0).ip()) < 0;
-    if (delegate) {
+    List<FleetMember> near = near(nowNanos);
+    long before = near.stream().filter(m -> m.ip().compareTo(preferences.ip()) < 0).count();
+    boolean isHub = before < HUBS;
+    boolean asksView = !view.isKnown();
+    FleetMessage alive =
+        message(isHub ? members : List.of(), Optional.empty(), false, asksView && !isHub);
+    List<FleetMember> receivers = isHub ? near : near.subList(0, Math.min(HUBS, near.size()));
+    receivers.forEach(member -> port.send(member.ip(), alive));
+    if (before == 0) {
+      List<FleetMember> far = new ArrayList<>(members);
+      far.removeAll(near);
       sendFar(near, far);
     }
-    FleetMessage hello = message(List.of(), Optional.empty(), true, !view.isKnown());
+    FleetMessage hello = message(List.of(), Optional.empty(), true, asksView);
     for (String seed : seeds) {
       if (!seed.equals(preferences.ip()) && !roster.contains(seed)) {
         port.send(seed, hello);
@@ -303,7 +339,8 @@
             byDataCentre.computeIfAbsent(member.dataCentre(), dc -> new ArrayList<>()).add(member));
     FleetMessage message = message(near, Optional.empty(), false, false);
     for (List<FleetMember> there : byDataCentre.values()) {
-      port.send(there.get(random.nextInt(there.size())).ip(), message);
+      int hubs = Math.min(HUBS, there.size());
+      port.send(there.get(random.nextInt(hubs)).ip(), message);
     }
   }
 
@@ -314,31 +351,9 @@
     if (wholeNext) {
       return noReadBeforeNanos;
     }
-    long due = view.asOfNanos() + READ_AGE_NANOS + rank(nowNanos) * RANK_STEP_NANOS + jitterNanos;
-    return Math.max(due, noReadBeforeNanos);
-  }
-
-  /** Returns this entry's place: the first of each data centre come before the second ones. */
-  private int rank(long nowNanos) {
-    TreeMap<String, Integer> before = new TreeMap<>();
-    int ownPlace = 0;
-    for (FleetMember member : roster.members(nowNanos)) {
-      before.merge(member.dataCentre(), 1, Integer::sum);
-      boolean near = member.dataCentre().equals(preferences.dataCentre());
-      if (near && member.ip().compareTo(preferences.ip()) < 0) {
-        ownPlace++;
-      }
-    }
-    before.putIfAbsent(preferences.dataCentre(), 0);
-    int rank = 0;
-    for (var other : before.entrySet()) {
-      boolean own = other.getKey().equals(preferences.dataCentre());
-      boolean earlier = other.getKey().compareTo(preferences.dataCentre()) < 0;
-      if (!own) {
-        rank += Math.min(other.getValue(), ownPlace + (earlier ? 1 : 0));
-      }
-    }
-    return Math.min(MAX_RANK, rank + ownPlace);
+    int rank = ReadOrder.rank(preferences.ip(), preferences.dataCentre(), roster.members(nowNanos));
+    long steps = ReadOrder.delayNanos(rank);
+    return Math.max(view.asOfNanos() + READ_AGE_NANOS + steps + jitterNanos, noReadBeforeNanos);
   }
 
   private FleetMessage message(
--- a/chivecross-core/src/test/java/org/chivecross/logic/dispatch/LoadPatternTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/LoadPatternTest.java
@@ -100,6 +100,18 @@
     assertTrue(world.refused <= 0.001 * world.sent, world.refused + " of " + world.sent);
   }
 
+  /** As many entries as the larger deployments have share what a target accepts. */
+  @Test
+  void connectionsOfAllEntriesStayWithinWhatATargetAccepts() {
+    DispatchWorld world = new DispatchWorld(8, 0, 100);
+    world.addTargets("a", 1, 4);
+    world.addEntries("a", 60, 60);
+    world.shareBudgetsByLoad(30, 10);
+    int all = world.entries.stream().mapToInt(entry -> entry.connectionLimit(0)).sum();
+    assertTrue(all <= 300, all + " connections");
+    assertTrue(world.entries.get(0).connectionLimit(0) >= 10);
+  }
+
   /** Few entries take most of the requests; probes are for where requests come in. */
   @Test
   void fewEntriesTakeMostOfTheRequests() {
--- /dev/null
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetWorld.java
@@ -0,0 +1,192 @@
+package org.chivecross.logic.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.chivecross.model.fileset.RequestClass;
+import org.chivecross.model.fleet.FleetMessage;
+import org.chivecross.model.fleet.StoreChange;
+import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.ruleset.CallerLimits;
+import org.chivecross.model.ruleset.RouteRule;
+import org.chivecross.model.ruleset.RuleSet;
+import org.chivecross.model.ruleset.WeightedService;
+
+/**
+ * Entries in several data centres that share reads of a store, in virtual time. Not thread-safe.
+ */
+final class FleetWorld {
+
+  private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+  private static final long READ_MILLIS = 6;
+  private static final List<String> SEEDS = List.of("10.1.0.1", "10.2.0.1");
+
+  final Map<String, Entry> entries = new TreeMap<>();
+  final Map<String, RegisteredTarget> stored = new TreeMap<>();
+  private final Map<String, Long> changedAt = new TreeMap<>();
+  private final SplittableRandom random = new SplittableRandom(7);
+  RuleSet rules = rules(1);
+  long revision = 1;
+  long now;
+  boolean storeDown;
+  int reads;
+  int wholeReads;
+  int messages;
+
+  /** One entry with its port to the test. */
+  final class Entry implements FleetPort {
+    final FleetNode node;
+    final String ip;
+    boolean running = true;
+    boolean reachable = true;
+    boolean turnedAway;
+    OptionalLong wanted = OptionalLong.empty();
+    long readEndsNanos = Long.MAX_VALUE;
+    long tickNanos;
+
+    Entry(String ip, String dataCentre, boolean firstStart) {
+      this.ip = ip;
+      node =
+          new FleetNode(
+              new FleetPreferences(ip, dataCentre, ip.hashCode(), SEEDS, firstStart),
+              this,
+              random.split());
+    }
+
+    @Override
+    public void send(String to, FleetMessage message) {
+      messages++;
+      Entry other = entries.get(to);
+      if (other != null && other.running && running && other.reachable && reachable) {
+        inbox.add(new Mail(ip, to, message, now + MILLI));
+      }
+    }
+
+    @Override
+    public void read(OptionalLong after) {
+      reads++;
+      wholeReads += after.isEmpty() ? 1 : 0;
+      wanted = after;
+      readEndsNanos = now + READ_MILLIS * MILLI;
+    }
+
+    @Override
+    public void viewChanged(boolean newRules) {}
+
+    void endRead() {
+      readEndsNanos = Long.MAX_VALUE;
+      if (storeDown || turnedAway) {
+        node.readFailed(false, now);
+        return;
+      }
+      node.readEnded(wanted.isPresent() ? changesAfter(wanted.getAsLong()) : everything(), now);
+    }
+  }
+
+  /** A message on its way. */
+  private record Mail(String from, String to, FleetMessage message, long arrivesNanos) {}
+
+  private List<Mail> inbox = new ArrayList<>();
+
+  /** Creates entries that have not been ticked yet, and registered targets. */
+  FleetWorld(int dataCentres, int entriesEach, int targets, boolean firstStart) {
+    for (int dc = 1; dc <= dataCentres; dc++) {
+      for (int i = 1; i <= entriesEach; i++) {
+        String ip = "10." + dc + ".0." + i;
+        entries.put(ip, new Entry(ip, "dc" + dc, firstStart));
+      }
+    }
+    for (int i = 0; i < targets; i++) {
+      put("t" + i, 1, false);
+    }
+  }
+
+  Entry entry(String ip) {
+    return java.util.Objects.requireNonNull(entries.get(ip));
+  }
+
+  void put(String id, long startedAt, boolean leaving) {
+    put(new RegisteredTarget(id, startedAt, "s", "10.9.0.1:80", "dc1", 4, leaving, 0));
+  }
+
+  void put(RegisteredTarget target) {
+    stored.put(target.id(), target);
+    revision++;
+    changedAt.put(target.id(), revision);
+  }
+
+  RegisteredTarget remove(String id) {
+    revision++;
+    changedAt.put(id, revision);
+    return java.util.Objects.requireNonNull(stored.remove(id));
+  }
+
+  private StoreChange everything() {
+    return new StoreChange(
+        true, revision, List.copyOf(stored.values()), List.of(), Optional.of(rules));
+  }
+
+  private StoreChange changesAfter(long known) {
+    List<RegisteredTarget> registered = new ArrayList<>();
+    List<String> removed = new ArrayList<>();
+    changedAt.forEach(
+        (id, at) -> {
+          RegisteredTarget target = stored.get(id);
+          if (at > known && target == null) {
+            removed.add(id);
+          } else if (at > known) {
+            registered.add(target);
+          }
+        });
+    return new StoreChange(false, revision, registered, removed, Optional.of(rules));
+  }
+
+  static RuleSet rules(long version) {
+    RouteRule route =
+        new RouteRule(
+            "r", "h", "/", List.of(new WeightedService("s", 1)), RequestClass.READ, 1, 1, 1, 0);
+    return new RuleSet(version, List.of(route), List.of(), new CallerLimits(1, 1, 1, 1));
+  }
+
+  void runMillis(long millis) {
+    long end = now + millis * MILLI;
+    while (now < end) {
+      now += MILLI;
+      List<Mail> due = inbox;
+      inbox = new ArrayList<>();
+      for (Mail mail : due) {
+        Entry receiver = entries.get(mail.to());
+        if (mail.arrivesNanos() > now) {
+          inbox.add(mail);
+        } else if (receiver != null && receiver.running) {
+          receiver.node.received(mail.from(), mail.message(), now);
+        }
+      }
+      for (Entry entry : entries.values()) {
+        if (!entry.running) {
+          continue;
+        }
+        if (now >= entry.readEndsNanos) {
+          entry.endRead();
+          entry.tickNanos = entry.node.nextTickNanos(now);
+        }
+        if (now >= entry.tickNanos) {
+          entry.node.tick(now);
+          entry.tickNanos = entry.node.nextTickNanos(now);
+        }
+      }
+    }
+  }
+
+  long count(java.util.function.Predicate<FleetNode> condition) {
+    return entries.values().stream()
+        .filter(entry -> entry.running)
+        .filter(entry -> condition.test(entry.node))
+        .count();
+  }
+}
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/DispatchAddresses.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/DispatchAddresses.java
@@ -14,9 +14,6 @@
  */
 final class DispatchAddresses implements UpstreamAddresses {
 
-  /** Most connections to one target; many entries share what it accepts. */
-  private static final int MOST_CONNECTIONS = 24;
-
   private final Object guard;
   private final Dispatcher dispatcher;
   private final Map<String, InetSocketAddress> parsed = new ConcurrentHashMap<>();
@@ -33,7 +30,9 @@
 
   @Override
   public int connectionLimit(int target) {
-    return MOST_CONNECTIONS;
+    synchronized (guard) {
+      return dispatcher.connectionLimit(target);
+    }
   }
 
   @Override
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -98,7 +98,12 @@
     dispatcher = new Dispatcher(settings.dispatch(), this::probe, random.split());
     socket = new FleetSocket(settings.peers(), this::received);
     FleetPreferences preferences =
-        new FleetPreferences(settings.ip(), settings.dataCentre(), incarnation, settings.seeds());
+        new FleetPreferences(
+            settings.ip(),
+            settings.dataCentre(),
+            incarnation,
+            settings.seeds(),
+            settings.firstStart());
     node = new FleetNode(preferences, new NodePort(), random.split());
     PrometheusRegistry registry = new PrometheusRegistry();
     metrics = new EntryMetrics(registry, this::serviceName);
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntrySettings.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntrySettings.java
@@ -16,6 +16,7 @@
  * @param metrics address on which metrics are served
  * @param peers address for the datagrams of other entries
  * @param seeds IP numbers of VMs on which entries are likely to run
+ * @param firstStart whether all entries start for the first time, so that no caller waits yet
  * @param graceMillis time from a request to stop until the process is killed, in ms
  * @param dispatch settings of the placement of requests
  */
@@ -29,6 +30,7 @@
     InetSocketAddress metrics,
     InetSocketAddress peers,
     List<String> seeds,
+    boolean firstStart,
     long graceMillis,
     DispatchPreferences dispatch) {
 
