--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -41,26 +41,14 @@
   /** Pause after which busy targets are asked again, a fraction of a phase of slowness. */
   private static final long ASK_AGAIN_NANOS = 30 * NANOS_PER_MILLI;
 
-  /** Age up to which a bad report keeps a target from being asked before others. */
-  private static final long REMEMBERED_NANOS = 120 * NANOS_PER_MILLI;
-
-  /** Disadvantage of such a target when it is chosen whom to ask, as that of a far one. */
-  private static final double REMEMBERED_COST = 1.0;
-
   /**
    * Part of the latency objective for which a request waits for a target that serves it in time.
    */
   private static final double PATIENCE = 0.25;
 
-  /** Expected time, relative to the usual time, up to which a target is taken without comparing. */
-  private static final double GOOD_ENOUGH = 1.4;
-
   /** Part of the time left that a target may be expected to need. */
   private static final double SAFE_PART = 0.85;
 
-  /** Disadvantage of each remembered failure when it is chosen whom to ask. */
-  private static final double FAILURE_COST = 2.0;
-
   private final DispatchPreferences preferences;
   private final ProbeSender probes;
   private final RandomGenerator random;
@@ -69,6 +57,7 @@
   private final WorkEstimates work = new WorkEstimates();
   private final ServiceShares shares = new ServiceShares();
   private final ExpectedTime expected;
+  private final TargetRanking ranking;
   private final ProbeAllowance probeAllowance;
   private final Map<String, RetryAllowance> allowances = new HashMap<>();
   private final Map<Integer, Set<PlacementTicket>> waiters = new HashMap<>();
@@ -84,6 +73,7 @@
     this.random = random;
     advice = new RetryAdvice(random);
     expected = new ExpectedTime(board, preferences);
+    ranking = new TargetRanking(board, expected, work, preferences, random);
     probeAllowance = new ProbeAllowance(preferences.probesPerSecond());
   }
 
@@ -177,7 +167,7 @@
     if (board.hasFreeSlot(rows)) {
       return advice.soonMillis();
     }
-    int best = best(ticket, rows, Long.MAX_VALUE, nowNanos);
+    int best = ranking.bestOfRecent(ticket, rows, nowNanos);
     return advice.afterBacklogMillis(expectedMillis(ticket, best, nowNanos));
   }
 
@@ -192,9 +182,8 @@
     if (leftMillis < usual / 2) {
       return refuse("too little time left for a target", advice.soonMillis());
     }
-    int best = best(ticket, rows, FRESH_NANOS, nowNanos);
-    double shared = board.sharedFailures(rows, nowNanos);
-    if (rankingMillis(ticket, best, shared, nowNanos) <= usual * GOOD_ENOUGH) {
+    int best = ranking.best(ticket, rows, FRESH_NANOS, nowNanos);
+    if (ranking.isGoodEnough(ticket, best, rows, nowNanos)) {
       return choose(ticket, best);
     }
     if (ticket.isWaiting()) {
@@ -203,9 +192,7 @@
     if (ticket.rounds() < MAX_ROUNDS && startRound(ticket, rows, nowNanos)) {
       return new Placement.Pending(nowNanos + PROBE_TIMEOUT_NANOS);
     }
-    // An old report may promise more than a young one that tells of slowness or a queue.
-    best = best(ticket, rows, Long.MAX_VALUE, nowNanos);
-    return judge(ticket, best, nowNanos);
+    return judge(ticket, ranking.bestOfRecent(ticket, rows, nowNanos), nowNanos);
   }
 
   /** All rounds are over; takes the best target, waits or gives up. */
@@ -280,21 +267,7 @@
 
   /** Returns the time that an answer of a target is expected to take, in ms. */
   public double expectedMillis(PlacementTicket ticket, int row, long nowNanos) {
-    if (row == TargetBoard.NONE) {
-      return Double.MAX_VALUE;
-    }
-    double usual = work.usualMillis(ticket.route());
-    return expected.millis(row, usual, ticket.bodyBytes(), nowNanos);
-  }
-
-  /** Returns the expected time of a target with the disadvantage of its failures, in ms. */
-  private double rankingMillis(PlacementTicket ticket, int row, double shared, long nowNanos) {
-    if (row == TargetBoard.NONE) {
-      return Double.MAX_VALUE;
-    }
-    double usual = work.usualMillis(ticket.route());
-    return expected.millis(row, usual, ticket.bodyBytes(), nowNanos)
-        + expected.failureMillis(row, usual, shared, nowNanos);
+    return ranking.expectedMillis(ticket, row, nowNanos);
   }
 
   /** A target told its load with an answer. */
@@ -325,29 +298,11 @@
     return PROBE_TIMEOUT_NANOS / NANOS_PER_MILLI;
   }
 
-  /** Returns the best target whose report is not older than {@code maxAgeNanos}. */
-  private int best(PlacementTicket ticket, int[] rows, long maxAgeNanos, long nowNanos) {
-    int best = TargetBoard.NONE;
-    double least = Double.MAX_VALUE;
-    double shared = board.sharedFailures(rows, nowNanos);
-    for (int row : rows) {
-      if (ticket.isTried(row) || !board.isFresh(row, maxAgeNanos, nowNanos)) {
-        continue;
-      }
-      double millis = rankingMillis(ticket, row, shared, nowNanos);
-      if (millis < least) {
-        least = millis;
-        best = row;
-      }
-    }
-    return best;
-  }
-
   /** Asks more targets for their load; false when there is none left to ask. */
   private boolean startRound(PlacementTicket ticket, int[] rows, long nowNanos) {
     int sent = 0;
     while (sent < PROBES_PER_ROUND) {
-      int row = nextToAsk(ticket, rows, nowNanos);
+      int row = ranking.nextToAsk(ticket, rows, nowNanos);
       if (row == TargetBoard.NONE) {
         break;
       }
@@ -368,31 +323,6 @@
     return sent > 0;
   }
 
-  /** Returns the target to ask next: near ones without failures first, else at random. */
-  private int nextToAsk(PlacementTicket ticket, int[] rows, long nowNanos) {
-    int next = TargetBoard.NONE;
-    double least = Double.MAX_VALUE;
-    double usual = work.usualMillis(ticket.route());
-    for (int row : rows) {
-      if (ticket.isTried(row) || ticket.isAsked(row)) {
-        continue;
-      }
-      boolean badBefore =
-          board.isFresh(row, REMEMBERED_NANOS, nowNanos)
-              && expectedMillis(ticket, row, nowNanos) > usual * GOOD_ENOUGH;
-      double order =
-          random.nextDouble()
-              + expected.crossing(row, ticket.bodyBytes()) / preferences.crossingMillis()
-              + FAILURE_COST * board.failures(row, nowNanos)
-              + (badBefore ? REMEMBERED_COST : 0);
-      if (order < least) {
-        least = order;
-        next = row;
-      }
-    }
-    return next;
-  }
-
   private Placement choose(PlacementTicket ticket, int row) {
     ticket.markTried(row);
     return new Placement.Chosen(row);
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/ProbeAllowance.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/ProbeAllowance.java
@@ -14,6 +14,9 @@
   /** Time whose probes may be sent at once; the agreed rate is a mean over a much longer time. */
   private static final double BURST_SECONDS = 2.0;
 
+  /** Part that an entry may use at once when it starts and knows no report: one of 20 entries. */
+  private static final double FIRST_PART = 0.05;
+
   private final double perTargetAndSecond;
   private double tokens;
   private long filledNanos = Long.MIN_VALUE;
@@ -32,8 +35,9 @@
     double rate = USED_PART * perTargetAndSecond * targets * part;
     double most = Math.max(1, rate * BURST_SECONDS);
     if (filledNanos == Long.MIN_VALUE) {
-      tokens = most;
-    } else {
+      tokens =
+          Math.max(most, USED_PART * perTargetAndSecond * targets * FIRST_PART * BURST_SECONDS);
+    } else if (tokens < most) {
       double seconds = (nowNanos - filledNanos) / (double) TimeUnit.SECONDS.toNanos(1);
       tokens = Math.min(most, tokens + rate * seconds);
     }
