Count silent entries with their last load, divide connections by entries and load

After a restart 120 sends found no room in the entry's own share of connections (REFUSED), as its part was 0. Change: an entry that falls silent counts with its last load for 30 s; half of a target's connections is divided equally, the rest by load. A test shows the parts after a burst. Late answers, reads of the store after failures are logged; chivecross-admin explain prints the lines of one request from log files.

--- a/chivecross-admin/src/main/java/org/chivecross/cli/admin/AdminOptions.java
+++ b/chivecross-admin/src/main/java/org/chivecross/cli/admin/AdminOptions.java
@@ -15,7 +15,7 @@
       metaVar = "COMMAND [NAME]",
       usage =
           "config, targets, members, services, tenants, decisions, key KEY, histograms [NAME], diff,"
-              + " or wait --version EPOCH.REVISION")
+              + " wait --version EPOCH.REVISION, or explain REQUEST-ID LOG-FILE...")
   private List<String> command = new ArrayList<>();
 
   @AllowedForm(
--- a/chivecross-admin/src/main/java/org/chivecross/cli/admin/AdminRun.java
+++ b/chivecross-admin/src/main/java/org/chivecross/cli/admin/AdminRun.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.SerializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.PrintStream;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -17,6 +18,7 @@
 final class AdminRun {
 
   private static final String PROGRAM = "chivecross-admin";
+  private static final int FIRST_FILE = 2;
   private static final String API = "/admin/v1/";
   private static final List<String> LISTS =
       List.of("targets", "members", "services", "tenants", "decisions");
@@ -57,6 +59,7 @@
       case "diff" -> diff();
       case "wait" -> new VersionWait(preferences, source, reader, pause, out, err).run();
       case "histograms" -> histograms();
+      case "explain" -> explain();
       default -> badCommand(command);
     };
   }
@@ -88,6 +91,26 @@
     return exitCode();
   }
 
+  private int explain() {
+    List<String> arguments = preferences.command();
+    if (arguments.size() < FIRST_FILE + 1) {
+      return badSetting("explain: allowed: one request id and one or more log files");
+    }
+    List<Path> files =
+        arguments.subList(FIRST_FILE, arguments.size()).stream().map(Path::of).toList();
+    Result<List<String>> story = RequestStory.read(preferences.argument(), files);
+    if (story instanceof Result.Failed<List<String>> failed) {
+      return badSetting(failed.failures().get(0).toString());
+    }
+    List<String> lines = ((Result.Success<List<String>>) story).value();
+    lines.forEach(out::println);
+    if (lines.isEmpty()) {
+      err.println(PROGRAM + ": no line names request " + preferences.argument());
+      return ProgramLauncher.FAILURE;
+    }
+    return ProgramLauncher.SUCCESS;
+  }
+
   private int histograms() {
     Map<String, Map<Double, Long>> histograms = new TreeMap<>();
     reader
@@ -164,7 +187,7 @@
             + command
             + "\", allowed: config, "
             + String.join(", ", LISTS)
-            + ", key, histograms, diff, wait");
+            + ", key, histograms, diff, wait, explain");
   }
 
   private int badSetting(String message) {
--- /dev/null
+++ b/chivecross-admin/src/test/java/org/chivecross/cli/admin/RequestStoryTest.java
@@ -0,0 +1,68 @@
+package org.chivecross.cli.admin;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.chivecross.model.failure.Result;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class RequestStoryTest {
+
+  @TempDir Path folder;
+
+  private static List<String> story(String request, Path... files) {
+    Result<List<String>> read = RequestStory.read(request, List.of(files));
+    return ((Result.Success<List<String>>) read).value();
+  }
+
+  private Path write(String name, String text) throws IOException {
+    return Files.writeString(folder.resolve(name), text);
+  }
+
+  /** One try of the caller went to each of two entries. */
+  @Test
+  void linesOfTwoEntriesAreInOrderWithWhatEachBelieved() throws IOException {
+    Path first =
+        write(
+            "first.log",
+            """
+            {"time":"2026-12-04T10:00:01Z","message":"targets: 5 usable of 6 at revision 9"}
+            {"time":"2026-12-04T10:00:02Z","message":"targets: 4 usable of 6 at revision 10"}
+            {"time":"2026-12-04T10:00:03Z","message":"request sent","request":"a","target":"t1"}
+            {"time":"2026-12-04T10:00:04Z","message":"targets: 3 usable of 6 at revision 11"}
+            {"time":"2026-12-04T10:00:03Z","message":"request sent","request":"b","target":"t2"}
+            """);
+    Path second =
+        write(
+            "second.log",
+            """
+            front-2 {"time":"2026-12-04T10:00:02.5Z","message":"attempt failed","request":"a"}
+            not a line of the entry
+            front-2 {broken
+            """);
+    assertEquals(
+        List.of(
+            "2026-12-04T10:00:02Z  first.log  targets: 4 usable of 6 at revision 10",
+            "2026-12-04T10:00:02.5Z  front-2  attempt failed",
+            "2026-12-04T10:00:03Z  first.log  request sent  target=t1"),
+        story("a", first, second));
+  }
+
+  @Test
+  void unknownRequestHasNoStory() throws IOException {
+    assertTrue(story("c", write("empty.log", "")).isEmpty());
+  }
+
+  @Test
+  void missingFileIsNamed() {
+    Result<List<String>> read = RequestStory.read("a", List.of(folder.resolve("none.log")));
+    String failure = assertInstanceOf(Result.Failed.class, read).failures().get(0).toString();
+    assertTrue(failure.contains("none.log"), failure);
+  }
+}
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/ConnectionShare.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/ConnectionShare.java
@@ -3,11 +3,17 @@
 /** An entry's part of the connections that a target accepts from all entries. Stateless. */
 final class ConnectionShare {
 
-  /** Part of the connections that is used; a target accepts fewer while its queue is long. */
-  private static final double USED_PART = 0.5;
+  /** Part of the connections that is divided equally; all entries keep some ready. */
+  private static final double EQUAL_PART = 0.5;
 
-  /** Connections that any entry may have: for two requests and a probe. */
-  private static final int LEAST = 3;
+  /** Part that is divided by load. The rest is spare: fewer are accepted while a queue is long. */
+  private static final double LOAD_PART = 0.4;
+
+  /** Entries that are assumed before others are known, as many as the smaller deployments have. */
+  private static final int ASSUMED_ENTRIES = 20;
+
+  /** Connections that any entry may have: for a request and a probe. */
+  private static final int LEAST = 2;
 
   private ConnectionShare() {}
 
@@ -15,9 +21,11 @@
    * Returns the most connections of this entry to one target.
    *
    * @param accepted connections that the target accepts from all entries
+   * @param entries entries that share them; 0 when not known
    * @param part this entry's part of the requests, from 0 to 1
    */
-  static int limit(int accepted, double part) {
-    return Math.max(LEAST, (int) (USED_PART * accepted * part));
+  static int limit(int accepted, int entries, double part) {
+    int sharers = entries == 0 ? ASSUMED_ENTRIES : entries;
+    return Math.max(LEAST, (int) (accepted * (EQUAL_PART / sharers + LOAD_PART * part)));
   }
 }
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/DispatchEvent.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/DispatchEvent.java
@@ -38,6 +38,25 @@
   record Answered(int status, Failure failure, long retryAfterMillis, long waitedMillis)
       implements DispatchEvent {}
 
+  /**
+   * The caller gets a target's answer later than the latency objective of its route.
+   *
+   * @param attempt number of the attempt, from 0
+   * @param target what is known of the target
+   * @param status HTTP status
+   * @param targetMillis time from sending to the head of the answer, in ms
+   * @param totalMillis time since the request arrived, in ms
+   * @param objectiveMillis latency objective of the route, in ms
+   */
+  record AnsweredLate(
+      int attempt,
+      TargetFacts target,
+      int status,
+      long targetMillis,
+      long totalMillis,
+      long objectiveMillis)
+      implements DispatchEvent {}
+
   /**
    * A target and its last report.
    *
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -65,6 +65,7 @@
   private boolean targetsKnown;
   private final RequestRate rate = new RequestRate();
   private double budgetPart = 1;
+  private int budgetEntries;
 
   /** Creates a dispatcher that knows no route and no target. */
   public Dispatcher(DispatchPreferences preferences, ProbeSender probes, RandomGenerator random) {
@@ -92,10 +93,12 @@
   /**
    * Tells this entry's part of the budgets that all entries share.
    *
-   * @param part from 0 to 1
+   * @param part part of the requests, from 0 to 1
+   * @param entries entries that share the budgets; 0 when not known
    */
-  public void setBudgetPart(double part) {
+  public void setBudgetPart(double part, int entries) {
     budgetPart = part;
+    budgetEntries = entries;
   }
 
   /** Returns the requests that this entry takes in a second, a mean over some seconds. */
@@ -127,7 +130,7 @@
   public int connectionLimit(int row) {
     String service = board.target(row).map(RegisteredTarget::service).orElse("");
     int accepted = routes.map(table -> table.maxConnections(service)).orElse(0);
-    return ConnectionShare.limit(accepted, budgetPart);
+    return ConnectionShare.limit(accepted, budgetEntries, budgetPart);
   }
 
   /** Returns the number of targets that may be used. */
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/RetryAllowance.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/RetryAllowance.java
@@ -15,8 +15,8 @@
   /** Part of the proportional budget that is used: all but one of the parts of a window. */
   private static final double USED_RATIO = 1 - 1.0 / BUCKETS;
 
-  /** Part of the fixed repeats that is used; entries agree on their parts only after a while. */
-  private static final double USED_FIXED = 0.6;
+  /** Part of the fixed repeats that is used; an entry that starts again uses its part again. */
+  private static final double USED_FIXED = 0.45;
 
   private final double ratio;
   private final double fixed;
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/EntryRoster.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/EntryRoster.java
@@ -89,16 +89,7 @@
     return members;
   }
 
-  /** Returns the requests that all of them take in a second, each with at least one. */
-  long totalLoad() {
-    return rows.values().stream().mapToLong(row -> row.requestsPerSecond() + 1L).sum();
-  }
-
   boolean contains(String ip) {
     return rows.containsKey(ip);
   }
-
-  int size() {
-    return rows.size();
-  }
 }
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
@@ -158,11 +158,14 @@
    * requests. The parts of all entries add up to 1 at the most, also while some can't hear others.
    */
   public double budgetPart(long nowNanos) {
+    share.note(roster.members(nowNanos), nowNanos);
     boolean expectsOthers = seeds.stream().anyMatch(seed -> !seed.equals(preferences.ip()));
-    if (roster.size() > 0 || !expectsOthers) {
-      share.noteOthers(roster.totalLoad(), requestsPerSecond, nowNanos);
-    }
-    return share.part(requestsPerSecond);
+    return share.others() == 0 && expectsOthers ? 0 : share.part(requestsPerSecond);
+  }
+
+  /** Returns the number of entries that share the budgets; 0 before others are known. */
+  public int budgetEntries() {
+    return share.others() == 0 ? 0 : share.others() + 1;
   }
 
   /** Tells the others at once whether this entry takes new callers. */
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/LoadShare.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/LoadShare.java
@@ -1,6 +1,10 @@
 package org.chivecross.logic.fleet;
 
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.chivecross.model.fleet.FleetMember;
 
 /**
  * An entry's part of the requests that all entries take. Not thread-safe.
@@ -10,28 +14,33 @@
  */
 final class LoadShare {
 
-  /** Time for which the load of entries that fell silent still counts. */
+  /** Time for which an entry that fell silent still counts with its last load. */
   private static final long MEMORY_NANOS = TimeUnit.SECONDS.toNanos(30);
 
-  private long largestLoad;
-  private long largestNanos;
-
-  /**
-   * Notes the load of the others.
-   *
-   * @param others their requests in a second, each entry with one more
-   * @param own requests of this entry in a second
-   */
-  void noteOthers(long others, int own, long nowNanos) {
-    long load = others + own + 1;
-    if (load >= largestLoad || nowNanos - largestNanos > MEMORY_NANOS) {
-      largestLoad = load;
-      largestNanos = nowNanos;
+  private final Map<String, Load> loads = new HashMap<>();
+
+  /** What an entry last told of its load. */
+  private record Load(int requestsPerSecond, long heardNanos) {}
+
+  /** Notes what the others told. */
+  void note(Collection<FleetMember> others, long nowNanos) {
+    for (FleetMember other : others) {
+      loads.put(other.ip(), new Load(other.requestsPerSecond(), nowNanos));
     }
+    loads.values().removeIf(load -> nowNanos - load.heardNanos() > MEMORY_NANOS);
   }
 
-  /** Returns the part, from 0 to 1; 0 before anything of the others is known. */
+  /** Returns the number of other entries that count. */
+  int others() {
+    return loads.size();
+  }
+
+  /** Returns the part, from 0 to 1; each entry counts with at least one request in a second. */
   double part(int own) {
-    return largestLoad == 0 ? 0 : Math.min(1, (own + 1.0) / largestLoad);
+    long total = own + 1L;
+    for (Load load : loads.values()) {
+      total += load.requestsPerSecond() + 1L;
+    }
+    return (own + 1.0) / total;
   }
 }
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
@@ -147,6 +147,7 @@
               Step.AWAIT_RESPONSE, peer(target), "refusal without proof that it did not run");
       return giveUp(unproved, 0, nowNanos);
     }
+    recordIfLate(current, attempt, head.status(), nowNanos);
     return relay(attempt);
   }
 
@@ -339,6 +340,18 @@
         requestId, new DispatchEvent.Answered(status, failure, retryAfterMillis, waited));
   }
 
+  private void recordIfLate(PlacementTicket current, int attempt, int status, long nowNanos) {
+    long total = (nowNanos - arrivedNanos) / NANOS_PER_MILLI;
+    long objective = current.route().latencyObjectiveMillis();
+    if (total > objective) {
+      long atTarget = (nowNanos - attempts.startedNanos(attempt)) / NANOS_PER_MILLI;
+      DispatchEvent.TargetFacts facts = dispatcher.facts(attempts.target(attempt), nowNanos);
+      journal.record(
+          requestId,
+          new DispatchEvent.AnsweredLate(attempt, facts, status, atTarget, total, objective));
+    }
+  }
+
   private void abandonAll() {
     for (int i = 0; i < attempts.size(); i++) {
       if (attempts.isOpen(i)) {
--- a/chivecross-core/src/test/java/org/chivecross/logic/dispatch/DispatchWorld.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/DispatchWorld.java
@@ -125,14 +125,14 @@
   void shareBudgetsByLoad(int perSecond, int loaded) {
     double total = (double) perSecond * loaded + entries.size();
     for (int i = 0; i < entries.size(); i++) {
-      entries.get(i).setBudgetPart(((i < loaded ? perSecond : 0) + 1) / total);
+      entries.get(i).setBudgetPart(((i < loaded ? perSecond : 0) + 1) / total, entries.size());
     }
     partsGiven = true;
   }
 
   void run() {
     if (!partsGiven) {
-      entries.forEach(entry -> entry.setBudgetPart(1.0 / entries.size()));
+      entries.forEach(entry -> entry.setBudgetPart(1.0 / entries.size(), entries.size()));
     }
     while (!events.isEmpty()) {
       Event event = events.remove();
--- a/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetNodeTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetNodeTest.java
@@ -156,4 +156,15 @@
     assertEquals(0, cut.node.others(world.now).size());
     assertTrue(partsOfAll() <= 1.01, "parts add up to " + partsOfAll());
   }
+
+  /** A burst of requests is over; the budgets of all entries are in use again. */
+  @Test
+  void partsOfBudgetsAddUpToOneAfterABurst() {
+    world.entries.values().forEach(entry -> entry.node.setRequestsPerSecond(80));
+    world.runMillis(5_000);
+    partsOfAll();
+    world.entries.values().forEach(entry -> entry.node.setRequestsPerSecond(8));
+    world.runMillis(5_000);
+    assertEquals(1.0, partsOfAll(), 0.01);
+  }
 }
--- a/chivecross-core/src/test/java/org/chivecross/logic/request/DispatchRequestMachineTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/request/DispatchRequestMachineTest.java
@@ -279,4 +279,29 @@
     assertEquals(2, event.usableTargets());
     assertTrue(event.target().reportAgeMillis() >= 0);
   }
+
+  /** The last report and the time at the target tell why a caller waited. */
+  @Test
+  void lateAnswerIsKeptWithWhereTheTimeWent() {
+    rulesAndTargets(2);
+    RequestMachine machine = machine();
+    Decision.Send send = sent(machine, RequestClass.WRITE);
+    int kept = journal.size();
+    now += 700 * MILLI;
+    machine.responseHead(send.attempt(), OK, now);
+    DispatchEvent.AnsweredLate late =
+        assertInstanceOf(DispatchEvent.AnsweredLate.class, journal.get(kept));
+    assertEquals(700, late.targetMillis());
+    assertTrue(late.totalMillis() >= 700 && late.objectiveMillis() < 700);
+  }
+
+  @Test
+  void answerInTimeIsNotKept() {
+    rulesAndTargets(2);
+    RequestMachine machine = machine();
+    Decision.Send send = sent(machine, RequestClass.WRITE);
+    int kept = journal.size();
+    machine.responseHead(send.attempt(), OK, now + MILLI);
+    assertEquals(kept, journal.size());
+  }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/DecisionLogger.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/DecisionLogger.java
@@ -31,6 +31,14 @@
       fields.put("cause", failed.detail());
       fields.put("mayHaveRun", Boolean.toString(failed.mayHaveRun()));
       log.warn("attempt failed", fields);
+    } else if (event instanceof DispatchEvent.AnsweredLate late) {
+      fields.put("attempt", Integer.toString(late.attempt()));
+      putTarget(fields, late.target());
+      fields.put("status", Integer.toString(late.status()));
+      fields.put("targetMillis", Long.toString(late.targetMillis()));
+      fields.put("totalMillis", Long.toString(late.totalMillis()));
+      fields.put("objectiveMillis", Long.toString(late.objectiveMillis()));
+      log.info("request answered late", fields);
     } else if (event instanceof DispatchEvent.Answered answered) {
       fields.put("status", Integer.toString(answered.status()));
       fields.put("step", answered.failure().step().name());
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -87,6 +87,7 @@
   private Map<String, ServiceRule> services = Map.of();
   private List<String> serviceNames = List.of();
   private boolean leaving;
+  private int storeFailures;
 
   /** Creates an entry that is not started. */
   public FleetEntry(FleetEntrySettings settings, long incarnation, PlatformAdapter adapter) {
@@ -217,7 +218,7 @@
       long now = System.nanoTime();
       node.setRequestsPerSecond((int) Math.round(dispatcher.requestsPerSecond(now)));
       node.tick(now);
-      dispatcher.setBudgetPart(node.budgetPart(now));
+      dispatcher.setBudgetPart(node.budgetPart(now), node.budgetEntries());
       next = node.nextTickNanos(now);
     }
     scheduler.wakeAt(next, this::tick);
@@ -234,11 +235,19 @@
     synchronized (guard) {
       long now = System.nanoTime();
       if (answer instanceof StoreReader.Answer.Changed changed) {
+        if (storeFailures > 0) {
+          Logger.info(
+              "store read again after {} failures; view was {} ms old",
+              storeFailures,
+              node.viewAgeMillis(now));
+        }
+        storeFailures = 0;
         node.readEnded(changed.change(), now);
       } else if (answer instanceof StoreReader.Answer.HistoryLost) {
         Logger.info("store has forgotten the changes after revision {}", after);
         node.readFailed(true, now);
       } else if (answer instanceof StoreReader.Answer.Failed failed) {
+        storeFailures++;
         Logger.warn(
             "store not read: {}; view is {} ms old", failed.failure(), node.viewAgeMillis(now));
         node.readFailed(false, now);
