Read rules that are known to exist and that nobody tells; heal splits between hubs

Entries make those known that take them for hubs, heartbeats to other data centres also tell who is known there, and entries of other data centres count as gone after 6 s.

--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/EntryRoster.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/EntryRoster.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -20,6 +21,9 @@
   /** Silence after which an entry counts as gone: three heartbeats that were lost or not sent. */
   static final long GONE_MILLIS = 3_500;
 
+  /** The same of another data centre; word of it comes by three messages, one a second each. */
+  static final long FAR_GONE_MILLIS = 6_000;
+
   private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
   /** What is known of one entry. */
@@ -31,10 +35,18 @@
       long heardNanos,
       int requestsPerSecond) {}
 
+  private final String dataCentre;
   private final Map<String, Row> rows = new TreeMap<>();
+  private final Map<String, Long> directNanos = new HashMap<>();
+
+  /** Creates an empty roster for an entry of a data centre. */
+  EntryRoster(String dataCentre) {
+    this.dataCentre = dataCentre;
+  }
 
   /** Notes a message of an entry. */
   void heard(String ip, FleetMessage message, long nowNanos) {
+    directNanos.put(ip, nowNanos);
     rows.put(
         ip,
         new Row(
@@ -52,7 +64,9 @@
       long heardNanos = nowNanos - member.ageMillis() * NANOS_PER_MILLI;
       Row known = rows.get(member.ip());
       boolean newer = known == null || heardNanos > known.heardNanos();
-      if (newer && !member.ip().equals(ownIp) && member.ageMillis() < GONE_MILLIS) {
+      if (newer
+          && !member.ip().equals(ownIp)
+          && member.ageMillis() < goneMillis(member.dataCentre())) {
         rows.put(
             member.ip(),
             new Row(
@@ -68,7 +82,14 @@
 
   /** Forgets entries that were not heard for long. */
   void expire(long nowNanos) {
-    rows.values().removeIf(row -> nowNanos - row.heardNanos() > GONE_MILLIS * NANOS_PER_MILLI);
+    rows.values()
+        .removeIf(
+            row -> nowNanos - row.heardNanos() > goneMillis(row.dataCentre()) * NANOS_PER_MILLI);
+    directNanos.values().removeIf(heard -> nowNanos - heard > GONE_MILLIS * NANOS_PER_MILLI);
+  }
+
+  private long goneMillis(String ofDataCentre) {
+    return ofDataCentre.equals(dataCentre) ? GONE_MILLIS : FAR_GONE_MILLIS;
   }
 
   /** Returns the entries, by IP number. */
@@ -89,6 +110,11 @@
     return members;
   }
 
+  /** Returns whether an entry has sent a message itself of late. */
+  boolean isHeardDirectly(String ip) {
+    return directNanos.containsKey(ip);
+  }
+
   boolean contains(String ip) {
     return rows.containsKey(ip);
   }
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
@@ -58,7 +58,7 @@
   private final FleetPreferences preferences;
   private final FleetPort port;
   private final RandomGenerator random;
-  private final EntryRoster roster = new EntryRoster();
+  private final EntryRoster roster;
   private final PlatformView view = new PlatformView();
   private List<String> seeds;
   private boolean ready;
@@ -70,6 +70,7 @@
   private boolean started;
   private final Set<String> waitingForView = new TreeSet<>();
   private long heartbeatNanos = Long.MIN_VALUE;
+  private long lackingNanos = Long.MAX_VALUE;
   private long askedNanos = Long.MIN_VALUE / 2;
   private long jitterNanos;
   private int requestsPerSecond;
@@ -78,6 +79,7 @@
   /** Creates a node that knows nothing. */
   public FleetNode(FleetPreferences preferences, FleetPort port, RandomGenerator random) {
     this.preferences = preferences;
+    roster = new EntryRoster(preferences.dataCentre());
     seeds = preferences.seeds();
     this.port = port;
     this.random = random;
@@ -100,7 +102,7 @@
     if (!reading && nowNanos >= readDueNanos(nowNanos)) {
       reading = true;
       readSentNanos = nowNanos;
-      boolean whole = wholeNext || !view.isKnown();
+      boolean whole = wholeNext || !view.isKnown() || view.lacksRules();
       port.read(whole ? OptionalLong.empty() : OptionalLong.of(view.revision()));
     }
   }
@@ -272,6 +274,11 @@
     if (foreign && (newer || !update.isEmpty() || news.ageMillis() + 100 < ageBefore)) {
       sendNear(update, nowNanos);
     }
+    if (!view.lacksRules()) {
+      lackingNanos = Long.MAX_VALUE;
+    } else if (lackingNanos == Long.MAX_VALUE) {
+      lackingNanos = nowNanos;
+    }
     boolean differs = news.revision() >= view.revision() && news.digest() != view.digest();
     boolean lacksRules = news.rulesVersion() > view.rulesVersion();
     if (!differs && !lacksRules && view.isKnown()) {
@@ -317,8 +324,10 @@
     long before = near.stream().filter(m -> m.ip().compareTo(preferences.ip()) < 0).count();
     boolean isHub = before < HUBS;
     boolean asksView = !view.isKnown();
-    FleetMessage alive =
-        message(isHub ? members : List.of(), Optional.empty(), false, asksView && !isHub);
+    // An entry that takes this one for a hub is made known to the real ones.
+    List<FleetMember> told =
+        isHub ? members : near.stream().filter(m -> roster.isHeardDirectly(m.ip())).toList();
+    FleetMessage alive = message(told, Optional.empty(), false, asksView && !isHub);
     List<FleetMember> receivers = isHub ? near : near.subList(0, Math.min(HUBS, near.size()));
     receivers.forEach(member -> port.send(member.ip(), alive));
     if (before == 0) {
@@ -334,16 +343,19 @@
     }
   }
 
-  /** Tells one entry in each other data centre who is alive here. */
+  /** Tells one entry in each other data centre who is alive, here and there. */
   private void sendFar(List<FleetMember> near, List<FleetMember> far) {
     TreeMap<String, List<FleetMember>> byDataCentre = new TreeMap<>();
     far.forEach(
         member ->
             byDataCentre.computeIfAbsent(member.dataCentre(), dc -> new ArrayList<>()).add(member));
-    FleetMessage message = message(near, Optional.empty(), false, false);
     for (List<FleetMember> there : byDataCentre.values()) {
       int hubs = Math.min(HUBS, there.size());
-      port.send(there.get(random.nextInt(hubs)).ip(), message);
+      // Entries there that don't know each other learn so of all that are known here.
+      List<FleetMember> told = new ArrayList<>(near);
+      told.addAll(there);
+      String hub = there.get(random.nextInt(hubs)).ip();
+      port.send(hub, message(told, Optional.empty(), false, false));
     }
   }
 
@@ -354,9 +366,10 @@
     if (wholeNext) {
       return noReadBeforeNanos;
     }
+    long since = view.lacksRules() ? Math.min(lackingNanos, view.asOfNanos()) : view.asOfNanos();
     int rank = ReadOrder.rank(preferences.ip(), preferences.dataCentre(), roster.members(nowNanos));
     long steps = ReadOrder.delayNanos(rank);
-    return Math.max(view.asOfNanos() + READ_AGE_NANOS + steps + jitterNanos, noReadBeforeNanos);
+    return Math.max(since + READ_AGE_NANOS + steps + jitterNanos, noReadBeforeNanos);
   }
 
   private FleetMessage message(
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/PlatformView.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/PlatformView.java
@@ -36,6 +36,7 @@
   private final Map<String, RegisteredTarget> targets = new TreeMap<>();
   private final Map<String, Lapsed> lapsed = new TreeMap<>();
   private Optional<RuleSet> rules = Optional.empty();
+  private long newestRulesHeard;
   private long revision;
   private long asOfNanos = Long.MIN_VALUE;
   private long outageEndNanos = Long.MIN_VALUE / 2;
@@ -73,6 +74,7 @@
   /** Takes over what another entry knows. */
   Update apply(ViewNews news, long nowNanos) {
     long asOf = nowNanos - news.ageMillis() * NANOS_PER_MILLI;
+    newestRulesHeard = Math.max(newestRulesHeard, news.rulesVersion());
     noteOutage(asOf);
     if (known && news.revision() < revision) {
       return update(List.of(), List.of(), news.rules(), revision, asOfNanos);
@@ -165,7 +167,7 @@
         revision,
         ageMillis(nowNanos),
         digest(),
-        rulesVersion(),
+        Math.max(newestRulesHeard, rulesVersion()),
         false,
         update.registered(),
         update.removed(),
@@ -192,6 +194,14 @@
     return rules.map(RuleSet::version).orElse(0L);
   }
 
+  /**
+   * Returns whether newer rules exist than those known here. Changes after the known revision don't
+   * tell them, as the revision came with news that lacked them.
+   */
+  boolean lacksRules() {
+    return newestRulesHeard > rulesVersion();
+  }
+
   long revision() {
     return revision;
   }
--- a/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetNodeTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetNodeTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Optional;
+import org.chivecross.model.fleet.FleetMessage;
+import org.chivecross.model.fleet.ViewNews;
 import org.chivecross.model.registry.RegisteredTarget;
 import org.junit.jupiter.api.Test;
 
@@ -48,7 +51,7 @@
   void otherEntriesReadWhenTheFirstOnesAreGone() {
     world.runMillis(5_000);
     for (String ip : List.of("10.1.0.1", "10.2.0.1", "10.3.0.1")) {
-      world.entry(ip).running = false;
+      world.stop(ip);
     }
     world.put("t3", 1, true);
     world.runMillis(BOUND_MILLIS);
@@ -64,7 +67,7 @@
     }
     world.runMillis(300);
     world.put("t3", 1, true);
-    world.rules = FleetWorld.rules(2);
+    world.changeRules(2);
     world.runMillis(BOUND_MILLIS);
     assertEquals(12, world.count(node -> isLeaving(node, "t3")));
     assertEquals(12, world.count(node -> node.rules().orElseThrow().version() == 2));
@@ -120,11 +123,9 @@
   @Test
   void rulesNeverGoBack() {
     world.runMillis(3_000);
-    world.rules = FleetWorld.rules(9);
-    world.revision++;
+    world.changeRules(9);
     world.runMillis(2_000);
-    world.rules = FleetWorld.rules(4);
-    world.revision++;
+    world.changeRules(4);
     world.runMillis(2_000);
     assertEquals(12, world.count(node -> node.rules().orElseThrow().version() == 9));
   }
@@ -167,4 +168,22 @@
     world.runMillis(5_000);
     assertEquals(1.0, partsOfAll(), 0.01);
   }
+
+  /** Its news carry a revision beyond that of the rules, but never the rules, and keep coming. */
+  @Test
+  void rulesThatNobodyTellsAreReadFromTheStore() {
+    FleetWorld alone = new FleetWorld(1, 1, 3, false);
+    alone.runMillis(2_000);
+    FleetNode node = alone.entry("10.1.0.1").node;
+    alone.changeRules(2);
+    ViewNews news =
+        new ViewNews(alone.revision, 0, 0, 2, false, List.of(), List.of(), Optional.empty());
+    for (int i = 0; i < 20; i++) {
+      FleetMessage message =
+          new FleetMessage(9, "dc2", true, false, false, 2, 0, List.of(), Optional.of(news));
+      node.received("10.2.0.9", message, alone.now);
+      alone.runMillis(100);
+    }
+    assertEquals(2, node.rules().orElseThrow().version());
+  }
 }
--- a/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetSizeTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetSizeTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** As many entries and targets as the larger deployments have. */
 class FleetSizeTest {
@@ -46,9 +48,23 @@
     FleetWorld world = new FleetWorld(4, ENTRIES / 4, TARGETS, true);
     world.runMillis(8_000);
     for (int i = 1; i <= 3; i++) {
-      world.entry("10.2.0." + i).running = false;
+      world.stop("10.2.0." + i);
     }
     world.runMillis(9_000);
     assertEquals(ENTRIES - 3, world.count(node -> node.others(world.now).size() == ENTRIES - 4));
   }
+
+  /** Entries start within 0.3 s, the seeds know few of them, and some datagrams are lost. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6})
+  void newRulesReachAllEntriesAfterAFirstStart(long seed) {
+    FleetWorld world = new FleetWorld(4, ENTRIES / 4, TARGETS, true, seed);
+    world.lostPart = 0.02;
+    world.spreadStarts(300);
+    world.runMillis(12_000);
+    assertEquals(ENTRIES, world.count(node -> node.others(world.now).size() == ENTRIES - 1));
+    world.changeRules(2);
+    world.runMillis(2_000);
+    assertEquals(ENTRIES, world.count(node -> node.rules().orElseThrow().version() == 2));
+  }
 }
--- a/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetWorld.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetWorld.java
@@ -29,10 +29,12 @@
   final Map<String, Entry> entries = new TreeMap<>();
   final Map<String, RegisteredTarget> stored = new TreeMap<>();
   private final Map<String, Long> changedAt = new TreeMap<>();
-  private final SplittableRandom random = new SplittableRandom(7);
+  private final SplittableRandom random;
+  double lostPart;
   RuleSet rules = rules(1);
   long revision = 1;
   long now;
+  private long rulesRevision = 1;
   boolean storeDown;
   int reads;
   int wholeReads;
@@ -48,6 +50,7 @@
     OptionalLong wanted = OptionalLong.empty();
     long readEndsNanos = Long.MAX_VALUE;
     long tickNanos;
+    boolean stopped;
 
     Entry(String ip, String dataCentre, boolean firstStart) {
       this.ip = ip;
@@ -61,6 +64,9 @@
     @Override
     public void send(String to, FleetMessage message) {
       messages++;
+      if (lostPart > 0 && random.nextDouble() < lostPart) {
+        return;
+      }
       Entry other = entries.get(to);
       if (other != null && other.running && running && other.reachable && reachable) {
         inbox.add(new Mail(ip, to, message, now + MILLI));
@@ -95,6 +101,12 @@
 
   /** Creates entries that have not been ticked yet, and registered targets. */
   FleetWorld(int dataCentres, int entriesEach, int targets, boolean firstStart) {
+    this(dataCentres, entriesEach, targets, firstStart, 7);
+  }
+
+  /** Creates the same with another seed of all random choices. */
+  FleetWorld(int dataCentres, int entriesEach, int targets, boolean firstStart, long seed) {
+    random = new SplittableRandom(seed);
     for (int dc = 1; dc <= dataCentres; dc++) {
       for (int i = 1; i <= entriesEach; i++) {
         String ip = "10." + dc + ".0." + i;
@@ -126,6 +138,12 @@
     return java.util.Objects.requireNonNull(stored.remove(id));
   }
 
+  void changeRules(long version) {
+    rules = rules(version);
+    revision++;
+    rulesRevision = revision;
+  }
+
   private StoreChange everything() {
     return new StoreChange(
         true, revision, List.copyOf(stored.values()), List.of(), Optional.of(rules));
@@ -143,7 +161,8 @@
             registered.add(target);
           }
         });
-    return new StoreChange(false, revision, registered, removed, Optional.of(rules));
+    Optional<RuleSet> changed = rulesRevision > known ? Optional.of(rules) : Optional.empty();
+    return new StoreChange(false, revision, registered, removed, changed);
   }
 
   static RuleSet rules(long version) {
@@ -153,6 +172,20 @@
     return new RuleSet(version, List.of(route), List.of(), new CallerLimits(1, 1, 1, 1));
   }
 
+  /** Ends the process of an entry. */
+  void stop(String ip) {
+    entry(ip).running = false;
+    entry(ip).stopped = true;
+  }
+
+  /** Starts the entries one after the other, in any order. */
+  void spreadStarts(long millis) {
+    for (Entry entry : entries.values()) {
+      entry.tickNanos = now + (1 + random.nextLong(millis)) * MILLI;
+      entry.running = false;
+    }
+  }
+
   void runMillis(long millis) {
     long end = now + millis * MILLI;
     while (now < end) {
@@ -168,6 +201,9 @@
         }
       }
       for (Entry entry : entries.values()) {
+        if (!entry.running && !entry.stopped && entry.tickNanos > 0 && now >= entry.tickNanos) {
+          entry.running = true;
+        }
         if (!entry.running) {
           continue;
         }
