--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
@@ -39,7 +39,7 @@
   private static final int HUBS = 3;
 
   /** Longest wait for the view of another entry before the store is read after a restart. */
-  private static final long RESTART_WAIT_NANOS = 150 * NANOS_PER_MILLI;
+  private static final long RESTART_WAIT_NANOS = 60 * NANOS_PER_MILLI;
 
   /** The same at the first start of all, when no caller waits yet. */
   private static final long FIRST_START_WAIT_NANOS = 2_000 * NANOS_PER_MILLI;
