--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -56,6 +56,7 @@
   private final TargetBoard board = new TargetBoard();
   private final WorkEstimates work = new WorkEstimates();
   private final ServiceShares shares = new ServiceShares();
+  private final RequestRate rate = new RequestRate();
   private final ExpectedTime expected;
   private final TargetRanking ranking;
   private final ProbeAllowance probeAllowance;
@@ -63,7 +64,6 @@
   private final Map<Integer, Set<PlacementTicket>> waiters = new HashMap<>();
   private Optional<RouteTable> routes = Optional.empty();
   private boolean targetsKnown;
-  private final RequestRate rate = new RequestRate();
   private double budgetPart = 1;
   private int budgetEntries;
 
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
@@ -60,6 +60,8 @@
   private final RandomGenerator random;
   private final EntryRoster roster;
   private final PlatformView view = new PlatformView();
+  private final LoadShare share = new LoadShare();
+  private final Set<String> waitingForView = new TreeSet<>();
   private List<String> seeds;
   private boolean ready;
   private boolean reading;
@@ -68,13 +70,11 @@
   private long noReadBeforeNanos = Long.MIN_VALUE;
   private boolean wholeNext;
   private boolean started;
-  private final Set<String> waitingForView = new TreeSet<>();
   private long heartbeatNanos = Long.MIN_VALUE;
   private long lackingNanos = Long.MAX_VALUE;
   private long askedNanos = Long.MIN_VALUE / 2;
   private long jitterNanos;
   private int requestsPerSecond;
-  private final LoadShare share = new LoadShare();
 
   /** Creates a node that knows nothing. */
   public FleetNode(FleetPreferences preferences, FleetPort port, RandomGenerator random) {
@@ -274,6 +274,7 @@
     if (foreign && (newer || !update.isEmpty() || news.ageMillis() + 100 < ageBefore)) {
       sendNear(update, nowNanos);
     }
+    // Since when newer rules are known to exist; they are read when nobody tells them for long.
     if (!view.lacksRules()) {
       lackingNanos = Long.MAX_VALUE;
     } else if (lackingNanos == Long.MAX_VALUE) {
