Name log files whole in the story of a request

Cause: the last word was taken also of a file's name, so one with a space was cut; the name of an entry was worked out in two steps in the loop. Checked: verify of chivecross-admin and what it uses, with the tests of both.

--- a/chivecross-admin/src/main/java/org/chivecross/cli/admin/RequestStory.java
+++ b/chivecross-admin/src/main/java/org/chivecross/cli/admin/RequestStory.java
@@ -83,14 +83,12 @@
       if (json < 0) {
         continue;
       }
-      String prefix = text.substring(0, json).strip();
-      String entry = prefix.isEmpty() ? String.valueOf(file.getFileName()) : prefix;
       Optional<JsonNode> parsed = parse(text.substring(json));
       if (parsed.isEmpty()) {
         continue;
       }
       JsonNode node = parsed.get();
-      String name = entry.substring(entry.lastIndexOf(' ') + 1);
+      String name = entryName(text.substring(0, json).strip(), file);
       Line line = toLine(name, node);
       Optional<String> belief = belief(line.message());
       if (belief.isPresent()) {
@@ -102,6 +100,15 @@
     }
   }
 
+  /**
+   * Returns the last word before the JSON of a line, or the name of the file when there is none.
+   */
+  private static String entryName(String prefix, Path file) {
+    return prefix.isEmpty()
+        ? String.valueOf(file.getFileName())
+        : prefix.substring(prefix.lastIndexOf(' ') + 1);
+  }
+
   private static Optional<String> belief(String message) {
     return BELIEFS.stream().filter(message::startsWith).findFirst();
   }
--- a/chivecross-admin/src/test/java/org/chivecross/cli/admin/RequestStoryTest.java
+++ b/chivecross-admin/src/test/java/org/chivecross/cli/admin/RequestStoryTest.java
@@ -54,6 +54,12 @@
         story("a", first, second));
   }
 
+  @Test
+  void fileIsNamedWhole() throws IOException {
+    Path file = write("entry 7.log", "{\"time\":\"t\",\"message\":\"m\",\"request\":\"a\"}\n");
+    assertEquals(List.of("t  entry 7.log  m"), story("a", file));
+  }
+
   @Test
   void unknownRequestHasNoStory() throws IOException {
     assertTrue(story("c", write("empty.log", "")).isEmpty());
