--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -127,7 +127,7 @@
             () -> lock);
     dataPath = new DataPath(ports, dataPathSettings());
     prober = dataPath.prober(adapter.dialect(), scheduler);
-    FleetMetrics.addGauges(metrics, lock, dataPath, socket, node, dispatcher);
+    FleetMetrics.addGauges(metrics, lock, dataPath, socket, node, dispatcher, store);
   }
 
   /**
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
@@ -38,13 +38,22 @@
       DataPath dataPath,
       FleetSocket socket,
       FleetNode node,
-      Dispatcher dispatcher) {
+      Dispatcher dispatcher,
+      StoreReader store) {
     metrics.gauge("chivecross_in_flight", "Requests in flight", dataPath::inFlightCount);
     metrics.gauge("chivecross_callers", "Open connections of callers", dataPath::callerCount);
     metrics.counter("chivecross_peer_sent", "Messages sent to entries", socket::sentCount);
     metrics.counter(
         "chivecross_peer_received", "Messages received from entries", socket::receivedCount);
     metrics.counter("chivecross_peer_dropped", "Messages dropped", socket::droppedCount);
+    metrics.counter(
+        "chivecross_store_values_rejected",
+        "Malformed values of the platform's store that were ignored",
+        store::rejectedValueCount);
+    metrics.counter(
+        "chivecross_rules_assumptions",
+        "Fields of rules that got a default because they were not understood",
+        store::assumptionCount);
     metrics.gauge(
         "chivecross_view_age_millis",
         "Age of what is known of the platform's store in ms",
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/StoreReader.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/StoreReader.java
@@ -5,7 +5,6 @@
 import org.chivecross.model.fleet.StoreChange;
 
 /** Reads the platform's store. Each implementation is called by one thread at a time. */
-@FunctionalInterface
 public interface StoreReader {
 
   /** Result of a read. Immutable. */
@@ -35,4 +34,14 @@
    * @param after revision after which changes are requested; empty for a snapshot
    */
   Answer read(OptionalLong after);
+
+  /** Returns the number of values that were ignored since the start, since they were malformed. */
+  default long rejectedValueCount() {
+    return 0;
+  }
+
+  /** Returns the number of fields of rules that got a default since they were not understood. */
+  default long assumptionCount() {
+    return 0;
+  }
 }
