Take announcements of targets from their responses, and distrust their copies

Cause: an entry ignored Server-Leaving and the Retry-After of a refusal, so it went on sending to targets that leave or want a pause. A late second copy of a refusal without an id passed for that of the next request on its connection, which then counted as not run; a late copy also passed for the answer of a probe. 408 and 429 of a target were relayed to writes without proof. A trailer of 64 KB took 1.2 s of the selector thread, and a response without end was relayed for ever. An exception in a tick, or an unexpected one while the store was read, ended the reading of the store for good.

Change: Dispatcher.announced marks the run of a target as leaving and keeps hold-offs; neither is chosen or probed, a row that comes back keeps both, requests wait for a hold-off that ends soon and are refused otherwise with its rest as retry delay. A connection is closed after a response whose copy could not be recognised; a probe takes no response with a request id. Relays end 1 s after the caller's deadline; trailers are bounded by 8 KB. Ticks and reads go on after an exception.

--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/DispatchEvent.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/DispatchEvent.java
@@ -57,6 +57,21 @@
       long objectiveMillis)
       implements DispatchEvent {}
 
+  /**
+   * A target announced its shutdown; it gets no further requests.
+   *
+   * @param target name of the target
+   */
+  record TargetLeaving(String target) implements DispatchEvent {}
+
+  /**
+   * A target asked this entry to send it nothing for some time.
+   *
+   * @param target name of the target
+   * @param millis that time, in ms
+   */
+  record TargetHeldOff(String target, long millis) implements DispatchEvent {}
+
   /**
    * Last load report of a target.
    *
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/DispatchTargetTable.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/DispatchTargetTable.java
@@ -20,7 +20,8 @@
  *
  * <p>Invariants: a row belongs to one incarnation while an attempt or probe refers to it, so a row
  * number held by a request never denotes another target; only rows that are registered and not
- * leaving are usable. Not thread-safe.
+ * leaving are usable; an incarnation that announced its shutdown is never usable again. Not
+ * thread-safe.
  */
 final class DispatchTargetTable {
 
@@ -55,6 +56,8 @@
   private long[] warmNanos = new long[INITIAL_CAPACITY];
   private double[] failures = new double[INITIAL_CAPACITY];
   private long[] failureNanos = new long[INITIAL_CAPACITY];
+  private boolean[] leaving = new boolean[INITIAL_CAPACITY];
+  private long[] heldOffUntilNanos = new long[INITIAL_CAPACITY];
   private int size;
   private final Deque<Integer> retired = new ArrayDeque<>();
   private final Map<String, Integer> rowsById = new HashMap<>();
@@ -80,9 +83,10 @@
     }
     for (RegisteredTarget target : next.values()) {
       Integer existingRow = rowsById.get(target.id());
-      int row = existingRow == null ? newRow(target, nowNanos) : existingRow;
+      int row = existingRow == null ? rowFor(target, nowNanos) : existingRow;
       registered[row] = target;
-      usable[row] = !target.leaving();
+      leaving[row] |= target.leaving();
+      usable[row] = !leaving[row];
       rowsById.put(target.id(), row);
     }
     indexByService();
@@ -93,6 +97,49 @@
     return rowsByService.getOrDefault(service, new int[0]);
   }
 
+  /** Returns the usable rows of a service whose targets did not ask to be left alone. */
+  int[] availableRows(String service, long nowNanos) {
+    int[] rows = usableRows(service);
+    for (int row : rows) {
+      if (isHeldOff(row, nowNanos)) {
+        return Arrays.stream(rows).filter(r -> !isHeldOff(r, nowNanos)).toArray();
+      }
+    }
+    return rows;
+  }
+
+  /** Returns the earliest end of a hold-off among rows; {@code Long.MAX_VALUE} without rows. */
+  long earliestHoldOffEndNanos(int[] rows) {
+    return Arrays.stream(rows)
+        .mapToLong(row -> heldOffUntilNanos[row])
+        .min()
+        .orElse(Long.MAX_VALUE);
+  }
+
+  /** Records that a target wants nothing from this entry until a time. */
+  void holdOff(int row, long untilNanos) {
+    heldOffUntilNanos[row] = Math.max(heldOffUntilNanos[row], untilNanos);
+  }
+
+  private boolean isHeldOff(int row, long nowNanos) {
+    return nowNanos < heldOffUntilNanos[row];
+  }
+
+  /**
+   * Records that the target of a row announced its shutdown.
+   *
+   * @return whether this was not known
+   */
+  boolean markLeaving(int row) {
+    boolean isNew = !leaving[row];
+    leaving[row] = true;
+    if (usable[row]) {
+      usable[row] = false;
+      indexByService();
+    }
+    return isNew;
+  }
+
   /** Returns the number of targets that are usable. */
   int usableCount() {
     return rowsByService.values().stream().mapToInt(rows -> rows.length).sum();
@@ -226,6 +273,18 @@
     return halfLives > MAX_FAILURE_HALF_LIVES ? 0 : failures[row] * Math.pow(0.5, halfLives);
   }
 
+  /** Returns the row that the incarnation had before, or a new one. */
+  private int rowFor(RegisteredTarget target, long nowNanos) {
+    for (int row : retired) {
+      RegisteredTarget before = registered[row];
+      if (before != null && before.isSameIncarnation(target)) {
+        retired.remove(row);
+        return row;
+      }
+    }
+    return newRow(target, nowNanos);
+  }
+
   private int newRow(RegisteredTarget target, long nowNanos) {
     int row = takeReusableRow();
     if (row == NONE) {
@@ -235,6 +294,8 @@
       }
     }
     inFlight[row] = 0;
+    leaving[row] = false;
+    heldOffUntilNanos[row] = Long.MIN_VALUE;
     probing[row] = false;
     sentSinceReport[row] = 0;
     reportNanos[row] = Long.MIN_VALUE;
@@ -273,6 +334,8 @@
     warmNanos = Arrays.copyOf(warmNanos, capacity);
     failures = Arrays.copyOf(failures, capacity);
     failureNanos = Arrays.copyOf(failureNanos, capacity);
+    leaving = Arrays.copyOf(leaving, capacity);
+    heldOffUntilNanos = Arrays.copyOf(heldOffUntilNanos, capacity);
   }
 
   private void indexByService() {
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -12,6 +12,7 @@
 import org.chivecross.model.failure.Step;
 import org.chivecross.model.registry.RegisteredTarget;
 import org.chivecross.model.request.LoadReport;
+import org.chivecross.model.request.ResponseHead;
 import org.chivecross.model.ruleset.RouteRule;
 import org.chivecross.model.ruleset.RuleSet;
 
@@ -20,8 +21,9 @@
  * of two choices. The load of targets changes within milliseconds, so a request that finds no fresh
  * report of a good target sends probes of its own.
  *
- * <p>Invariants: a target that is leaving or not registered is never chosen; each attempt counted
- * by {@link #started} ends exactly once. Not thread-safe: all calls are made under one lock.
+ * <p>Invariants: a target that is leaving, not registered or has asked for a hold-off is neither
+ * chosen nor probed; each attempt counted by {@link #started} ends exactly once. Not thread-safe:
+ * all calls are made under one lock.
  */
 public final class Dispatcher {
 
@@ -55,6 +57,7 @@
   private final DispatchPreferences preferences;
   private final ProbeSender probes;
   private final RandomGenerator random;
+  private final LeavingListener leavingListener;
   private final RetryAdvice advice;
   private final DispatchTargetTable targets = new DispatchTargetTable();
   private final ResponseTimeEstimates responseTimes = new ResponseTimeEstimates();
@@ -71,9 +74,14 @@
   private int budgetEntries;
 
   /** Creates a dispatcher without routes and targets. */
-  public Dispatcher(DispatchPreferences preferences, ProbeSender probes, RandomGenerator random) {
+  public Dispatcher(
+      DispatchPreferences preferences,
+      ProbeSender probes,
+      LeavingListener leavingListener,
+      RandomGenerator random) {
     this.preferences = preferences;
     this.probes = probes;
+    this.leavingListener = leavingListener;
     this.random = random;
     advice = new RetryAdvice(random);
     expectedTimes = new ExpectedResponseTime(targets, preferences);
@@ -174,7 +182,10 @@
    * has a free slot, otherwise the time in which about half of the backlog is served.
    */
   public long retryAfterMillis(PlacementTicket ticket, long nowNanos) {
-    int[] rows = targets.usableRows(ticket.service());
+    int[] rows = targets.availableRows(ticket.service(), nowNanos);
+    if (rows.length == 0) {
+      return afterHoldOffMillis(ticket, nowNanos);
+    }
     if (targets.hasFreeSlot(rows)) {
       return advice.soonMillis();
     }
@@ -184,9 +195,9 @@
 
   /** Tries to choose a target; may send probes. */
   public Placement place(PlacementTicket ticket, long nowNanos) {
-    int[] rows = targets.usableRows(ticket.service());
+    int[] rows = targets.availableRows(ticket.service(), nowNanos);
     if (rows.length == 0) {
-      return refuse("no usable target of " + ticket.service(), advice.maxMillis());
+      return placeWithoutTargets(ticket, nowNanos);
     }
     double nominalMillis = responseTimes.nominalMillis(ticket.route());
     double leftMillis = (ticket.deadlineNanos() - nowNanos) / (double) NANOS_PER_MILLI;
@@ -225,7 +236,7 @@
       return choose(ticket, best);
     }
     if (!mayWait) {
-      boolean onlySlow = targets.hasFreeSlot(targets.usableRows(ticket.service()));
+      boolean onlySlow = targets.hasFreeSlot(targets.availableRows(ticket.service(), nowNanos));
       return refuse(
           "all targets of " + ticket.service() + (onlySlow ? " are slow" : " are busy"),
           onlySlow ? advice.nextPhaseMillis() : advice.afterBacklogMillis(bestMillis));
@@ -234,6 +245,43 @@
     return new Placement.Pending(nowNanos + REPROBE_DELAY_NANOS);
   }
 
+  /** Waits for the end of the first hold-off if that is soon, otherwise refuses the request. */
+  private Placement placeWithoutTargets(PlacementTicket ticket, long nowNanos) {
+    int[] heldOff = targets.usableRows(ticket.service());
+    if (heldOff.length == 0) {
+      return refuse("no usable target of " + ticket.service(), advice.maxMillis());
+    }
+    long endNanos = targets.earliestHoldOffEndNanos(heldOff);
+    double waitMillis = (endNanos - ticket.placingSinceNanos()) / (double) NANOS_PER_MILLI;
+    if (waitMillis < QUEUE_TIMEOUT_FRACTION * ticket.route().latencyObjectiveMillis()) {
+      return new Placement.Pending(endNanos);
+    }
+    return refuse(
+        "all targets of " + ticket.service() + " asked for a hold-off",
+        afterHoldOffMillis(ticket, nowNanos));
+  }
+
+  private long afterHoldOffMillis(PlacementTicket ticket, long nowNanos) {
+    int[] heldOff = targets.usableRows(ticket.service());
+    if (heldOff.length == 0) {
+      return advice.maxMillis();
+    }
+    long endNanos = targets.earliestHoldOffEndNanos(heldOff);
+    return advice.afterHoldOffMillis((endNanos - nowNanos) / NANOS_PER_MILLI);
+  }
+
+  /**
+   * Takes note of what a target announced in a response: its shutdown, or a hold-off. The load
+   * report is not evaluated.
+   */
+  public void announced(int row, ResponseHead head, long nowNanos) {
+    head.holdOffMillis()
+        .ifPresent(millis -> targets.holdOff(row, nowNanos + millis * NANOS_PER_MILLI));
+    if (head.leaving() && targets.markLeaving(row)) {
+      targets.target(row).ifPresent(leavingListener::announced);
+    }
+  }
+
   /** Records that an attempt was started on a target. */
   public void started(int row) {
     targets.attemptStarted(row);
@@ -297,11 +345,12 @@
    * Handles the end of a probe.
    *
    * @param healthy whether the target reported that it is healthy
-   * @param report its load report; empty when it sent none or did not answer in time
+   * @param head its response; empty when it did not answer in time
    */
-  public void probeEnded(int row, boolean healthy, Optional<LoadReport> report, long nowNanos) {
+  public void probeEnded(int row, boolean healthy, Optional<ResponseHead> head, long nowNanos) {
     targets.setProbing(row, false);
-    report.ifPresent(load -> targets.report(row, load, nowNanos));
+    head.ifPresent(answer -> announced(row, answer, nowNanos));
+    head.flatMap(ResponseHead::load).ifPresent(load -> targets.report(row, load, nowNanos));
     if (!healthy) {
       targets.failed(row, 1, nowNanos);
     }
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/RetryAdvice.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/RetryAdvice.java
@@ -47,6 +47,14 @@
     return jittered(Math.max(MIN_BACKLOG_MILLIS, (long) half));
   }
 
+  /**
+   * Returns the delay while all targets have asked for a hold-off, in ms: never shorter than the
+   * rest of the first hold-off.
+   */
+  long afterHoldOffMillis(long restMillis) {
+    return Math.max(0, restMillis) + jittered(SOON_MILLIS);
+  }
+
   /** Returns the delay while there is no target, in ms. */
   long maxMillis() {
     return jittered(MAX_MILLIS);
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
@@ -2,8 +2,8 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.chivecross.logic.dispatch.DispatchEvent;
 import org.chivecross.logic.dispatch.DispatchJournal;
 import org.chivecross.logic.dispatch.Dispatcher;
 import org.chivecross.logic.dispatch.Placement;
@@ -32,6 +32,10 @@
   private static final int SERVER_ERROR = 500;
   private static final int BAD_GATEWAY = 502;
   private static final int UNAVAILABLE = 503;
+
+  /** Statuses that promise the caller that its request did not run and never will. */
+  private static final Set<Integer> REFUSALS = Set.of(408, 421, 429, UNAVAILABLE);
+
   private static final int GATEWAY_TIMEOUT = 504;
 
   /**
@@ -42,6 +46,12 @@
   /** Retry delay advised by an entry that has not yet received its configuration. */
   private static final long STARTING_RETRY_AFTER_MILLIS = 250;
 
+  /**
+   * Time after the deadline at which a response that is still being relayed is cut; its caller no
+   * longer waits for the rest.
+   */
+  private static final long RELAY_MARGIN_NANOS = 1_000 * NANOS_PER_MILLI;
+
   /** A read is hedged after this multiple of its expected response time. */
   private static final double HEDGE_EXPECTED_TIME_FACTOR = 1.8;
 
@@ -57,7 +67,7 @@
   }
 
   private final Dispatcher dispatcher;
-  private final DispatchJournal journal;
+  private final RequestRecorder recorder;
   private final Runnable scheduleTimer;
   private final AttemptTable attempts = new AttemptTable();
   private final boolean[] atNominalSpeed = new boolean[AttemptTable.CAPACITY];
@@ -67,13 +77,12 @@
   private long placeAtNanos = AttemptTable.NEVER;
   private long hedgeAtNanos = AttemptTable.NEVER;
   private long deadlineNanos = AttemptTable.NEVER;
+  private long relayDeadlineNanos = AttemptTable.NEVER;
   private int relayedAttempt;
-  private String requestId = "";
-  private long arrivedNanos;
 
   DispatchRequestMachine(Dispatcher dispatcher, DispatchJournal journal, Runnable scheduleTimer) {
     this.dispatcher = dispatcher;
-    this.journal = journal;
+    recorder = new RequestRecorder(dispatcher, journal);
     this.scheduleTimer = scheduleTimer;
   }
 
@@ -82,8 +91,7 @@
     if (phase != Phase.ARRIVING) {
       return new Decision.Finish();
     }
-    requestId = head.requestId();
-    arrivedNanos = nowNanos;
+    recorder.arrived(head.requestId(), nowNanos);
     if (!dispatcher.hasRules() || !dispatcher.hasTargets()) {
       return answer(UNAVAILABLE, "no configuration yet", STARTING_RETRY_AFTER_MILLIS, nowNanos);
     }
@@ -94,6 +102,7 @@
     long requestedMillis = head.deadlineMillis().orElse(DEFAULT_DEADLINE_MILLIS);
     long timeoutMillis = Math.min(requestedMillis, route.get().timeoutMillis());
     deadlineNanos = nowNanos + timeoutMillis * NANOS_PER_MILLI;
+    relayDeadlineNanos = nowNanos + requestedMillis * NANOS_PER_MILLI + RELAY_MARGIN_NANOS;
     phase = Phase.ACTIVE;
     ticket = dispatcher.open(route.get(), deadlineNanos, head.bodyBytes(), scheduleTimer, nowNanos);
     isPlacing = true;
@@ -119,6 +128,7 @@
       return await();
     }
     int target = attempts.target(attempt);
+    announced(attempt, head, nowNanos);
     head.load().ifPresent(load -> dispatcher.loadReported(target, load, nowNanos));
     if (head.notRun()) {
       attempts.markNotRun(attempt);
@@ -141,17 +151,28 @@
     } else {
       dispatcher.failed(target, nowNanos);
     }
-    if (head.status() == UNAVAILABLE) {
-      // Relaying the status 503 would promise that the request did not run, which is not proved.
+    if (REFUSALS.contains(head.status()) && !current.route().isIdempotent()) {
+      // Relaying the status would promise that the request did not run, which is not proved.
       Failure unprovedRefusal =
           new Failure(
               Step.AWAIT_RESPONSE, peer(target), "refusal without proof that it did not run");
       return giveUp(unprovedRefusal, 0, nowNanos);
     }
-    recordIfLate(current, attempt, head.status(), nowNanos);
+    recorder.relayed(
+        current.route(), attempt, target, head.status(), attempts.startedNanos(attempt), nowNanos);
     return relay(attempt);
   }
 
+  @Override
+  public void announced(int attempt, ResponseHead head, long nowNanos) {
+    if (attempt >= attempts.size() || (!head.leaving() && head.holdOffMillis().isEmpty())) {
+      return;
+    }
+    int target = attempts.target(attempt);
+    recorder.announced(target, head, nowNanos);
+    dispatcher.announced(target, head, nowNanos);
+  }
+
   @Override
   public Decision responseEnd(int attempt, long nowNanos) {
     phase = Phase.DONE;
@@ -179,9 +200,12 @@
   @Override
   public Decision timer(long nowNanos) {
     PlacementTicket current = ticket;
-    if (phase == Phase.RELAYING || current == null || phase == Phase.DONE) {
+    if (current == null || phase == Phase.DONE) {
       return await();
     }
+    if (phase == Phase.RELAYING) {
+      return nowNanos >= relayDeadlineNanos ? cutRelay() : await();
+    }
     if (nowNanos >= deadlineNanos) {
       return timedOut(nowNanos);
     }
@@ -203,8 +227,21 @@
     return new Decision.Finish();
   }
 
+  /** Ends a response that the caller no longer waits for, such as one without end. */
+  private Decision cutRelay() {
+    phase = Phase.DONE;
+    return new Decision.Abort(
+        new Failure(
+            Step.RELAY_RESPONSE,
+            peer(attempts.target(relayedAttempt)),
+            "response not complete after the deadline of the caller"));
+  }
+
   @Override
   public long nextTimerNanos() {
+    if (phase == Phase.RELAYING) {
+      return relayDeadlineNanos;
+    }
     if (phase != Phase.ACTIVE) {
       return AttemptTable.NEVER;
     }
@@ -239,12 +276,7 @@
               HEDGE_MIN_OBJECTIVE_FRACTION * current.route().latencyObjectiveMillis());
       hedgeAtNanos = nowNanos + (long) (hedgeDelayMillis * NANOS_PER_MILLI);
     }
-    DispatchEvent.TargetLoad targetLoad = dispatcher.targetLoad(target, nowNanos);
-    long expectedMillis = Math.round(dispatcher.expectedMillis(current, target, nowNanos));
-    journal.record(
-        requestId,
-        new DispatchEvent.Sent(
-            attempt, targetLoad, expectedMillis, dispatcher.usableTargets(current)));
+    recorder.sent(current, attempt, target, nowNanos);
     dispatcher.started(target);
     return new Decision.Send(attempt, target, ConnectionKind.RECENTLY_LIVE, deadlineNanos);
   }
@@ -261,10 +293,7 @@
       PlacementTicket current, String detail, int target, long nowNanos) {
     int last = attempts.size() - 1;
     boolean mayHaveRun = NotRunProof.of(attempts).isEmpty();
-    journal.record(
-        requestId,
-        new DispatchEvent.AttemptFailed(
-            last, dispatcher.targetLoad(target, nowNanos), detail, mayHaveRun));
+    recorder.attemptFailed(last, target, detail, mayHaveRun, nowNanos);
     if (attempts.hasOpen() || isPlacing) {
       return await();
     }
@@ -317,12 +346,12 @@
     phase = Phase.DONE;
     Optional<NotRunProof> proof = NotRunProof.of(attempts);
     if (proof.isPresent()) {
-      record(UNAVAILABLE, failure, retryAfterMillis, nowNanos);
+      recorder.answered(UNAVAILABLE, failure, retryAfterMillis, nowNanos);
       return new Decision.Answer(
           UNAVAILABLE, proof.get().outcome(), failure, OptionalLong.of(retryAfterMillis));
     }
     int status = failure.peer().equals(Failure.LOCAL) ? GATEWAY_TIMEOUT : BAD_GATEWAY;
-    record(status, failure, 0, nowNanos);
+    recorder.answered(status, failure, 0, nowNanos);
     return new Decision.Answer(status, Outcome.UNKNOWN, failure, OptionalLong.empty());
   }
 
@@ -332,7 +361,7 @@
     phase = Phase.DONE;
     Outcome outcome = NotRunProof.of(attempts).map(NotRunProof::outcome).orElse(Outcome.UNKNOWN);
     Failure failure = new Failure(Step.ROUTE, Failure.LOCAL, detail);
-    record(status, failure, retryAfterMillis, nowNanos);
+    recorder.answered(status, failure, retryAfterMillis, nowNanos);
     return new Decision.Answer(
         status,
         outcome,
@@ -340,26 +369,6 @@
         retryAfterMillis > 0 ? OptionalLong.of(retryAfterMillis) : OptionalLong.empty());
   }
 
-  private void record(int status, Failure failure, long retryAfterMillis, long nowNanos) {
-    long waitedMillis = (nowNanos - arrivedNanos) / NANOS_PER_MILLI;
-    journal.record(
-        requestId, new DispatchEvent.Answered(status, failure, retryAfterMillis, waitedMillis));
-  }
-
-  private void recordIfLate(PlacementTicket current, int attempt, int status, long nowNanos) {
-    long totalMillis = (nowNanos - arrivedNanos) / NANOS_PER_MILLI;
-    long objectiveMillis = current.route().latencyObjectiveMillis();
-    if (totalMillis > objectiveMillis) {
-      long targetMillis = (nowNanos - attempts.startedNanos(attempt)) / NANOS_PER_MILLI;
-      DispatchEvent.TargetLoad targetLoad =
-          dispatcher.targetLoad(attempts.target(attempt), nowNanos);
-      journal.record(
-          requestId,
-          new DispatchEvent.AnsweredLate(
-              attempt, targetLoad, status, targetMillis, totalMillis, objectiveMillis));
-    }
-  }
-
   private void abandonAll() {
     for (int i = 0; i < attempts.size(); i++) {
       if (attempts.isOpen(i)) {
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/RequestMachine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/RequestMachine.java
@@ -35,6 +35,12 @@
   /** The head of a response was read. */
   Decision responseHead(int attempt, ResponseHead head, long nowNanos);
 
+  /**
+   * A response that is not relayed announced something about its target, such as its shutdown. The
+   * announcements of other responses are part of {@link #responseHead}.
+   */
+  default void announced(int attempt, ResponseHead head, long nowNanos) {}
+
   /** The response was relayed completely. */
   Decision responseEnd(int attempt, long nowNanos);
 
--- a/chivecross-core/src/main/java/org/chivecross/model/request/ResponseHead.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/request/ResponseHead.java
@@ -1,6 +1,7 @@
 package org.chivecross.model.request;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Properties of a response head on which decisions depend.
@@ -10,6 +11,17 @@
  *     request
  * @param leaving whether the target announced that it is leaving
  * @param load load report that came with the answer
+ * @param holdOffMillis time for which the target asked this entry to send it nothing, in ms
  */
 public record ResponseHead(
-    int status, boolean notRun, boolean leaving, Optional<LoadReport> load) {}
+    int status,
+    boolean notRun,
+    boolean leaving,
+    Optional<LoadReport> load,
+    OptionalLong holdOffMillis) {
+
+  /** Creates the properties of a response whose target asked for no hold-off. */
+  public ResponseHead(int status, boolean notRun, boolean leaving, Optional<LoadReport> load) {
+    this(status, notRun, leaving, load, OptionalLong.empty());
+  }
+}
--- a/chivecross-core/src/test/java/org/chivecross/logic/dispatch/DispatchSimulation.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/DispatchSimulation.java
@@ -11,6 +11,7 @@
 import org.chivecross.model.fileset.RequestClass;
 import org.chivecross.model.registry.RegisteredTarget;
 import org.chivecross.model.request.LoadReport;
+import org.chivecross.model.request.ResponseHead;
 import org.chivecross.model.ruleset.CallerLimits;
 import org.chivecross.model.ruleset.RouteRule;
 import org.chivecross.model.ruleset.RuleSet;
@@ -75,7 +76,8 @@
       String id = dataCentre + "-" + targets.size();
       String address = "10.0.0." + targets.size() + ":80";
       targets.add(
-          new FakeTarget(new RegisteredTarget(id, 1, "s", address, dataCentre, slots, false, 0)));
+          new FakeTarget(
+              new RegisteredTarget(id, 1, "s", address, dataCentre, slots, false, 0, 0)));
     }
   }
 
@@ -84,7 +86,8 @@
       int index = entries.size();
       DispatchPreferences preferences =
           new DispatchPreferences(dataCentre, 20, 10, probesPerSecond, 0.2, 75, 10_000);
-      Dispatcher entry = new Dispatcher(preferences, row -> probe(index, row), random.split());
+      Dispatcher entry =
+          new Dispatcher(preferences, row -> probe(index, row), target -> {}, random.split());
       entry.applyRules(rules());
       entry.applyTargets(targets.stream().map(t -> t.registered).toList(), 0);
       entries.add(entry);
@@ -238,7 +241,8 @@
           LoadReport report =
               new LoadReport(
                   running, target.waiting, target.registered.slots(), 100 * slowdown(target, at));
-          dispatcher.probeEnded(row, true, Optional.of(report), at);
+          ResponseHead head = new ResponseHead(200, false, false, Optional.of(report));
+          dispatcher.probeEnded(row, true, Optional.of(head), at);
         });
   }
 
--- a/chivecross-core/src/test/java/org/chivecross/logic/dispatch/DispatchTargetTableTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/DispatchTargetTableTest.java
@@ -13,7 +13,7 @@
   private final DispatchTargetTable targets = new DispatchTargetTable();
 
   private static RegisteredTarget target(String id, long startedAt, boolean leaving) {
-    return new RegisteredTarget(id, startedAt, "s", "10.0.0.1:80", "a", 4, leaving, 0);
+    return new RegisteredTarget(id, startedAt, "s", "10.0.0.1:80", "a", 4, leaving, 0, 0);
   }
 
   @Test
--- a/chivecross-core/src/test/java/org/chivecross/logic/request/DispatchRequestMachineTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/request/DispatchRequestMachineTest.java
@@ -11,6 +11,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.chivecross.logic.dispatch.DispatchEvent;
@@ -32,6 +33,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests one request with a few idle targets whose probes are answered after 1 ms. */
 class DispatchRequestMachineTest {
@@ -40,15 +42,20 @@
   private static final ResponseHead OK = new ResponseHead(200, false, false, Optional.empty());
   private static final ResponseHead SHED = new ResponseHead(503, true, false, Optional.empty());
   private static final ResponseHead ERROR = new ResponseHead(500, false, false, Optional.empty());
+  private static final ResponseHead IDLE =
+      new ResponseHead(200, false, false, Optional.of(new LoadReport(0, 0, 4)));
+  private static final ResponseHead LEAVING = new ResponseHead(200, false, true, Optional.empty());
   private static final ResponseHead UNPROVED =
       new ResponseHead(503, false, false, Optional.empty());
 
   private final Deque<Integer> probes = new ArrayDeque<>();
+  private final List<RegisteredTarget> leaving = new ArrayList<>();
   private final List<DispatchEvent> journal = new ArrayList<>();
   private final Dispatcher dispatcher =
       new Dispatcher(
           new DispatchPreferences("a", 20, 10, 1_000, 0.5, 100, 10_000),
           probes::add,
+          leaving::add,
           new SplittableRandom(5));
   private final DispatchRequestMachines machines =
       new DispatchRequestMachines(dispatcher, (id, event) -> journal.add(event));
@@ -82,7 +89,7 @@
     List<RegisteredTarget> registered = new ArrayList<>();
     for (int i = 0; i < targets; i++) {
       registered.add(
-          new RegisteredTarget("t" + i, 1, "s", "10.0.0." + i + ":80", "a", 4, false, 0));
+          new RegisteredTarget("t" + i, 1, "s", "10.0.0." + i + ":80", "a", 4, false, 0, 0));
     }
     dispatcher.applyTargets(registered, now);
   }
@@ -106,7 +113,7 @@
     while (decision instanceof Decision.Await && !probes.isEmpty()) {
       now += MILLI;
       while (!probes.isEmpty()) {
-        dispatcher.probeEnded(probes.remove(), true, Optional.of(new LoadReport(0, 0, 4)), now);
+        dispatcher.probeEnded(probes.remove(), true, Optional.of(IDLE), now);
       }
       decision = machine.timer(now);
     }
@@ -213,6 +220,127 @@
     assertEquals(Outcome.UNKNOWN, answer.outcome());
   }
 
+  /** The statuses 408 and 429 promise the same as 503. */
+  @ParameterizedTest
+  @ValueSource(ints = {408, 429, 503})
+  void noStatusPromisesWithoutProofThatAWriteDidNotRun(int status) {
+    applyRulesAndTargets(2);
+    RequestMachine machine = machine();
+    Decision.Send send = sent(machine, RequestClass.WRITE);
+    ResponseHead head = new ResponseHead(status, false, false, Optional.empty());
+    assertEquals(502, answer(machine.responseHead(send.attempt(), head, now)).status());
+  }
+
+  private int placements(int target, int requests) {
+    int count = 0;
+    for (int i = 0; i < requests; i++) {
+      RequestMachine machine = machine();
+      Decision.Send send = sent(machine, RequestClass.READ);
+      count += send.target() == target ? 1 : 0;
+      machine.responseHead(send.attempt(), OK, now);
+      now += 30 * MILLI;
+    }
+    return count;
+  }
+
+  @Test
+  void targetThatAnnouncesItsShutdownGetsNoLaterRequest() {
+    applyRulesAndTargets(2);
+    RequestMachine machine = machine();
+    Decision.Send send = sent(machine, RequestClass.WRITE);
+    assertInstanceOf(Decision.Relay.class, machine.responseHead(send.attempt(), LEAVING, now));
+    assertEquals(1, leaving.size());
+    assertEquals(0, placements(send.target(), 30));
+  }
+
+  /** The store lists the target as before, for example in a view that is older than the answer. */
+  @Test
+  void announcedShutdownIsNotUndoneByTheStore() {
+    applyRulesAndTargets(2);
+    RequestMachine machine = machine();
+    Decision.Send send = sent(machine, RequestClass.WRITE);
+    machine.responseHead(send.attempt(), LEAVING, now);
+    RegisteredTarget left = leaving.get(0);
+    applyRulesAndTargets(2);
+    assertEquals(0, placements(send.target(), 30));
+    dispatcher.applyTargets(List.of(), now);
+    applyRulesAndTargets(2);
+    assertEquals(0, placements(send.target(), 30));
+    RegisteredTarget restarted =
+        new RegisteredTarget(left.id(), 2, "s", left.address(), "a", 4, false, 0, 0);
+    dispatcher.applyTargets(List.of(restarted), now);
+    assertInstanceOf(Decision.Send.class, sent(machine(), RequestClass.READ));
+  }
+
+  @Test
+  void shutdownAnnouncedInAResponseThatIsNotRelayedCounts() {
+    applyRulesAndTargets(2);
+    RequestMachine machine = machine();
+    Decision.Send send = sent(machine, RequestClass.WRITE);
+    machine.announced(send.attempt(), LEAVING, now);
+    machine.connectionFailed(send.attempt(), ConnectionFault.MALFORMED, now);
+    assertEquals(0, placements(send.target(), 30));
+  }
+
+  @Test
+  void targetThatAsksForAHoldOffGetsNothingUntilItsEnd() {
+    applyRulesAndTargets(2);
+    RequestMachine machine = machine();
+    Decision.Send send = sent(machine, RequestClass.WRITE);
+    ResponseHead holdOff =
+        new ResponseHead(503, true, false, Optional.empty(), OptionalLong.of(1_500));
+    answerProbes(machine, machine.responseHead(send.attempt(), holdOff, now));
+    assertEquals(0, placements(send.target(), 45));
+    machine().arrived(head(RequestClass.READ), now);
+    assertFalse(probes.contains(send.target()), "probed");
+    now += 300 * MILLI;
+    machine().arrived(head(RequestClass.READ), now);
+    assertTrue(probes.contains(send.target()), "still held off after its end");
+  }
+
+  @Test
+  void requestIsRefusedAtOnceWhileAllTargetsAreHeldOff() {
+    applyRulesAndTargets(1);
+    RequestMachine machine = machine();
+    Decision.Send send = sent(machine, RequestClass.READ);
+    ResponseHead holdOff =
+        new ResponseHead(503, true, false, Optional.empty(), OptionalLong.of(900));
+    machine.responseHead(send.attempt(), holdOff, now);
+    Decision.Answer answer = answer(machine().arrived(head(RequestClass.READ), now));
+    assertEquals(503, answer.status());
+    assertEquals(Outcome.NOT_RUN, answer.outcome());
+    long retryAfterMillis = answer.retryAfterMillis().orElseThrow();
+    assertTrue(retryAfterMillis >= 900 && retryAfterMillis <= 1_000, retryAfterMillis + " ms");
+  }
+
+  @Test
+  void requestWaitsForAHoldOffThatEndsSoon() {
+    applyRulesAndTargets(1);
+    RequestMachine machine = machine();
+    Decision.Send send = sent(machine, RequestClass.READ);
+    ResponseHead holdOff =
+        new ResponseHead(503, true, false, Optional.empty(), OptionalLong.of(60));
+    machine.responseHead(send.attempt(), holdOff, now);
+    RequestMachine next = machine();
+    assertInstanceOf(Decision.Await.class, next.arrived(head(RequestClass.READ), now));
+    now = next.nextTimerNanos();
+    assertInstanceOf(Decision.Send.class, answerProbes(next, next.timer(now)));
+  }
+
+  /** A body without end would otherwise hold its connections for good. */
+  @Test
+  void responseIsCutWhenItsCallerNoLongerWaits() {
+    applyRulesAndTargets(2);
+    RequestMachine machine = machine();
+    long arrived = now;
+    Decision.Send send = sent(machine, RequestClass.READ);
+    machine.responseHead(send.attempt(), OK, now);
+    assertInstanceOf(Decision.Await.class, machine.timer(arrived + 1_100 * MILLI));
+    now = machine.nextTimerNanos();
+    assertTrue(now > arrived + 1_000 * MILLI && now <= arrived + 2_500 * MILLI);
+    assertInstanceOf(Decision.Abort.class, machine.timer(now));
+  }
+
   @Test
   void failedReadIsResentToAnotherTarget() {
     applyRulesAndTargets(3);
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/DecisionLogger.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/DecisionLogger.java
@@ -17,6 +17,16 @@
 
   @Override
   public void record(String requestId, DispatchEvent event) {
+    if (event instanceof DispatchEvent.TargetLeaving left) {
+      log.info("target announced its shutdown", targetFields(requestId, left.target()));
+      return;
+    }
+    if (event instanceof DispatchEvent.TargetHeldOff heldOff) {
+      Map<String, String> fields = targetFields(requestId, heldOff.target());
+      fields.put("holdOffMillis", Long.toString(heldOff.millis()));
+      log.info("target asked for a hold-off", fields);
+      return;
+    }
     Map<String, String> fields = new LinkedHashMap<>();
     fields.put("request", requestId);
     if (event instanceof DispatchEvent.Sent sent) {
@@ -50,6 +60,13 @@
     }
   }
 
+  private static Map<String, String> targetFields(String requestId, String target) {
+    Map<String, String> fields = new LinkedHashMap<>();
+    fields.put("request", requestId);
+    fields.put("target", target);
+    return fields;
+  }
+
   private static void putTarget(Map<String, String> fields, DispatchEvent.TargetLoad target) {
     fields.put("target", target.id());
     fields.put("running", Integer.toString(target.running()));
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.TimeUnit;
 import org.chivecross.cli.entry.http.DataPath;
 import org.chivecross.cli.entry.http.DataPathPorts;
-import org.chivecross.cli.entry.http.DataPathSettings;
 import org.chivecross.cli.entry.http.LocalRoutes;
 import org.chivecross.cli.entry.http.TargetProber;
 import org.chivecross.cli.entry.metrics.EntryMetrics;
@@ -24,11 +23,14 @@
 import org.chivecross.logic.fleet.FleetPreferences;
 import org.chivecross.logic.request.DispatchRequestMachines;
 import org.chivecross.logic.routing.Route;
+import org.chivecross.model.failure.Failure;
 import org.chivecross.model.failure.Result;
+import org.chivecross.model.failure.Step;
 import org.chivecross.model.fleet.FleetMember;
 import org.chivecross.model.fleet.FleetMessage;
+import org.chivecross.model.fleet.TargetIncarnation;
 import org.chivecross.model.registry.RegisteredTarget;
-import org.chivecross.model.request.LoadReport;
+import org.chivecross.model.request.ResponseHead;
 import org.chivecross.model.ruleset.RouteRule;
 import org.chivecross.model.ruleset.RuleSet;
 import org.chivecross.model.ruleset.ServiceRule;
@@ -44,20 +46,6 @@
  */
 public final class FleetEntry {
 
-  private static final int MAX_HEAD_BYTES = 64 * 1024;
-  private static final int MAX_HEADERS = 200;
-  private static final int CONNECT_TIMEOUT_MILLIS = 300;
-
-  /** Bytes of a request body kept for a resend; larger than nearly all uploads of callers. */
-  private static final int RETAINED_BODY_BYTES = 4 << 20;
-
-  /** Responses up to this size are relayed only when complete; nearly all are smaller. */
-  private static final int MAX_HELD_RESPONSE_BYTES = 64 * 1024;
-
-  /** Time since the last answer up to which an idle connection is assumed to be live. */
-  private static final int RECENT_ACTIVITY_MILLIS = 400;
-
-  private static final int DEFAULT_TIMEOUT_MILLIS = 60_000;
   private static final long CLOSE_IDLE_PERIOD_MILLIS = 500;
 
   /** Maximum number of addresses in a directory answer. */
@@ -71,6 +59,9 @@
 
   private static final long DRAIN_POLL_PERIOD_MILLIS = 50;
 
+  /** Pause after a tick that failed. */
+  private static final long FAILED_TICK_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
   private final FleetEntrySettings settings;
   private final long incarnation;
   private final Object lock = new Object();
@@ -92,12 +83,19 @@
 
   /** Creates an entry; {@link #start} starts it. */
   public FleetEntry(FleetEntrySettings settings, long incarnation, PlatformAdapter adapter) {
+    this(settings, incarnation, adapter, adapter.store());
+  }
+
+  /** Creates an entry that reads the store by {@code store} instead of the adapter's reader. */
+  public FleetEntry(
+      FleetEntrySettings settings, long incarnation, PlatformAdapter adapter, StoreReader store) {
     this.settings = settings;
     this.incarnation = incarnation;
     this.adapter = adapter;
-    store = adapter.store();
+    this.store = store;
     SplittableRandom random = new SplittableRandom(incarnation);
-    dispatcher = new Dispatcher(settings.dispatch(), this::probe, random.split());
+    dispatcher =
+        new Dispatcher(settings.dispatch(), this::probe, this::leavingAnnounced, random.split());
     socket = new FleetSocket(settings.peers(), this::receiveMessage);
     FleetPreferences preferences =
         new FleetPreferences(
@@ -125,7 +123,7 @@
             adapter.dialect(),
             scheduler,
             () -> lock);
-    dataPath = new DataPath(ports, dataPathSettings());
+    dataPath = new DataPath(ports, FleetDataPathSettings.create());
     prober = dataPath.prober(adapter.dialect(), scheduler);
     FleetMetrics.addGauges(metrics, lock, dataPath, socket, node, dispatcher, store);
   }
@@ -215,15 +213,19 @@
   }
 
   private void tick() {
-    long next;
-    synchronized (lock) {
-      long now = System.nanoTime();
-      node.setRequestsPerSecond((int) Math.round(dispatcher.requestsPerSecond(now)));
-      node.tick(now);
-      dispatcher.setBudgetShare(node.budgetShare(now), node.budgetEntries());
-      next = node.nextTickNanos(now);
+    long next = System.nanoTime() + FAILED_TICK_PAUSE_NANOS;
+    try {
+      synchronized (lock) {
+        long now = System.nanoTime();
+        node.setRequestsPerSecond((int) Math.round(dispatcher.requestsPerSecond(now)));
+        node.tick(now);
+        dispatcher.setBudgetShare(node.budgetShare(now), node.budgetEntries());
+        next = node.nextTickNanos(now);
+      }
+    } finally {
+      // Without another tick, the entry would serve on with a view that is never renewed.
+      scheduler.scheduleAt(next, this::tick);
     }
-    scheduler.scheduleAt(next, this::tick);
   }
 
   private void receiveMessage(String ip, FleetMessage message) {
@@ -233,7 +235,7 @@
   }
 
   private void readStore(OptionalLong after) {
-    StoreReader.Answer answer = store.read(after);
+    StoreReader.Answer answer = readSafely(after);
     synchronized (lock) {
       long now = System.nanoTime();
       if (answer instanceof StoreReader.Answer.Changed changed) {
@@ -258,6 +260,17 @@
     }
   }
 
+  /** Reads the store; an unexpected exception is a failed read, after which reading goes on. */
+  private StoreReader.Answer readSafely(OptionalLong after) {
+    try {
+      return store.read(after);
+    } catch (RuntimeException e) {
+      Logger.error(e, "reading the store failed unexpectedly");
+      return new StoreReader.Answer.Failed(
+          new Failure(Step.PLATFORM_READ, Failure.LOCAL, e.toString()));
+    }
+  }
+
   /** Runs an extra tick of the node, whose next tick may be due earlier after a read. */
   private void tickNodeOnce() {
     synchronized (lock) {
@@ -283,10 +296,10 @@
     }
     dispatcher.applyTargets(node.targets(), now);
     Logger.info(
-        "targets: {} usable of {} at revision {}",
+        "targets: {} usable of {} at {}",
         dispatcher.usableTargets(),
         node.targets().size(),
-        node.revision());
+        node.version());
     node.setReady(isReady(), now);
   }
 
@@ -330,6 +343,13 @@
     }
   }
 
+  /** Sends the announcement of a target on to the other entries. */
+  private void leavingAnnounced(RegisteredTarget target) {
+    Logger.info("target {} at {} announced its shutdown", target.id(), target.address());
+    node.leavingAnnounced(
+        new TargetIncarnation(target.id(), target.startedAtMillis()), System.nanoTime());
+  }
+
   private void probe(int row) {
     Optional<RegisteredTarget> target = dispatcher.target(row);
     ServiceRule service = target.map(t -> services.get(t.service())).orElse(null);
@@ -342,29 +362,15 @@
         target.get().address(),
         service.healthPath(),
         Dispatcher.probeTimeoutMillis(),
-        (healthy, report) -> probeEnded(row, healthy, report));
+        (healthy, head) -> probeEnded(row, healthy, head));
   }
 
-  private void probeEnded(int row, boolean healthy, Optional<LoadReport> report) {
+  private void probeEnded(int row, boolean healthy, Optional<ResponseHead> head) {
     synchronized (lock) {
-      dispatcher.probeEnded(row, healthy, report, System.nanoTime());
+      dispatcher.probeEnded(row, healthy, head, System.nanoTime());
     }
   }
 
-  private static DataPathSettings dataPathSettings() {
-    return new DataPathSettings(
-        MAX_HEAD_BYTES,
-        MAX_HEADERS,
-        Long.MAX_VALUE,
-        DEFAULT_TIMEOUT_MILLIS,
-        DEFAULT_TIMEOUT_MILLIS,
-        CONNECT_TIMEOUT_MILLIS,
-        RECENT_ACTIVITY_MILLIS,
-        RETAINED_BODY_BYTES,
-        MAX_HELD_RESPONSE_BYTES,
-        1);
-  }
-
   /** Executes the side effects that the node requests. Called while {@code lock} is held. */
   private final class NodePort implements FleetPort {
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
@@ -35,6 +35,7 @@
   private @Nullable FilterChainContext suspendedReader;
   private boolean requestComplete;
   private boolean headReceived;
+  private boolean reusableAfterwards;
   private boolean suspect;
   private long sentNanos;
   private boolean decided;
@@ -103,8 +104,14 @@
     return headReceived;
   }
 
-  void markHeadReceived() {
+  /**
+   * Marks that the head of a response arrived.
+   *
+   * @param copyRecognisable whether the connection may be used again after the response
+   */
+  void markHeadReceived(boolean copyRecognisable) {
     headReceived = true;
+    reusableAfterwards = copyRecognisable;
   }
 
   /** Binds the connection on which the request will be sent and prepares its head. */
@@ -229,7 +236,8 @@
     if (connection == null) {
       return;
     }
-    boolean reusable = head.getProcessingState().isKeepAlive() && requestComplete;
+    boolean reusable =
+        reusableAfterwards && head.getProcessingState().isKeepAlive() && requestComplete;
     if (!reusable || SurplusAwareEncoding.isMarked(head)) {
       connection.close();
       return;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -181,8 +181,9 @@
       long now = System.nanoTime();
       HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
       if (!attempt.headReceived()) {
-        attempt.markHeadReceived();
+        attempt.markHeadReceived(ports.dialect().isCopyRecognisable(head));
         if (!ports.isRelayable(request, head)) {
+          machine.announced(attempt.number(), ports.dialect().toDecisionHead(head), now);
           failed(attempt, ConnectionFault.MALFORMED, now);
           return true;
         }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/NativeDialect.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/NativeDialect.java
@@ -73,6 +73,16 @@
         parseLoad(headers.getHeader(LOAD)));
   }
 
+  @Override
+  public boolean isResponseToProbe(HttpResponsePacket response) {
+    return true;
+  }
+
+  @Override
+  public boolean isCopyRecognisable(HttpResponsePacket response) {
+    return true;
+  }
+
   @Override
   public boolean isResponseTo(MimeHeaders request, HttpResponsePacket response) {
     return true;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestDialect.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestDialect.java
@@ -48,6 +48,18 @@
   /** Returns the parts of a response head that the decisions need. */
   ResponseHead toDecisionHead(HttpResponsePacket response);
 
+  /**
+   * Returns whether a response can belong to a probe, judged by its head. A response to an earlier
+   * request may arrive late on the same connection.
+   */
+  boolean isResponseToProbe(HttpResponsePacket response);
+
+  /**
+   * Returns whether a late second copy of a response would be recognised if its connection were in
+   * use again.
+   */
+  boolean isCopyRecognisable(HttpResponsePacket response);
+
   /** Returns whether a response can belong to a request, judged by its head. */
   boolean isResponseTo(MimeHeaders request, HttpResponsePacket response);
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/StrictChunkedEncoding.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/StrictChunkedEncoding.java
@@ -24,10 +24,13 @@
   private static final int MAX_SIZE_LINE_BYTES = 256;
   private static final int MAX_SIZE_DIGITS = 15;
 
+  /** The time that the library takes for a trailer grows with the square of its fields. */
+  private static final int MAX_TRAILER_BYTES = 8 * 1024;
+
   private final ChunkedTransferEncoding library;
 
   private StrictChunkedEncoding(int maxHeadBytes) {
-    library = new ChunkedTransferEncoding(maxHeadBytes);
+    library = new ChunkedTransferEncoding(Math.min(maxHeadBytes, MAX_TRAILER_BYTES));
   }
 
   /** Replaces the chunked coding of a filter. */
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/TargetProber.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/TargetProber.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.TimeUnit;
 import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.ConnectionKind;
-import org.chivecross.model.request.LoadReport;
+import org.chivecross.model.request.ResponseHead;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
@@ -40,9 +40,9 @@
      * Handles the result.
      *
      * @param healthy whether the target answered with status 200
-     * @param report load report of the target, if its answer contained one
+     * @param head its answer; empty if none arrived in time
      */
-    void ended(boolean healthy, Optional<LoadReport> report);
+    void ended(boolean healthy, Optional<ResponseHead> head);
   }
 
   /**
@@ -72,8 +72,7 @@
     private boolean retried;
     private @Nullable UpstreamConnection connection;
     private boolean over;
-    private boolean healthy;
-    private Optional<LoadReport> report = Optional.empty();
+    private Optional<ResponseHead> answer = Optional.empty();
 
     Probe(int target, String host, String path, ProbeListener listener) {
       this.target = target;
@@ -108,20 +107,27 @@
     public boolean received(HttpContent content) {
       HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
       boolean reusable;
+      boolean isForeign = false;
       UpstreamConnection used;
       synchronized (this) {
         if (over) {
           return true;
         }
-        healthy = head.getStatus() == OK;
-        report = dialect.toDecisionHead(head).load();
-        if (!content.isLast()) {
+        if (!dialect.isResponseToProbe(head)) {
+          isForeign = true;
+        }
+        answer = Optional.of(dialect.toDecisionHead(head));
+        if (!content.isLast() && !isForeign) {
           return true;
         }
         over = true;
         used = connection;
         connection = null;
-        reusable = head.getProcessingState().isKeepAlive() && !SurplusAwareEncoding.isMarked(head);
+        reusable =
+            !isForeign
+                && dialect.isCopyRecognisable(head)
+                && head.getProcessingState().isKeepAlive()
+                && !SurplusAwareEncoding.isMarked(head);
       }
       if (used != null && reusable) {
         used.noteKeepAlive(head, System.nanoTime());
@@ -130,7 +136,12 @@
       } else if (used != null) {
         used.close();
       }
-      listener.ended(healthy, report);
+      if (isForeign) {
+        org.tinylog.Logger.info("late response on a probed connection to {}: closed", host);
+        listener.ended(false, Optional.empty());
+      } else {
+        listener.ended(head.getStatus() == OK, answer);
+      }
       return true;
     }
 
