Encode a gossip message once for all its receivers and write log lines in batches

Cause: a relay entry encoded the same membership for each entry of its data centre (30 receivers of 152 members a second on the large site), each received datagram took a new buffer of 64 KB, and each log line woke the writer thread and was written by two calls.

Change: FleetPort.send takes the receivers; FleetSocket encodes once and reuses a pooled receive buffer; LineQueue collects the lines of 50 ms and writes them by one call.

Check: FleetNodeTest, StoreEraTest, FleetSizeTest, FleetCodecTest, LineQueueTest, PlatformEntryTest.

--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetMembership.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetMembership.java
@@ -123,6 +123,11 @@
         .toList();
   }
 
+  /** Returns the IP addresses of the members in the same data centre. */
+  List<String> localIps(long nowNanos) {
+    return localMembers(nowNanos).stream().map(FleetMember::ip).toList();
+  }
+
   /** Returns the IP address of the first member in each other data centre. */
   Collection<String> firstRemoteIps(long nowNanos) {
     TreeMap<String, String> firstByDataCentre = new TreeMap<>();
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
@@ -140,8 +140,8 @@
     }
     port.viewChanged(false);
     FleetMessage update = evidenceMessage(TargetEvidence.leaving(incarnation));
-    membership.localMembers(nowNanos).forEach(member -> port.send(member.ip(), update));
-    membership.firstRemoteIps(nowNanos).forEach(ip -> port.send(ip, update));
+    port.send(membership.localIps(nowNanos), update);
+    port.send(membership.firstRemoteIps(nowNanos), update);
   }
 
   /** Replaces the IP numbers of VMs on which entries are likely to run. */
@@ -176,7 +176,7 @@
     if (ready != value) {
       ready = value;
       FleetMessage update = message(List.of(), Optional.empty(), false, false);
-      membership.localMembers(nowNanos).forEach(member -> port.send(member.ip(), update));
+      port.send(membership.localIps(nowNanos), update);
     }
   }
 
@@ -203,7 +203,7 @@
     boolean isRemote = !message.dataCentre().equals(preferences.dataCentre());
     if (isRemote && !newlyLeaving.isEmpty()) {
       FleetMessage update = evidenceMessage(new TargetEvidence(newlyLeaving, List.of()));
-      membership.localMembers(nowNanos).forEach(member -> port.send(member.ip(), update));
+      port.send(membership.localIps(nowNanos), update);
     }
   }
 
@@ -223,7 +223,7 @@
     List<FleetMember> members =
         request.asksMembers() ? membership.members(nowNanos) : List.<FleetMember>of();
     // An entry that has just started may find targets in the store that have left.
-    port.send(ip, message(members, snapshot, view.evidence(), false, false));
+    port.send(List.of(ip), message(members, snapshot, view.evidence(), false, false));
   }
 
   /** Sends the view to the entries that requested it before this entry had one. */
@@ -234,7 +234,7 @@
     FleetMessage snapshot =
         message(
             List.of(), Optional.of(view.snapshot(true, nowNanos)), view.evidence(), false, false);
-    entriesAwaitingSnapshot.forEach(ip -> port.send(ip, snapshot));
+    port.send(List.copyOf(entriesAwaitingSnapshot), snapshot);
     entriesAwaitingSnapshot.clear();
   }
 
@@ -294,7 +294,7 @@
     }
     if (nowNanos - lastSnapshotRequestNanos >= MIN_SNAPSHOT_REQUEST_INTERVAL_NANOS) {
       lastSnapshotRequestNanos = nowNanos;
-      port.send(ip, message(List.of(), Optional.empty(), false, true));
+      port.send(List.of(ip), message(List.of(), Optional.empty(), false, true));
     }
   }
 
@@ -307,7 +307,7 @@
     FleetMessage remoteUpdate =
         message(
             List.of(), Optional.of(view.changesAsUpdate(changes, false, nowNanos)), false, false);
-    membership.firstRemoteIps(nowNanos).forEach(ip -> port.send(ip, remoteUpdate));
+    port.send(membership.firstRemoteIps(nowNanos), remoteUpdate);
   }
 
   private void sendToOwnDataCentre(PlatformView.Changes changes, long nowNanos) {
@@ -317,7 +317,7 @@
             Optional.of(view.changesAsUpdate(changes, changes.hasNewRules(), nowNanos)),
             false,
             false);
-    membership.localMembers(nowNanos).forEach(member -> port.send(member.ip(), update));
+    port.send(membership.localIps(nowNanos), update);
   }
 
   private void sendHeartbeats(long nowNanos) {
@@ -334,7 +334,7 @@
     FleetMessage heartbeat = message(reported, Optional.empty(), false, asksView && !isRelay);
     List<FleetMember> receivers =
         isRelay ? local : local.subList(0, Math.min(RELAY_ENTRIES, local.size()));
-    receivers.forEach(member -> port.send(member.ip(), heartbeat));
+    port.send(receivers.stream().map(FleetMember::ip).toList(), heartbeat);
     if (rank == 0) {
       List<FleetMember> remote = new ArrayList<>(members);
       remote.removeAll(local);
@@ -343,7 +343,7 @@
     FleetMessage joinRequest = message(List.of(), Optional.empty(), true, asksView);
     for (String seed : seeds) {
       if (!seed.equals(preferences.ip()) && !membership.contains(seed)) {
-        port.send(seed, joinRequest);
+        port.send(List.of(seed), joinRequest);
       }
     }
   }
@@ -360,7 +360,7 @@
       List<FleetMember> reported = new ArrayList<>(local);
       reported.addAll(receivers);
       String relayIp = receivers.get(random.nextInt(relayCount)).ip();
-      port.send(relayIp, message(reported, Optional.empty(), false, false));
+      port.send(List.of(relayIp), message(reported, Optional.empty(), false, false));
     }
   }
 
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetPort.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetPort.java
@@ -1,13 +1,14 @@
 package org.chivecross.logic.fleet;
 
+import java.util.Collection;
 import java.util.OptionalLong;
 import org.chivecross.model.fleet.FleetMessage;
 
 /** Side effects of a {@link FleetNode}: messages, store reads, notifications. Never blocks. */
 public interface FleetPort {
 
-  /** Sends a message to an entry, without any guarantee of delivery. */
-  void send(String ip, FleetMessage message);
+  /** Sends a message to some entries, without any guarantee of delivery. */
+  void send(Collection<String> ips, FleetMessage message);
 
   /**
    * Starts a read of the store; the result is reported to {@link FleetNode#readSucceeded} or {@link
--- a/chivecross-core/src/test/java/org/chivecross/logic/fleet/GossipSimulation.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fleet/GossipSimulation.java
@@ -1,6 +1,7 @@
 package org.chivecross.logic.fleet;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -68,7 +69,11 @@
     }
 
     @Override
-    public void send(String to, FleetMessage message) {
+    public void send(Collection<String> receivers, FleetMessage message) {
+      receivers.forEach(to -> send(to, message));
+    }
+
+    private void send(String to, FleetMessage message) {
       messages++;
       if (lossRate > 0 && random.nextDouble() < lossRate) {
         return;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -2,6 +2,7 @@
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.IOException;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -375,8 +376,8 @@
   private final class NodePort implements FleetPort {
 
     @Override
-    public void send(String ip, FleetMessage message) {
-      socket.send(ip, message);
+    public void send(Collection<String> ips, FleetMessage message) {
+      socket.send(ips, message);
     }
 
     @Override
--- a/chivecross-entry/src/main/java/org/chivecross/cli/log/LineQueue.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/log/LineQueue.java
@@ -1,6 +1,9 @@
 package org.chivecross.cli.log;
 
 import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -10,7 +13,8 @@
 /**
  * Bounded queue of log lines for a stream whose reader may be slow. Thread-safe.
  *
- * <p>Invariant: adding a line never blocks; a line is dropped and counted when the queue is full.
+ * <p>Invariants: adding a line never blocks; a line is dropped and counted when the queue is full.
+ * The lines of a batching period are written by one call, so that a line wakes no thread.
  */
 final class LineQueue implements Consumer<String> {
 
@@ -19,6 +23,9 @@
 
   private static final long POLL_MILLIS = 5;
 
+  /** Time for which lines are collected; a killed process loses the lines of this time. */
+  private static final long BATCH_MILLIS = 50;
+
   private final BlockingQueue<String> queuedLines = new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
   private final AtomicLong droppedLines = new AtomicLong();
   private final PrintStream out;
@@ -62,17 +69,28 @@
   }
 
   private void writeAll() {
+    List<String> batch = new ArrayList<>();
     try {
       while (true) {
-        out.println(queuedLines.take());
-        long lost = droppedLines.getAndSet(0);
-        if (lost > 0) {
-          out.println(
-              "{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"count\":" + lost + "}");
-        }
+        batch.add(queuedLines.take());
+        Thread.sleep(BATCH_MILLIS);
+        writeBatch(batch);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
   }
+
+  /** Writes the lines of a batch and those queued since, and empties the batch. */
+  private void writeBatch(List<String> batch) {
+    queuedLines.drainTo(batch);
+    long lost = droppedLines.getAndSet(0);
+    if (lost > 0) {
+      batch.add("{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"count\":" + lost + "}");
+    }
+    byte[] text = (String.join("\n", batch) + "\n").getBytes(StandardCharsets.UTF_8);
+    out.write(text, 0, text.length);
+    out.flush();
+    batch.clear();
+  }
 }
--- a/chivecross-wire/src/main/java/org/chivecross/wire/fleet/FleetSocket.java
+++ b/chivecross-wire/src/main/java/org/chivecross/wire/fleet/FleetSocket.java
@@ -1,9 +1,10 @@
 package org.chivecross.wire.fleet;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.PooledByteBufAllocator;
 import io.netty.buffer.Unpooled;
-import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -16,6 +17,7 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.BiConsumer;
@@ -42,6 +44,13 @@
 
   private static final long CLOSE_MILLIS = 200;
 
+  private static final int POOL_PAGE_BYTES = 8 * 1024;
+
+  /**
+   * Pages of a chunk of the pool, as a power of two; a chunk holds two of the largest datagrams.
+   */
+  private static final int POOL_CHUNK_ORDER = 4;
+
   private final InetSocketAddress listen;
   private final BiConsumer<String, FleetMessage> receiver;
   private final EventLoopGroup group =
@@ -68,7 +77,7 @@
         new Bootstrap()
             .group(group)
             .channel(NioDatagramChannel.class)
-            .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+            .option(ChannelOption.ALLOCATOR, receiveBuffers())
             .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_BYTES))
             .handler(new Receiver())
             .bind(listen)
@@ -83,17 +92,31 @@
     return Result.success(((InetSocketAddress) bound.channel().localAddress()).getPort());
   }
 
-  /** Sends a message to the entry on a VM. */
-  public void send(String ip, FleetMessage message) {
+  /** Sends a message to the entries on some VMs; it is encoded once. */
+  public void send(Collection<String> ips, FleetMessage message) {
+    if (ips.isEmpty()) {
+      return;
+    }
     Channel open = channel;
     byte[] bytes = FleetCodec.encode(message);
     if (open == null || bytes.length > MAX_BYTES) {
-      dropped.increment();
+      dropped.add(ips.size());
       return;
     }
-    sent.increment();
-    InetSocketAddress to = new InetSocketAddress(ip, listen.getPort());
-    open.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to));
+    sent.add(ips.size());
+    for (String ip : ips) {
+      InetSocketAddress to = new InetSocketAddress(ip, listen.getPort());
+      open.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to));
+    }
+    open.flush();
+  }
+
+  /**
+   * Returns an allocator that reuses one buffer for received datagrams; a new one for each would
+   * cost more than decoding the message.
+   */
+  private static ByteBufAllocator receiveBuffers() {
+    return new PooledByteBufAllocator(false, 1, 0, POOL_PAGE_BYTES, POOL_CHUNK_ORDER, 0, 0, false);
   }
 
   /** Returns the number of messages sent. */
