End a planned stop without a gap for requests that arrive meanwhile

Cause: between the last check that no request is in flight and the close of all connections, a request could be read, sent to a target and cut.

Change: the listeners and all idle connections are closed first, under the lock of each connection, so that no exchange begins on them; the process ends when nothing is left after that. It ends 0.7 s before the grace period does (0.3 s before).

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -56,7 +56,7 @@
   private static final long MIN_DRAIN_MILLIS = 4_500;
 
   /** Margin between the end of the process and the time at which the platform kills it. */
-  private static final long KILL_MARGIN_MILLIS = 300;
+  private static final long KILL_MARGIN_MILLIS = 700;
 
   private static final long DRAIN_POLL_PERIOD_MILLIS = 50;
 
@@ -205,7 +205,7 @@
 
   private void stopWhenDrained(long earliestNanos, long latestNanos) {
     long now = System.nanoTime();
-    if (now >= latestNanos || (now >= earliestNanos && dataPath.isDrained())) {
+    if (now >= latestNanos || (now >= earliestNanos && dataPath.closeIfDrained())) {
       stopped.countDown();
       return;
     }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
@@ -177,6 +177,16 @@
     return since != 0 && nowNanos - since > headNanos;
   }
 
+  /**
+   * Decides to close a connection without a request; from then on no exchange begins on it.
+   *
+   * @return whether it must be closed now
+   */
+  synchronized boolean closeIfIdle() {
+    closing |= open.isEmpty();
+    return closing;
+  }
+
   /** Returns whether nothing has been in flight for longer than {@code idleNanos}. */
   private boolean isIdleLongerThan(long idleNanos, long nowNanos) {
     return isIdle() && nowNanos - idleSinceNanos > idleNanos;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerRegistry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerRegistry.java
@@ -70,6 +70,15 @@
     }
   }
 
+  /** Closes all connections on which no request is being served. */
+  void closeAllIdle() {
+    for (CallerConnection caller : open) {
+      if (caller.closeIfIdle()) {
+        caller.connection().closeSilently();
+      }
+    }
+  }
+
   private void closed(CallerConnection caller) {
     open.remove(caller);
     caller.openExchanges().forEach(CallerExchange::callerClosed);
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
@@ -129,6 +129,21 @@
     return inFlight.count() == 0 && !callers.hasExchange();
   }
 
+  /**
+   * Closes all listeners and idle connections if no request is in flight. A request that arrives in
+   * the meantime is either served or, on a connection that is being closed, not sent to a target.
+   *
+   * @return whether nothing is left to serve
+   */
+  public boolean closeIfDrained() {
+    if (!isDrained()) {
+      return false;
+    }
+    stopAccepting();
+    callers.closeAllIdle();
+    return isDrained();
+  }
+
   /** Returns the number of open connections of callers. */
   public int callerCount() {
     return callers.count();
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerConnectionTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerConnectionTest.java
@@ -59,6 +59,19 @@
     assertFalse(caller.begin(new FakeExchange()));
   }
 
+  /** At the end of a planned stop a request may arrive between the last check and the close. */
+  @Test
+  void connectionClosedAtTheEndOfAStopTakesNoFurtherRequest() {
+    assertTrue(caller.closeIfIdle());
+    assertFalse(caller.begin(new FakeExchange()));
+  }
+
+  @Test
+  void connectionWithARequestOutlivesTheFirstCheckOfAStop() {
+    assertTrue(caller.begin(new FakeExchange()));
+    assertFalse(caller.closeIfIdle());
+  }
+
   /** An exchange without a request. */
   private static final class FakeExchange implements CallerExchange {
 
