Write the last log lines of a process before it ends

Change: drain() waits for the lines that are not written yet.

Check: LineQueueTest.drainWaitsForTheLinesOfTheBatchInProgress, red without the change.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/log/LineQueue.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/log/LineQueue.java
@@ -28,6 +28,7 @@
 
   private final BlockingQueue<String> queuedLines = new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
   private final AtomicLong droppedLines = new AtomicLong();
+  private final AtomicLong unwrittenLines = new AtomicLong();
   private final PrintStream out;
 
   /** Creates a queue without a thread that writes its lines. */
@@ -46,7 +47,9 @@
 
   @Override
   public void accept(String line) {
+    unwrittenLines.incrementAndGet();
     if (!queuedLines.offer(line)) {
+      unwrittenLines.decrementAndGet();
       droppedLines.incrementAndGet();
     }
   }
@@ -56,11 +59,11 @@
     return droppedLines.get();
   }
 
-  /** Waits until the queue is empty, for at most {@code millis}. */
+  /** Waits until all lines are written, for at most {@code millis}. */
   void drain(long millis) {
     long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
     try {
-      while (!queuedLines.isEmpty() && System.nanoTime() < end) {
+      while (unwrittenLines.get() > 0 && System.nanoTime() < end) {
         Thread.sleep(POLL_MILLIS);
       }
     } catch (InterruptedException e) {
@@ -84,6 +87,7 @@
   /** Writes the lines of a batch and those queued since, and empties the batch. */
   private void writeBatch(List<String> batch) {
     queuedLines.drainTo(batch);
+    int lines = batch.size();
     long lost = droppedLines.getAndSet(0);
     if (lost > 0) {
       batch.add("{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"count\":" + lost + "}");
@@ -92,5 +96,6 @@
     out.write(text, 0, text.length);
     out.flush();
     batch.clear();
+    unwrittenLines.addAndGet(-lines);
   }
 }
--- a/chivecross-entry/src/test/java/org/chivecross/cli/log/LineQueueTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/log/LineQueueTest.java
@@ -3,8 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayOutputStream;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -35,6 +37,17 @@
     release.countDown();
   }
 
+  /** The last line of a process was taken from the queue, but not written, when it ended. */
+  @Test
+  void drainWaitsForTheLinesOfTheBatchInProgress() throws InterruptedException {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    LineQueue queue = LineQueue.to(new PrintStream(out, true));
+    queue.accept("last");
+    Thread.sleep(20);
+    queue.drain(5_000);
+    assertEquals("last\n", out.toString(StandardCharsets.UTF_8));
+  }
+
   @Test
   void countsLinesDroppedWhenTheQueueIsFull() {
     LineQueue queue = new LineQueue(System.out);
