--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
@@ -194,7 +194,9 @@
     }
   }
 
-  /** Adds the evidence of a message; news from another data centre goes to all entries in this. */
+  /**
+   * Adds the evidence of a message; sends what is new from another data centre on within this one.
+   */
   private void applyEvidence(FleetMessage message, long nowNanos) {
     List<TargetIncarnation> newlyLeaving = view.merge(message.evidence(), nowNanos);
     if (!newlyLeaving.isEmpty() || !message.evidence().removed().isEmpty()) {
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/LoadShare.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/LoadShare.java
@@ -35,7 +35,9 @@
     }
   }
 
-  /** Records the loads that other entries advertise, if that is due, and drops outdated ones. */
+  /**
+   * Records the loads that other entries advertise, at most twice a second; drops outdated ones.
+   */
   void recordLoads(FleetMembership others, long nowNanos) {
     if (nowNanos - recordedNanos < UPDATE_PERIOD_NANOS) {
       return;
