Wait in the scripted upstream until it accepts no more

Change: ScriptedUpstream.close() waits for the accepting thread. The test and its expectations are as they were.

--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/ScriptedUpstream.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/ScriptedUpstream.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -46,6 +47,7 @@
 
   static final String OK = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
+  private final CountDownLatch acceptEnded = new CountDownLatch(1);
   private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
   private final AtomicInteger connections = new AtomicInteger();
   private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
@@ -99,12 +101,26 @@
   @Override
   public void close() throws IOException {
     server.close();
+    // A connection may still be accepted until the accepting thread has noticed the close.
+    try {
+      acceptEnded.await(10, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
     for (Socket socket : sockets) {
       socket.close();
     }
   }
 
   private void acceptAll() throws IOException {
+    try {
+      acceptUntilClosed();
+    } finally {
+      acceptEnded.countDown();
+    }
+  }
+
+  private void acceptUntilClosed() throws IOException {
     while (true) {
       Socket socket = server.accept();
       sockets.add(socket);
