Test requests that arrive while their idle connection is closed

CallerCloseTest closes connections as idle while a request on them is read and not begun (router as the hook, 20 connections), and, without a hook, sends at the idle limit beside closes in a loop.

--- /dev/null
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerCloseTest.java
@@ -0,0 +1,146 @@
+package org.chivecross.cli.entry.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests requests that are read while the entry closes the connection on which they came. */
+class CallerCloseTest {
+
+  private static final String GET = "GET /read HTTP/1.1\r\nHost: a\r\n\r\n";
+  private static final int IDLE_MILLIS = 50;
+  private static final int ROUNDS = 20;
+
+  private ScriptedUpstream upstream;
+
+  @BeforeEach
+  void start() throws IOException {
+    upstream = new ScriptedUpstream(call -> call.reply(ScriptedUpstream.OK));
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    upstream.close();
+  }
+
+  /** Guards against a target that runs a request whose idle connection was closed meanwhile. */
+  @Test
+  void requestReadBeforeAnIdleCloseIsNotPassedOnAfterIt() throws Exception {
+    AtomicBoolean isClosing = new AtomicBoolean(true);
+    CompletableFuture<DataPath> closed = new CompletableFuture<>();
+    try (DataPathFixture entry =
+        new DataPathFixture(
+            DataPathSettings.defaults(),
+            router ->
+                (method, host, path) -> {
+                  if (isClosing.get()) {
+                    CompletableFuture.runAsync(() -> closeAllAsIdle(closed.join())).join();
+                  }
+                  return router.route(method, host, path);
+                },
+            upstream.address())) {
+      closed.complete(entry.dataPath());
+      int answers = 0;
+      for (int i = 0; i < ROUNDS; i++) {
+        answers += entry.exchange(GET).isEmpty() ? 0 : 1;
+      }
+      isClosing.set(false);
+      answers +=
+          entry.exchange(GET.replace("a\r\n", "a\r\nConnection: close\r\n")).isEmpty() ? 0 : 1;
+
+      assertEquals(answers, upstream.callCount());
+    }
+  }
+
+  /** Guards against the same failure where only the timing of callers brings it about. */
+  @Test
+  void everyRequestThatATargetRanIsAnsweredBesideIdleCloses() throws Exception {
+    Set<String> ran = ConcurrentHashMap.newKeySet();
+    Set<String> unanswered = ConcurrentHashMap.newKeySet();
+    AtomicInteger requests = new AtomicInteger();
+    upstream.setScript(
+        call -> {
+          ran.add(call.header("X-Id"));
+          LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(2));
+          call.reply(ScriptedUpstream.OK);
+        });
+    DataPathSettings settings =
+        new DataPathSettings(16_384, 100, 1L << 40, 5_000, IDLE_MILLIS, 250, 500);
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(3);
+    ExecutorService threads = Executors.newCachedThreadPool();
+    try (DataPathFixture entry = new DataPathFixture(settings, upstream.address())) {
+      for (int i = 0; i < 8; i++) {
+        threads.execute(() -> sendAtTheIdleLimit(entry, end, requests, unanswered));
+      }
+      while (System.nanoTime() < end) {
+        entry.dataPath().closeIdle(System.nanoTime());
+      }
+      threads.shutdown();
+      assertTrue(threads.awaitTermination(10, TimeUnit.SECONDS));
+
+      Set<String> lost = new TreeSet<>(ran);
+      lost.retainAll(unanswered);
+      assertEquals(Set.of(), lost, "of " + requests + ", " + unanswered.size() + " unanswered");
+    }
+  }
+
+  private static void sendAtTheIdleLimit(
+      DataPathFixture entry, long end, AtomicInteger requests, Set<String> unanswered) {
+    while (System.nanoTime() < end) {
+      try (Socket socket = entry.connect()) {
+        String id = "";
+        try {
+          while (true) {
+            id = Integer.toString(requests.incrementAndGet());
+            send(socket, GET.replace("a\r\n", "a\r\nX-Id: " + id + "\r\n"));
+            readAnswer(socket);
+            long spreadNanos = ThreadLocalRandom.current().nextInt(-700_000, 300_000);
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(IDLE_MILLIS) + spreadNanos);
+          }
+        } catch (SocketException e) {
+          unanswered.add(id);
+        }
+      } catch (IOException e) {
+        throw new java.io.UncheckedIOException(e);
+      }
+    }
+  }
+
+  /** Reads an answer of the scripted upstream. */
+  private static void readAnswer(Socket socket) throws IOException {
+    StringBuilder answer = new StringBuilder();
+    while (!answer.toString().endsWith("\r\n\r\nok")) {
+      int b = socket.getInputStream().read();
+      if (b < 0) {
+        throw new SocketException("closed after " + answer.length() + " bytes");
+      }
+      answer.append((char) b);
+    }
+  }
+
+  private static void closeAllAsIdle(DataPath dataPath) {
+    dataPath.closeIdle(System.nanoTime() + TimeUnit.HOURS.toNanos(1));
+  }
+
+  private static void send(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+  }
+}
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/DataPathFixture.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/DataPathFixture.java
@@ -19,11 +19,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import org.chivecross.logic.engine.BalancerEngine;
 import org.chivecross.logic.engine.EnginePreferences;
 import org.chivecross.logic.key.KeyClaim;
 import org.chivecross.logic.key.KeyRegistry;
 import org.chivecross.logic.key.OwnerCalls;
+import org.chivecross.logic.routing.RequestRouter;
 import org.chivecross.model.failure.Result;
 import org.chivecross.model.fileset.ClassPolicy;
 import org.chivecross.model.fileset.Deployment;
@@ -51,6 +53,13 @@
   private final InetSocketAddress address;
 
   DataPathFixture(DataPathSettings settings, String... targets) throws IOException {
+    this(settings, router -> router, targets);
+  }
+
+  /** Creates a data path whose router is replaced; it is asked between read and start. */
+  DataPathFixture(
+      DataPathSettings settings, UnaryOperator<RequestRouter> routers, String... targets)
+      throws IOException {
     BalancerEngine engine =
         new BalancerEngine(EnginePreferences.of("entry", "dc1"), new SplittableRandom(1));
     engine.apply(fileSet(targets), System.nanoTime());
@@ -67,15 +76,15 @@
             return 100;
           }
         };
-    dataPath =
-        new DataPath(
+    DataPathPorts ports =
+        DataPathPorts.of(
             engine.policies(new TestKeys()),
             owners,
             addresses,
             new LocalRoutes(
                 Map.of("/chivecross/ping", (request, to) -> to.accept(LocalResponse.json("{}")))),
-            observer,
-            settings);
+            observer);
+    dataPath = new DataPath(withRouter(ports, routers.apply(ports.router())), settings);
     address = dataPath.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     ticker.scheduleWithFixedDelay(
         () -> {
@@ -146,6 +155,20 @@
             new Rule("*", "/upload", Set.of("PUT", "POST"), "slots", RequestClass.UPLOAD)));
   }
 
+  private static DataPathPorts withRouter(DataPathPorts ports, RequestRouter router) {
+    return new DataPathPorts(
+        ports.machines(),
+        router,
+        ports.firstByteTimeout(),
+        ports.owners(),
+        ports.addresses(),
+        ports.localRoutes(),
+        ports.observer(),
+        ports.dialect(),
+        ports.scheduler(),
+        ports.locks());
+  }
+
   RecordingObserver observer() {
     return observer;
   }
