Log each request that gets no answer because its connection is closed

Callers saw a connection end without an answer, and no log told which of several possible closes it was: idle or head time-out, planned stop, a last response, an aborted response, a failed write, or the library.

Change: CallerConnection notes the first reason for which it is closed. A request that is cut by the close, or read and not begun, leaves one line with its id, the reason and whether anything was sent to a target (EventLog, at most 60 lines a second). Closes by the caller leave none. LocalExchange ends its exchange when its caller has gone, as Exchange does.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
@@ -4,9 +4,10 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
+import org.chivecross.model.request.Outcome;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.nio.NIOConnection;
@@ -26,17 +27,21 @@
   private static final int MAX_OPEN_EXCHANGES = 8;
 
   private final NIOConnection connection;
+  private final CutRequestListener cuts;
   private final Deque<CallerExchange> open = new ArrayDeque<>();
-  private final Set<CallerExchange> ended = new HashSet<>();
+  private final Map<CallerExchange, Outcome> ended = new HashMap<>();
   private @Nullable HttpRequestPacket unreadEndedRequest;
   private @Nullable FilterChainContext suspendedRequest;
+  private @Nullable CloseReason closeReason;
   private boolean closing;
+  private boolean closed;
   private volatile long idleSinceNanos;
   private volatile long headStartNanos;
   private volatile long lingerStartNanos;
 
-  CallerConnection(NIOConnection connection, long nowNanos) {
+  CallerConnection(NIOConnection connection, CutRequestListener cuts, long nowNanos) {
     this.connection = connection;
+    this.cuts = cuts;
     idleSinceNanos = nowNanos;
   }
 
@@ -49,9 +54,50 @@
     return open.peekLast();
   }
 
-  /** Returns all open exchanges. */
-  synchronized List<CallerExchange> openExchanges() {
-    return List.copyOf(open);
+  /** Records why the connection is being closed, unless a reason is known already. */
+  synchronized void noteCloseReason(CloseReason reason) {
+    if (closeReason == null) {
+      closeReason = reason;
+    }
+  }
+
+  /**
+   * Records that the connection is closed.
+   *
+   * @param reason applies if none was noted before
+   * @return the open exchanges, which must be told
+   */
+  List<CallerExchange> closed(CloseReason reason) {
+    List<CallerExchange> exchanges;
+    Map<HttpRequestPacket, Outcome> unsent = new HashMap<>();
+    synchronized (this) {
+      noteCloseReason(reason);
+      closed = true;
+      exchanges = List.copyOf(open);
+      for (CallerExchange exchange : exchanges) {
+        Outcome outcome = ended.get(exchange);
+        if (outcome != null && open.peekFirst() != exchange) {
+          unsent.put(exchange.request(), outcome);
+        }
+      }
+    }
+    unsent.forEach(this::reportCut);
+    return exchanges;
+  }
+
+  /** Reports a request that was read and is not begun. */
+  void reportRefused(HttpRequestPacket request) {
+    reportCut(request, Outcome.NOT_RUN);
+  }
+
+  private void reportCut(HttpRequestPacket request, Outcome outcome) {
+    CloseReason reason;
+    synchronized (this) {
+      reason = closeReason;
+    }
+    if (reason != null && reason != CloseReason.CALLER) {
+      cuts.requestCut(request, reason, outcome);
+    }
   }
 
   /** Returns whether no request is being served. */
@@ -89,10 +135,13 @@
    * @return whether it must be closed now
    */
   synchronized boolean expire(long idleNanos, long headNanos, long lingerNanos, long nowNanos) {
-    closing |=
-        isIdleLongerThan(idleNanos, nowNanos)
-            || isHeadOverdue(headNanos, nowNanos)
-            || isLingeringLongerThan(lingerNanos, nowNanos);
+    if (isLingeringLongerThan(lingerNanos, nowNanos)) {
+      decideClose(CloseReason.LINGER_OVER);
+    } else if (isHeadOverdue(headNanos, nowNanos)) {
+      decideClose(CloseReason.HEAD_OVERDUE);
+    } else if (isIdleLongerThan(idleNanos, nowNanos)) {
+      decideClose(CloseReason.IDLE);
+    }
     return closing;
   }
 
@@ -109,21 +158,27 @@
   /**
    * Records that an exchange is over, and allows the next exchange to write.
    *
+   * @param outcome not-run exactly if nothing of the request was sent to a target
    * @return the suspended request, if any, which may run now
    */
-  @Nullable FilterChainContext end(CallerExchange exchange, long nowNanos) {
+  @Nullable FilterChainContext end(CallerExchange exchange, Outcome outcome, long nowNanos) {
+    boolean isCut;
     synchronized (this) {
+      isCut = isCut(exchange);
       if (open.peekLast() == exchange) {
         unreadEndedRequest = exchange.isRequestComplete() ? null : exchange.request();
       }
-      ended.add(exchange);
+      ended.put(exchange, outcome);
       idleSinceNanos = nowNanos;
     }
+    if (isCut) {
+      reportCut(exchange.request(), outcome);
+    }
     while (true) {
       CallerExchange next;
       synchronized (this) {
         CallerExchange first = open.peekFirst();
-        if (first == null || !ended.remove(first)) {
+        if (first == null || ended.remove(first) == null) {
           break;
         }
         open.removeFirst();
@@ -140,6 +195,14 @@
     }
   }
 
+  /** Returns whether an exchange that ends now has not sent its complete response. */
+  private boolean isCut(CallerExchange exchange) {
+    if (closeReason == CloseReason.LAST_RESPONSE) {
+      return closed && open.peekFirst() != exchange;
+    }
+    return closed || closeReason == CloseReason.RESPONSE_ABORTED;
+  }
+
   /** Returns whether the exchange of a request is over, so that the rest of it is dropped. */
   synchronized boolean isExchangeEnded(HttpRequestPacket request) {
     return request == unreadEndedRequest;
@@ -161,6 +224,7 @@
     try {
       ((SocketChannel) connection.getChannel()).shutdownOutput();
     } catch (IOException e) {
+      noteCloseReason(CloseReason.WRITE_FAILED);
       connection.terminateSilently();
     }
   }
@@ -183,10 +247,17 @@
    * @return whether it must be closed now
    */
   synchronized boolean closeIfIdle() {
-    closing |= open.isEmpty();
+    if (open.isEmpty()) {
+      decideClose(CloseReason.STOP);
+    }
     return closing;
   }
 
+  private void decideClose(CloseReason reason) {
+    noteCloseReason(reason);
+    closing = true;
+  }
+
   /** Returns whether nothing has been in flight for longer than {@code idleNanos}. */
   private boolean isIdleLongerThan(long idleNanos, long nowNanos) {
     return isIdle() && nowNanos - idleSinceNanos > idleNanos;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerFilter.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerFilter.java
@@ -47,6 +47,7 @@
       }
       exchange = begin(caller, request);
       if (exchange == null) {
+        caller.reportRefused(request);
         return context.getStopAction();
       }
     }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerRegistry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerRegistry.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.CloseType;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.attributes.Attribute;
@@ -17,10 +18,12 @@
   private final Attribute<CallerConnection> attribute =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("chivecross.caller");
   private final Set<CallerConnection> open = ConcurrentHashMap.newKeySet();
+  private final CutRequestListener cuts;
   private volatile long idleNanos;
   private volatile long headNanos;
 
-  CallerRegistry(DataPathSettings settings) {
+  CallerRegistry(DataPathSettings settings, CutRequestListener cuts) {
+    this.cuts = cuts;
     applyTimeouts(settings.idleTimeoutMillis(), settings.headerTimeoutMillis());
   }
 
@@ -32,7 +35,7 @@
 
   /** Adds an accepted connection. */
   void add(NIOConnection connection, long nowNanos) {
-    CallerConnection caller = new CallerConnection(connection, nowNanos);
+    CallerConnection caller = new CallerConnection(connection, cuts, nowNanos);
     attribute.set(connection, caller);
     open.add(caller);
     connection.addCloseListener((closeable, type) -> closed(caller));
@@ -81,6 +84,9 @@
 
   private void closed(CallerConnection caller) {
     open.remove(caller);
-    caller.openExchanges().forEach(CallerExchange::callerClosed);
+    // The type that listeners get is not always that of the reason.
+    boolean isRemote = caller.connection().getCloseReason().getType() == CloseType.REMOTELY;
+    CloseReason reason = isRemote ? CloseReason.CALLER : CloseReason.LIBRARY;
+    caller.closed(reason).forEach(CallerExchange::callerClosed);
   }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
@@ -156,6 +156,7 @@
 
   /** Resets the connection, so that the caller sees that the response is incomplete. */
   void abort() {
+    caller.noteCloseReason(CloseReason.RESPONSE_ABORTED);
     if (connection.getChannel() instanceof SocketChannel channel) {
       try {
         channel.setOption(java.net.StandardSocketOptions.SO_LINGER, 0);
@@ -230,12 +231,14 @@
       if (lingerBeforeClose) {
         caller.linger(System.nanoTime());
       } else {
+        caller.noteCloseReason(CloseReason.LAST_RESPONSE);
         connection.closeSilently();
       }
     }
 
     @Override
     public void failed(Throwable cause) {
+      caller.noteCloseReason(CloseReason.WRITE_FAILED);
       connection.terminateSilently();
     }
   }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import org.chivecross.cli.log.EventLog;
 import org.chivecross.logic.key.OwnerCalls;
 import org.chivecross.logic.request.RequestPolicies;
 import org.chivecross.model.ruleset.CallerLimits;
@@ -30,7 +31,7 @@
   private final UpstreamClient client;
   private final InFlightExchanges inFlight = new InFlightExchanges();
   private final CallerRegistry callers;
-  private final CallerRegistry localCallers = new CallerRegistry(DataPathSettings.defaults());
+  private final CallerRegistry localCallers;
   private volatile boolean leaving;
   private volatile long maxBodyBytes;
 
@@ -65,7 +66,9 @@
     this.settings = settings;
     transport = newTransport(settings.selectorThreads());
     client = new UpstreamClient(transport, ports.addresses(), settings);
-    callers = new CallerRegistry(settings);
+    CutRequestLog cuts = new CutRequestLog(new EventLog(System::nanoTime), ports.dialect());
+    callers = new CallerRegistry(settings, cuts);
+    localCallers = new CallerRegistry(DataPathSettings.defaults(), cuts);
     services =
         new ExchangeServices(ports, client, inFlight, () -> leaving, () -> maxBodyBytes, settings);
     maxBodyBytes = settings.maxBodyBytes();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -397,7 +397,7 @@
     callerCongested = false;
     long now = System.nanoTime();
     ports.observer().ended(times.summary(route, status, outcome, attempts.size(), now));
-    FilterChainContext next = caller.end(this, now);
+    FilterChainContext next = caller.end(this, outcome, now);
     body.discard();
     if (status > 0 && body.isComplete()) {
       response.recycle();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
+import org.chivecross.model.request.Outcome;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
@@ -67,20 +68,29 @@
   }
 
   @Override
-  public synchronized void callerClosed() {
-    over = true;
+  public void callerClosed() {
+    synchronized (this) {
+      if (over) {
+        return;
+      }
+      over = true;
+    }
+    end();
   }
 
   private void answer(LocalResponse answer) {
-    FilterChainContext next;
     synchronized (this) {
       if (over) {
         return;
       }
       over = true;
       response.answer(answer);
-      next = caller.end(this, System.nanoTime());
     }
+    end();
+  }
+
+  private void end() {
+    FilterChainContext next = caller.end(this, Outcome.NOT_RUN, System.nanoTime());
     if (next != null) {
       next.resume();
     }
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerConnectionTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerConnectionTest.java
@@ -6,9 +6,13 @@
 
 import java.io.IOException;
 import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+import org.chivecross.model.request.Outcome;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.Protocol;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.junit.jupiter.api.AfterEach;
@@ -22,6 +26,7 @@
   private static final long HEAD = 300;
   private static final long LINGER = 2_000;
 
+  private final List<Cut> cuts = new ArrayList<>();
   private SocketChannel channel;
   private CallerConnection caller;
 
@@ -30,7 +35,9 @@
     channel = SocketChannel.open();
     caller =
         new CallerConnection(
-            new TCPNIOConnection(TCPNIOTransportBuilder.newInstance().build(), channel), 0);
+            new TCPNIOConnection(TCPNIOTransportBuilder.newInstance().build(), channel),
+            (request, reason, outcome) -> cuts.add(new Cut(request, reason, outcome)),
+            0);
   }
 
   @AfterEach
@@ -42,7 +49,7 @@
   void requestIsNotSentOnOnceTheConnectionIsBeingClosed() {
     assertTrue(caller.expire(IDLE, HEAD, LINGER, IDLE + 1));
     assertFalse(caller.begin(new FakeExchange()));
-    assertEquals(0, caller.openExchanges().size());
+    assertTrue(caller.isIdle());
   }
 
   @Test
@@ -72,12 +79,75 @@
     assertFalse(caller.closeIfIdle());
   }
 
-  /** An exchange without a request. */
+  @Test
+  void requestThatIsReadAfterTheDecisionToCloseIsReported() {
+    FakeExchange refused = new FakeExchange();
+    assertTrue(caller.expire(IDLE, HEAD, LINGER, IDLE + 1));
+    caller.reportRefused(refused.request());
+    assertEquals(List.of(refused.cut(CloseReason.IDLE, Outcome.NOT_RUN)), cuts);
+  }
+
+  @Test
+  void requestsThatACloseByTheLibraryCutsAreReported() {
+    FakeExchange running = new FakeExchange();
+    FakeExchange answered = new FakeExchange();
+    assertTrue(caller.begin(running));
+    assertTrue(caller.begin(answered));
+    caller.end(answered, Outcome.ANSWERED, 1);
+    assertEquals(List.of(running, answered), caller.closed(CloseReason.LIBRARY));
+    caller.end(running, Outcome.UNKNOWN, 2);
+    assertEquals(
+        List.of(
+            answered.cut(CloseReason.LIBRARY, Outcome.ANSWERED),
+            running.cut(CloseReason.LIBRARY, Outcome.UNKNOWN)),
+        cuts);
+  }
+
+  @Test
+  void abortedResponseIsReportedOnce() {
+    FakeExchange aborted = new FakeExchange();
+    assertTrue(caller.begin(aborted));
+    caller.noteCloseReason(CloseReason.RESPONSE_ABORTED);
+    assertEquals(List.of(aborted), caller.closed(CloseReason.LIBRARY));
+    caller.end(aborted, Outcome.UNKNOWN, 1);
+    assertEquals(List.of(aborted.cut(CloseReason.RESPONSE_ABORTED, Outcome.UNKNOWN)), cuts);
+  }
+
+  @Test
+  void closesAfterTheLastResponseAndByTheCallerAreNotReported() {
+    FakeExchange answered = new FakeExchange();
+    assertTrue(caller.begin(answered));
+    caller.noteCloseReason(CloseReason.LAST_RESPONSE);
+    assertEquals(List.of(answered), caller.closed(CloseReason.LIBRARY));
+    caller.end(answered, Outcome.ANSWERED, 1);
+
+    CallerConnection other =
+        new CallerConnection(
+            caller.connection(),
+            (request, reason, outcome) -> cuts.add(new Cut(request, reason, outcome)),
+            0);
+    assertTrue(other.begin(answered));
+    assertEquals(List.of(answered), other.closed(CloseReason.CALLER));
+    other.end(answered, Outcome.UNKNOWN, 1);
+    assertEquals(List.of(), cuts);
+  }
+
+  /** A request without an answer, as it was reported. */
+  private record Cut(HttpRequestPacket request, CloseReason reason, Outcome outcome) {}
+
+  /** An exchange that does nothing. */
   private static final class FakeExchange implements CallerExchange {
 
+    private final HttpRequestPacket request =
+        HttpRequestPacket.builder().method("GET").uri("/").protocol(Protocol.HTTP_1_1).build();
+
+    Cut cut(CloseReason reason, Outcome outcome) {
+      return new Cut(request, reason, outcome);
+    }
+
     @Override
     public HttpRequestPacket request() {
-      throw new UnsupportedOperationException();
+      return request;
     }
 
     @Override
