Begin no exchange on a connection that was closed while its request was read

Callers saw a connection reset without an answer, and a target ran a request that was read on it just before.

Cause: the list of open exchanges and the acceptance of a request were one step only for closes by time-outs and planned stops. After any other close, here a pipelined neighbour whose response broke off, CallerRegistry told the exchanges that were open; a request that was read before and begun after it was sent to a target and told nothing.

Change: begin() refuses once any reason to close is noted. Every close notes one, at the latest when the listener takes the list of open exchanges under the same lock, so an exchange is either refused or told.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
@@ -18,8 +18,8 @@
  *
  * <p>Invariant: only the first exchange writes to the connection. The others run concurrently and
  * queue their responses, so responses are sent in the order of the requests. No exchange begins on
- * a connection that is being closed. Safe for use by many threads; exchanges are called without the
- * lock.
+ * a connection once a reason to close it is noted, so that each one that has begun is told of the
+ * close. Safe for use by many threads; exchanges are called without the lock.
  */
 final class CallerConnection {
 
@@ -118,10 +118,11 @@
   /**
    * Adds an exchange whose request has begun to arrive.
    *
-   * @return false if the connection is being closed, so that the request must not be sent on
+   * @return false if the connection is closed or being closed, so that the request must not be sent
+   *     on: an exchange that began later would not be told that its caller has gone
    */
   synchronized boolean begin(CallerExchange exchange) {
-    if (closing) {
+    if (closeReason != null) {
       return false;
     }
     open.addLast(exchange);
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerCloseTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerCloseTest.java
@@ -1,6 +1,8 @@
 package org.chivecross.cli.entry.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -9,10 +11,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -26,6 +30,7 @@
 class CallerCloseTest {
 
   private static final String GET = "GET /read HTTP/1.1\r\nHost: a\r\n\r\n";
+  private static final String HALF = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab";
   private static final int IDLE_MILLIS = 50;
   private static final int ROUNDS = 20;
 
@@ -102,6 +107,37 @@
     }
   }
 
+  /** Guards against a target that runs a request whose connection a neighbour reset meanwhile. */
+  @Test
+  void requestReadBeforeAnAbortIsNotPassedOnAfterIt() throws Exception {
+    BlockingQueue<DataPathFixture> entries = new LinkedBlockingQueue<>();
+    upstream.setScript(call -> call.reply(isFor(call, "/read/1") ? HALF : ScriptedUpstream.OK));
+    try (DataPathFixture entry =
+        new DataPathFixture(
+            DataPathSettings.defaults(),
+            router ->
+                (method, host, path) -> {
+                  if (path.equals("/read/2")) {
+                    awaitEnd(entries);
+                  }
+                  return router.route(method, host, path);
+                },
+            upstream.address())) {
+      for (int i = 0; i < 5; i++) {
+        try (Socket socket = entry.connect()) {
+          send(socket, get("/read/1", "Chivecross-Deadline-Ms: 200"));
+          readUntil(socket, "ab");
+          entries.add(entry);
+          send(socket, get("/read/2", "X-A: b"));
+          assertThrows(SocketException.class, () -> readUntil(socket, "\r\n\r\nok"));
+        }
+      }
+      entry.exchange(get("/read/3", "Connection: close"));
+
+      assertFalse(upstream.callsSeen().contains("/read/2"), upstream.callsSeen());
+    }
+  }
+
   private static void sendAtTheIdleLimit(
       DataPathFixture entry, long end, AtomicInteger requests, Set<String> unanswered) {
     while (System.nanoTime() < end) {
@@ -111,7 +147,7 @@
           while (true) {
             id = Integer.toString(requests.incrementAndGet());
             send(socket, GET.replace("a\r\n", "a\r\nX-Id: " + id + "\r\n"));
-            readAnswer(socket);
+            readUntil(socket, "\r\n\r\nok");
             long spreadNanos = ThreadLocalRandom.current().nextInt(-700_000, 300_000);
             LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(IDLE_MILLIS) + spreadNanos);
           }
@@ -124,16 +160,34 @@
     }
   }
 
-  /** Reads an answer of the scripted upstream. */
-  private static void readAnswer(Socket socket) throws IOException {
-    StringBuilder answer = new StringBuilder();
-    while (!answer.toString().endsWith("\r\n\r\nok")) {
+  /** Reads up to a text; fails when the connection ends before it. */
+  private static String readUntil(Socket socket, String end) throws IOException {
+    StringBuilder read = new StringBuilder();
+    while (!read.toString().endsWith(end)) {
       int b = socket.getInputStream().read();
       if (b < 0) {
-        throw new SocketException("closed after " + answer.length() + " bytes");
+        throw new SocketException("closed after " + read);
       }
-      answer.append((char) b);
+      read.append((char) b);
     }
+    return read.toString();
+  }
+
+  /** Waits until a request of the next entry in the queue is over. */
+  private static void awaitEnd(BlockingQueue<DataPathFixture> entries) {
+    try {
+      entries.take().observer().nextSummary();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static boolean isFor(ScriptedUpstream.Call call, String path) {
+    return call.head().startsWith("GET " + path);
+  }
+
+  private static String get(String path, String header) {
+    return "GET " + path + " HTTP/1.1\r\nHost: a\r\n" + header + "\r\n\r\n";
   }
 
   private static void closeAllAsIdle(DataPath dataPath) {
