Begin no request behind the last response of a connection

Callers that pipeline saw a connection end without an answer to a request that a target had run.

Cause: whether later requests had arrived was checked when the head of a last response was written, and the connection was closed when its last byte was written; a request that was parsed in between, also one behind Connection: close or behind the early answer to an upload, was sent to a target and cut.

Change: CallerConnection decides under its lock that a response is the last one and then begins no exchange. Exchanges that are open still end; the flag is not the one by which time-outs close the connection at once. Such requests count as not read and are logged as LAST_RESPONSE.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
@@ -33,6 +33,7 @@
   private @Nullable HttpRequestPacket unreadEndedRequest;
   private @Nullable FilterChainContext suspendedRequest;
   private @Nullable CloseReason closeReason;
+  private boolean isEnding;
   private boolean closing;
   private boolean closed;
   private volatile long idleSinceNanos;
@@ -93,9 +94,10 @@
   private void reportCut(HttpRequestPacket request, Outcome outcome) {
     CloseReason reason;
     synchronized (this) {
-      reason = closeReason;
+      // Without a reason the close follows when the last response is written.
+      reason = closeReason == null ? CloseReason.LAST_RESPONSE : closeReason;
     }
-    if (reason != null && reason != CloseReason.CALLER) {
+    if (reason != CloseReason.CALLER) {
       cuts.requestCut(request, reason, outcome);
     }
   }
@@ -110,9 +112,22 @@
     return open.peekFirst() == exchange;
   }
 
-  /** Returns whether other requests have arrived after that of an exchange. */
-  synchronized boolean hasLaterRequests(CallerExchange exchange) {
-    return suspendedRequest != null || open.peekLast() != exchange;
+  /**
+   * Makes an exchange the last one of the connection unless later requests have arrived.
+   *
+   * @return whether it is the last one, so that none begins after it
+   */
+  synchronized boolean tryEndAfter(CallerExchange exchange) {
+    if (suspendedRequest != null || open.peekLast() != exchange) {
+      return false;
+    }
+    isEnding = true;
+    return true;
+  }
+
+  /** Lets no exchange begin any more; those that are open may still end. */
+  synchronized void endAfterOpenExchanges() {
+    isEnding = true;
   }
 
   /**
@@ -122,11 +137,12 @@
    *     on: an exchange that began later would not be told that its caller has gone
    */
   synchronized boolean begin(CallerExchange exchange) {
-    if (closeReason != null) {
+    if (isEnding || closeReason != null) {
       return false;
     }
     open.addLast(exchange);
     headStartNanos = 0;
+    isEnding = !exchange.request().getProcessingState().isKeepAlive();
     return true;
   }
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
@@ -67,11 +67,12 @@
   /** Makes this response the last one of its connection. */
   void closeAfterwards() {
     closeAfter = true;
+    caller.endAfterOpenExchanges();
   }
 
   /** Makes this response the last one of its connection although the caller is still sending. */
   void closeWhileReceiving() {
-    closeAfter = true;
+    closeAfterwards();
     lingerBeforeClose = true;
   }
 
@@ -87,7 +88,7 @@
     } else if (callerTakesChunks()) {
       packet.setChunked(true);
     } else {
-      closeAfter = true;
+      closeAfterwards();
     }
   }
 
@@ -212,7 +213,7 @@
 
   private void prepareConnection() {
     // Later requests on this connection may be running already and still need it.
-    closeAfter |= closeWhenLeaving && !caller.hasLaterRequests(exchange);
+    closeAfter |= closeWhenLeaving && caller.tryEndAfter(exchange);
     if (closeAfter) {
       request.getProcessingState().setKeepAlive(false);
       packet.setHeader("Connection", "close");
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerCloseTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerCloseTest.java
@@ -140,6 +140,83 @@
     }
   }
 
+  /** Guards against a target that runs a request behind the last response of its connection. */
+  @Test
+  void requestBehindTheLastResponseIsNotPassedOn() throws Exception {
+    CountDownLatch secondRead = new CountDownLatch(1);
+    CountDownLatch firstMayEnd = new CountDownLatch(1);
+    upstream.setScript(
+        call -> {
+          call.reply(HALF);
+          awaitQuietly(firstMayEnd);
+          call.reply("cd");
+        });
+    try (DataPathFixture entry =
+            new DataPathFixture(
+                DataPathSettings.defaults(),
+                router ->
+                    (method, host, path) -> {
+                      if (path.equals("/read/2")) {
+                        secondRead.countDown();
+                      }
+                      return router.route(method, host, path);
+                    },
+                upstream.address());
+        Socket socket = entry.connect()) {
+      entry.dataPath().startLeaving();
+      send(socket, get("/read/1", "X-A: b"));
+      String head = readUntil(socket, "\r\n\r\nab");
+      assertTrue(head.toLowerCase().contains("connection: close"), head);
+      send(socket, get("/read/2", "X-A: b"));
+      awaitQuietly(secondRead);
+      awaitSecondCall();
+      firstMayEnd.countDown();
+
+      assertEquals(
+          "cd", new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII));
+      assertFalse(upstream.callsSeen().contains("/read/2"), upstream.callsSeen());
+    }
+  }
+
+  /** Guards against a target that runs a request behind one that ends the connection. */
+  @Test
+  void requestBehindOneThatEndsTheConnectionIsNotPassedOn() throws Exception {
+    upstream.setScript(
+        call -> {
+          awaitSecondCall();
+          call.reply(ScriptedUpstream.OK);
+        });
+    try (DataPathFixture entry = DataPathFixture.to(upstream)) {
+      String answers =
+          entry.exchange(get("/read/1", "Connection: close") + get("/read/2", "X-A: b"));
+
+      assertTrue(answers.endsWith("\r\n\r\nok"), answers);
+      assertFalse(upstream.callsSeen().contains("/read/2"), upstream.callsSeen());
+    }
+  }
+
+  /** Guards against a target that runs a request behind the early answer to an upload. */
+  @Test
+  void requestBehindAnEarlyAnswerIsNotPassedOn() throws Exception {
+    DataPathSettings settings = new DataPathSettings(16_384, 100, 10, 5_000, 60_000, 250, 500);
+    try (DataPathFixture entry = new DataPathFixture(settings, upstream.address())) {
+      for (int i = 0; i < 5; i++) {
+        try (Socket socket = entry.connect()) {
+          send(
+              socket,
+              "PUT /upload HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  + "c\r\n123456789012\r\n");
+          byte[] answer = socket.getInputStream().readAllBytes();
+          assertTrue(new String(answer, StandardCharsets.US_ASCII).startsWith("HTTP/1.1 413 "));
+          send(socket, "0\r\n\r\n" + get("/read/2", "X-A: b"));
+          LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(50));
+        }
+      }
+
+      assertEquals("[]", upstream.callsSeen());
+    }
+  }
+
   private static void sendAtTheIdleLimit(
       DataPathFixture entry, long end, AtomicInteger requests, Set<String> unanswered) {
     while (System.nanoTime() < end) {
@@ -175,6 +252,14 @@
     return read.toString();
   }
 
+  /** Waits for a time in which a request that is passed on would reach the upstream. */
+  private void awaitSecondCall() {
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(300);
+    while (upstream.callCount() < 2 && System.nanoTime() < end) {
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
+    }
+  }
+
   private static void awaitQuietly(CountDownLatch latch) {
     try {
       latch.await(5, TimeUnit.SECONDS);
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerConnectionTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerConnectionTest.java
@@ -141,6 +141,10 @@
     private final HttpRequestPacket request =
         HttpRequestPacket.builder().method("GET").uri("/").protocol(Protocol.HTTP_1_1).build();
 
+    FakeExchange() {
+      request.getProcessingState().setKeepAlive(true);
+    }
+
     Cut cut(CloseReason reason, Outcome outcome) {
       return new Cut(request, reason, outcome);
     }
