Answer open requests before a connection with an overdue head is closed

Callers that pipeline saw a connection close without an answer to a request at which a target was at work, when the head of the next request stayed incomplete for longer than the time-out of heads.

Cause: the time-out of heads ignored open exchanges.

Change: an overdue head closes the connection only when no exchange is open.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
@@ -252,10 +252,13 @@
     return since != 0 && nowNanos - since > lingerNanos;
   }
 
-  /** Returns whether a head has been incomplete for longer than {@code headNanos}. */
+  /**
+   * Returns whether a head on an idle connection is incomplete for longer than {@code headNanos}.
+   */
   private boolean isHeadOverdue(long headNanos, long nowNanos) {
     long since = headStartNanos;
-    return since != 0 && nowNanos - since > headNanos;
+    // Requests before an overdue head are still answered.
+    return since != 0 && open.isEmpty() && nowNanos - since > headNanos;
   }
 
   /**
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerCloseTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerCloseTest.java
@@ -217,6 +217,24 @@
     }
   }
 
+  /** Guards against a slow head that cuts the request before it, at which a target is at work. */
+  @Test
+  void overdueHeadDoesNotCutTheRequestBeforeIt() throws Exception {
+    DataPathSettings settings = new DataPathSettings(16_384, 100, 1L << 40, 100, 60_000, 250, 500);
+    upstream.setScript(
+        call -> {
+          LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(400));
+          call.reply(ScriptedUpstream.OK);
+        });
+    try (DataPathFixture entry = new DataPathFixture(settings, upstream.address());
+        Socket socket = entry.connect()) {
+      send(socket, GET + "GET /re");
+
+      readUntil(socket, "\r\n\r\nok");
+      assertEquals(-1, socket.getInputStream().read());
+    }
+  }
+
   private static void sendAtTheIdleLimit(
       DataPathFixture entry, long end, AtomicInteger requests, Set<String> unanswered) {
     while (System.nanoTime() < end) {
