Move probes, retry delays, own answers and hedges into classes of their own

PlacementProbes, RetryDelays, RequestAnswers and HedgeSchedule take over code that stood there; behaviour is unchanged, but a probe counts as ended only after its response was evaluated.

--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -1,11 +1,7 @@
 package org.chivecross.logic.dispatch;
 
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.chivecross.model.failure.Failure;
@@ -35,23 +31,11 @@
   /** Timeout of a probe; a healthy target answers at once. */
   private static final long PROBE_TIMEOUT_NANOS = 60 * NANOS_PER_MILLI;
 
-  /**
-   * Targets probed in one round. Most targets are good enough, so that a second probe at the same
-   * time would mostly be wasted; a slow target costs one more round trip.
-   */
-  private static final int PROBES_PER_ROUND = 1;
-
   /**
    * Probe rounds after which the request is placed on the best target so far, waits or is refused.
    */
   private static final int MAX_PROBE_ROUNDS = 5;
 
-  /**
-   * Probes for one placement, also of a request that waits: while all targets are busy, more would
-   * only take their time.
-   */
-  private static final int MAX_PROBES_PER_PLACEMENT = 8;
-
   /** Delay until busy targets are probed again; a fraction of a slow phase. */
   private static final long REPROBE_DELAY_NANOS = 30 * NANOS_PER_MILLI;
 
@@ -63,19 +47,18 @@
   /** Fraction of the remaining time that the expected response time may take. */
   private static final double USABLE_TIME_FRACTION = 0.85;
 
-  private final ProbeSender probes;
   private final RandomGenerator random;
   private final LeavingListener leavingListener;
   private final RetryAdvice advice;
+  private final RetryDelays delays;
   private final DispatchTargetTable targets = new DispatchTargetTable();
   private final ResponseTimeEstimates responseTimes = new ResponseTimeEstimates();
   private final ServiceRoundRobin roundRobin = new ServiceRoundRobin();
   private final RequestRate rate = new RequestRate();
   private final ExpectedResponseTime expectedTimes;
   private final TargetRanking ranking;
-  private final ProbeTokenBucket probeTokens;
+  private final PlacementProbes probes;
   private final RetryBudgets retryBudgets;
-  private final Map<Integer, Set<PlacementTicket>> ticketsByProbedRow = new HashMap<>();
   private Optional<RouteTable> routes = Optional.empty();
   private boolean hasTargets;
   private double budgetShare = 1;
@@ -84,17 +67,22 @@
   /** Creates a dispatcher without routes and targets. */
   public Dispatcher(
       DispatchPreferences preferences,
-      ProbeSender probes,
+      ProbeSender probeSender,
       LeavingListener leavingListener,
       RandomGenerator random) {
-    this.probes = probes;
     this.leavingListener = leavingListener;
     this.random = random;
     retryBudgets = new RetryBudgets(preferences);
     advice = new RetryAdvice(random);
     expectedTimes = new ExpectedResponseTime(targets, preferences);
     ranking = new TargetRanking(targets, expectedTimes, responseTimes, preferences, random);
-    probeTokens = new ProbeTokenBucket(preferences.probesPerTargetAndSecond());
+    delays = new RetryDelays(targets, ranking, advice);
+    probes =
+        new PlacementProbes(
+            probeSender,
+            targets,
+            ranking,
+            new ProbeTokenBucket(preferences.probesPerTargetAndSecond()));
   }
 
   /** Replaces the rule set. */
@@ -185,20 +173,9 @@
     ticket.placeAgain(nowNanos);
   }
 
-  /**
-   * Returns the retry delay for a request that a target refused, in ms: short while another target
-   * has a free slot, otherwise the time in which about half of the backlog is served.
-   */
+  /** Returns the retry delay for a request that a target refused, in ms. */
   public long retryAfterMillis(PlacementTicket ticket, long nowNanos) {
-    int[] rows = targets.availableRows(ticket.service(), nowNanos);
-    if (rows.length == 0) {
-      return afterHoldOffMillis(ticket, nowNanos);
-    }
-    if (targets.hasFreeSlot(rows)) {
-      return advice.soonMillis();
-    }
-    int best = ranking.bestByRecentReports(ticket, rows, nowNanos);
-    return advice.afterBacklogMillis(expectedMillis(ticket, best, nowNanos));
+    return delays.afterRefusalMillis(ticket, nowNanos);
   }
 
   /** Tries to choose a target; may send probes. */
@@ -219,7 +196,8 @@
     if (ticket.hasOutstandingProbes()) {
       return new Placement.Pending(nowNanos + PROBE_TIMEOUT_NANOS);
     }
-    if (ticket.probeRounds() < MAX_PROBE_ROUNDS && startProbeRound(ticket, rows, nowNanos)) {
+    if (ticket.probeRounds() < MAX_PROBE_ROUNDS
+        && probes.startRound(ticket, rows, budgetShare, nowNanos)) {
       return new Placement.Pending(nowNanos + PROBE_TIMEOUT_NANOS);
     }
     return placeAfterProbing(ticket, ranking.bestByRecentReports(ticket, rows, nowNanos), nowNanos);
@@ -266,16 +244,7 @@
     }
     return refuse(
         "all targets of " + ticket.service() + " asked for a hold-off",
-        afterHoldOffMillis(ticket, nowNanos));
-  }
-
-  private long afterHoldOffMillis(PlacementTicket ticket, long nowNanos) {
-    int[] heldOff = targets.usableRows(ticket.service());
-    if (heldOff.length == 0) {
-      return advice.maxMillis();
-    }
-    long endNanos = targets.earliestHoldOffEndNanos(heldOff);
-    return advice.afterHoldOffMillis((endNanos - nowNanos) / NANOS_PER_MILLI);
+        delays.afterHoldOffMillis(ticket, nowNanos));
   }
 
   /**
@@ -361,16 +330,12 @@
    * @param head its response; empty when it did not answer in time
    */
   public void probeEnded(int row, boolean healthy, Optional<ResponseHead> head, long nowNanos) {
-    targets.setProbing(row, false);
     head.ifPresent(answer -> announced(row, answer, nowNanos));
     head.flatMap(ResponseHead::load).ifPresent(load -> targets.report(row, load, nowNanos));
     if (!healthy) {
       targets.failed(row, 1, nowNanos);
     }
-    Set<PlacementTicket> waiting = ticketsByProbedRow.remove(row);
-    if (waiting != null) {
-      waiting.forEach(ticket -> ticket.probeEnded(row));
-    }
+    probes.ended(row);
   }
 
   /** Returns the timeout of a probe, in ms. */
@@ -378,31 +343,6 @@
     return PROBE_TIMEOUT_NANOS / NANOS_PER_MILLI;
   }
 
-  /** Probes more targets; false when no target is left to probe or the probe budget is used up. */
-  private boolean startProbeRound(PlacementTicket ticket, int[] rows, long nowNanos) {
-    int sent = 0;
-    while (sent < PROBES_PER_ROUND && ticket.probeCount() < MAX_PROBES_PER_PLACEMENT) {
-      int row = ranking.nextToProbe(ticket, rows, nowNanos);
-      if (row == DispatchTargetTable.NONE) {
-        break;
-      }
-      if (!targets.isProbing(row)) {
-        if (!probeTokens.tryTake(targets.usableCount(), budgetShare, nowNanos)) {
-          break;
-        }
-        targets.setProbing(row, true);
-        probes.send(row);
-      }
-      ticket.probeSent(row);
-      ticketsByProbedRow.computeIfAbsent(row, r -> new HashSet<>()).add(ticket);
-      sent++;
-    }
-    if (sent > 0) {
-      ticket.probeRoundStarted();
-    }
-    return sent > 0;
-  }
-
   private Placement choose(PlacementTicket ticket, int row) {
     ticket.markTried(row);
     return new Placement.Chosen(row);
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/AttemptTable.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/AttemptTable.java
@@ -90,12 +90,16 @@
 
   /** Returns whether provably no byte of any attempt was sent. */
   boolean nothingSent() {
+    return sentCount() == 0;
+  }
+
+  /** Returns the number of attempts of which a byte may have been sent. */
+  int sentCount() {
+    int count = 0;
     for (int i = 0; i < size; i++) {
-      if (sent[i]) {
-        return false;
-      }
+      count += sent[i] ? 1 : 0;
     }
-    return true;
+    return count;
   }
 
   /**
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
@@ -1,7 +1,6 @@
 package org.chivecross.logic.request;
 
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.chivecross.logic.dispatch.DispatchJournal;
@@ -13,7 +12,6 @@
 import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.ConnectionKind;
 import org.chivecross.model.request.Decision;
-import org.chivecross.model.request.Outcome;
 import org.chivecross.model.request.RequestHead;
 import org.chivecross.model.request.ResponseHead;
 import org.chivecross.model.ruleset.RouteRule;
@@ -30,14 +28,11 @@
   private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
   private static final int NOT_FOUND = 404;
   private static final int SERVER_ERROR = 500;
-  private static final int BAD_GATEWAY = 502;
   private static final int UNAVAILABLE = 503;
 
   /** Statuses that promise the caller that its request did not run and never will. */
   private static final Set<Integer> REFUSALS = Set.of(408, 421, 429, UNAVAILABLE);
 
-  private static final int GATEWAY_TIMEOUT = 504;
-
   /**
    * Deadline of a request without a stated deadline, before the timeout of its route is applied.
    */
@@ -52,12 +47,6 @@
    */
   private static final long RELAY_MARGIN_NANOS = 1_000 * NANOS_PER_MILLI;
 
-  /** A read is hedged after this multiple of its expected response time. */
-  private static final double HEDGE_EXPECTED_TIME_FACTOR = 1.8;
-
-  /** A read is hedged after this fraction of the latency objective at the earliest. */
-  private static final double HEDGE_MIN_OBJECTIVE_FRACTION = 0.5;
-
   /** Progress of a request. */
   private enum Phase {
     ARRIVING,
@@ -70,6 +59,7 @@
   private final RequestRecorder recorder;
   private final Runnable scheduleTimer;
   private final AttemptTable attempts = new AttemptTable();
+  private final RequestAnswers answers;
   private final boolean[] atNominalSpeed = new boolean[AttemptTable.CAPACITY];
   private Phase phase = Phase.ARRIVING;
   private @Nullable PlacementTicket ticket;
@@ -83,6 +73,7 @@
   DispatchRequestMachine(Dispatcher dispatcher, DispatchJournal journal, Runnable scheduleTimer) {
     this.dispatcher = dispatcher;
     recorder = new RequestRecorder(dispatcher, journal);
+    answers = new RequestAnswers(attempts, recorder);
     this.scheduleTimer = scheduleTimer;
   }
 
@@ -270,13 +261,7 @@
   private Decision send(PlacementTicket current, int target, long nowNanos) {
     int attempt = attempts.open(target, nowNanos);
     atNominalSpeed[attempt] = dispatcher.isAtNominalSpeed(target, nowNanos);
-    if (current.route().isIdempotent()) {
-      double hedgeDelayMillis =
-          Math.max(
-              HEDGE_EXPECTED_TIME_FACTOR * dispatcher.expectedMillis(current, target, nowNanos),
-              HEDGE_MIN_OBJECTIVE_FRACTION * current.route().latencyObjectiveMillis());
-      hedgeAtNanos = nowNanos + (long) (hedgeDelayMillis * NANOS_PER_MILLI);
-    }
+    hedgeAtNanos = HedgeSchedule.hedgeAtNanos(dispatcher, current, target, nowNanos);
     recorder.sent(current, attempt, target, nowNanos);
     dispatcher.started(target);
     return new Decision.Send(attempt, target, ConnectionKind.RECENTLY_LIVE, deadlineNanos);
@@ -315,11 +300,7 @@
     if (attempts.isFull() || nowNanos >= deadlineNanos) {
       return false;
     }
-    int sent = 0;
-    for (int i = 0; i < attempts.size(); i++) {
-      sent += attempts.isSent(i) ? 1 : 0;
-    }
-    if (sent >= current.route().maxAttempts()) {
+    if (attempts.sentCount() >= current.route().maxAttempts()) {
       return false;
     }
     return current.route().isIdempotent() || NotRunProof.of(attempts).isPresent();
@@ -345,29 +326,14 @@
   private Decision giveUp(Failure failure, long retryAfterMillis, long nowNanos) {
     abandonAll();
     phase = Phase.DONE;
-    Optional<NotRunProof> proof = NotRunProof.of(attempts);
-    if (proof.isPresent()) {
-      recorder.answered(UNAVAILABLE, failure, retryAfterMillis, nowNanos);
-      return new Decision.Answer(
-          UNAVAILABLE, proof.get().outcome(), failure, OptionalLong.of(retryAfterMillis));
-    }
-    int status = failure.peer().equals(Failure.LOCAL) ? GATEWAY_TIMEOUT : BAD_GATEWAY;
-    recorder.answered(status, failure, 0, nowNanos);
-    return new Decision.Answer(status, Outcome.UNKNOWN, failure, OptionalLong.empty());
+    return answers.givenUp(failure, retryAfterMillis, nowNanos);
   }
 
   /** Answers a request that was not placed. */
   private Decision answer(int status, String detail, long retryAfterMillis, long nowNanos) {
     abandonAll();
     phase = Phase.DONE;
-    Outcome outcome = NotRunProof.of(attempts).map(NotRunProof::outcome).orElse(Outcome.UNKNOWN);
-    Failure failure = new Failure(Step.ROUTE, Failure.LOCAL, detail);
-    recorder.answered(status, failure, retryAfterMillis, nowNanos);
-    return new Decision.Answer(
-        status,
-        outcome,
-        failure,
-        retryAfterMillis > 0 ? OptionalLong.of(retryAfterMillis) : OptionalLong.empty());
+    return answers.notPlaced(status, detail, retryAfterMillis, nowNanos);
   }
 
   private void abandonAll() {
