Move message building out of FleetNode

Change: FleetMessageFactory holds the advertised state and creates the messages. No behaviour changes.

--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
@@ -51,15 +51,14 @@
   private final StoreReadSchedule reads;
   private final FleetMembership membership;
   private final PlatformView view = new PlatformView();
+  private final FleetMessageFactory messages;
   private final LoadShare loadShare = new LoadShare();
   private final Set<String> entriesAwaitingSnapshot = new TreeSet<>();
   private List<String> seeds;
-  private boolean ready;
   private boolean isStarted;
   private long nextHeartbeatNanos = Long.MIN_VALUE;
   private long rulesOutdatedSinceNanos = Long.MAX_VALUE;
   private long lastSnapshotRequestNanos = Long.MIN_VALUE / 2;
-  private int requestsPerSecond;
 
   /** Creates a node without members and without a view. */
   public FleetNode(FleetPreferences preferences, FleetPort port, RandomGenerator random) {
@@ -69,6 +68,7 @@
     this.port = port;
     this.random = random;
     reads = new StoreReadSchedule(random);
+    messages = new FleetMessageFactory(preferences, view);
   }
 
   /** Expires members and targets, and sends heartbeats and store reads that are scheduled. */
@@ -139,7 +139,7 @@
       return;
     }
     port.viewChanged(false);
-    FleetMessage update = evidenceMessage(TargetEvidence.leaving(incarnation));
+    FleetMessage update = messages.createEvidenceUpdate(TargetEvidence.leaving(incarnation));
     port.send(membership.localIps(nowNanos), update);
     port.send(membership.firstRemoteIps(nowNanos), update);
   }
@@ -151,7 +151,7 @@
 
   /** Sets the rate of requests from callers that this entry advertises to the others. */
   public void setRequestsPerSecond(int value) {
-    requestsPerSecond = value;
+    messages.setRequestsPerSecond(value);
   }
 
   /**
@@ -163,7 +163,7 @@
     boolean expectsOthers = seeds.stream().anyMatch(seed -> !seed.equals(preferences.ip()));
     return loadShare.otherEntryCount() == 0 && expectsOthers
         ? 0
-        : loadShare.shareOf(requestsPerSecond);
+        : loadShare.shareOf(messages.requestsPerSecond());
   }
 
   /** Returns the number of entries that share the budgets; 0 while no other entry is known. */
@@ -173,10 +173,8 @@
 
   /** Sets whether this entry accepts new callers and sends a change to its data centre at once. */
   public void setReady(boolean value, long nowNanos) {
-    if (ready != value) {
-      ready = value;
-      FleetMessage update = message(List.of(), Optional.empty(), false, false);
-      port.send(membership.localIps(nowNanos), update);
+    if (messages.setReady(value)) {
+      port.send(membership.localIps(nowNanos), messages.createStateUpdate());
     }
   }
 
@@ -204,7 +202,8 @@
     }
     boolean isRemote = !message.dataCentre().equals(preferences.dataCentre());
     if (isRemote && !newlyLeaving.isEmpty()) {
-      FleetMessage update = evidenceMessage(new TargetEvidence(newlyLeaving, List.of()));
+      FleetMessage update =
+          messages.createEvidenceUpdate(new TargetEvidence(newlyLeaving, List.of()));
       port.send(membership.localIps(nowNanos), update);
     }
   }
@@ -225,7 +224,7 @@
     List<FleetMember> members =
         request.asksMembers() ? membership.members(nowNanos) : List.<FleetMember>of();
     // An entry that has just started may find targets in the store that have left.
-    port.send(List.of(ip), message(members, snapshot, view.evidence(), false, false));
+    port.send(List.of(ip), messages.create(members, snapshot, view.evidence(), false, false));
   }
 
   /** Sends the view to the entries that requested it before this entry had one. */
@@ -234,7 +233,7 @@
       return;
     }
     FleetMessage snapshot =
-        message(
+        messages.create(
             List.of(), Optional.of(view.snapshot(true, nowNanos)), view.evidence(), false, false);
     port.send(List.copyOf(entriesAwaitingSnapshot), snapshot);
     entriesAwaitingSnapshot.clear();
@@ -296,7 +295,7 @@
     }
     if (nowNanos - lastSnapshotRequestNanos >= MIN_SNAPSHOT_REQUEST_INTERVAL_NANOS) {
       lastSnapshotRequestNanos = nowNanos;
-      port.send(List.of(ip), message(List.of(), Optional.empty(), false, true));
+      port.send(List.of(ip), messages.create(List.of(), Optional.empty(), false, true));
     }
   }
 
@@ -307,14 +306,14 @@
   private void publishChanges(PlatformView.Changes changes, long nowNanos) {
     sendToOwnDataCentre(changes, nowNanos);
     FleetMessage remoteUpdate =
-        message(
+        messages.create(
             List.of(), Optional.of(view.changesAsUpdate(changes, false, nowNanos)), false, false);
     port.send(membership.firstRemoteIps(nowNanos), remoteUpdate);
   }
 
   private void sendToOwnDataCentre(PlatformView.Changes changes, long nowNanos) {
     FleetMessage update =
-        message(
+        messages.create(
             List.of(),
             Optional.of(view.changesAsUpdate(changes, changes.hasNewRules(), nowNanos)),
             false,
@@ -333,7 +332,8 @@
         isRelay
             ? members
             : local.stream().filter(m -> membership.hasRecentDirectMessage(m.ip())).toList();
-    FleetMessage heartbeat = message(reported, Optional.empty(), false, asksView && !isRelay);
+    FleetMessage heartbeat =
+        messages.create(reported, Optional.empty(), false, asksView && !isRelay);
     List<FleetMember> receivers =
         isRelay ? local : local.subList(0, Math.min(RELAY_ENTRIES, local.size()));
     port.send(receivers.stream().map(FleetMember::ip).toList(), heartbeat);
@@ -342,7 +342,7 @@
       remote.removeAll(local);
       sendMembersToOtherDataCentres(local, remote);
     }
-    FleetMessage joinRequest = message(List.of(), Optional.empty(), true, asksView);
+    FleetMessage joinRequest = messages.create(List.of(), Optional.empty(), true, asksView);
     for (String seed : seeds) {
       if (!seed.equals(preferences.ip()) && !membership.contains(seed)) {
         port.send(List.of(seed), joinRequest);
@@ -362,7 +362,7 @@
       List<FleetMember> reported = new ArrayList<>(local);
       reported.addAll(receivers);
       String relayIp = receivers.get(random.nextInt(relayCount)).ip();
-      port.send(List.of(relayIp), message(reported, Optional.empty(), false, false));
+      port.send(List.of(relayIp), messages.create(reported, Optional.empty(), false, false));
     }
   }
 
@@ -376,35 +376,4 @@
             : view.asOfNanos();
     return reads.nextNanos(sinceNanos, membership.readerRank(preferences.ip(), nowNanos));
   }
-
-  private FleetMessage evidenceMessage(TargetEvidence evidence) {
-    return message(List.of(), Optional.empty(), evidence, false, false);
-  }
-
-  private FleetMessage message(
-      List<FleetMember> members,
-      Optional<ViewUpdate> viewUpdate,
-      boolean asksMembers,
-      boolean asksView) {
-    return message(members, viewUpdate, TargetEvidence.NONE, asksMembers, asksView);
-  }
-
-  private FleetMessage message(
-      List<FleetMember> members,
-      Optional<ViewUpdate> viewUpdate,
-      TargetEvidence evidence,
-      boolean asksMembers,
-      boolean asksView) {
-    return new FleetMessage(
-        preferences.incarnation(),
-        preferences.dataCentre(),
-        ready,
-        asksMembers,
-        asksView,
-        view.rulesVersion(),
-        requestsPerSecond,
-        members,
-        viewUpdate,
-        evidence);
-  }
 }
