Add isolated entries to the datagrams between entries

Cause: an entry that reaches no upstream while others do can't tell them.

Change: FleetDatagram and MemberNote have a field isolated, absent for false, so that the previous release runs beside this one; FleetMessage and FleetMember have the component. No entry sets it yet: the node, the membership and the entry's own member in FleetEntry pass false.

Evidence: with the components but an unchanged codec, FleetCodecTest failed in decodedMessageEqualsTheEncodedOne and isolationOfSenderAndOfMembersAreEncodedSeparately (2 of 6); now 6 pass.

Conclusion: a release before this one relays members without the field, so isolation spreads by direct messages only while its entries relay.

--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetMembership.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetMembership.java
@@ -130,6 +130,7 @@
               member.incarnation(),
               member.dataCentre(),
               member.ready(),
+              false,
               age,
               member.requestsPerSecond()));
     }
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetMessageFactory.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetMessageFactory.java
@@ -71,6 +71,7 @@
         preferences.incarnation(),
         preferences.dataCentre(),
         ready,
+        false,
         asksMembers,
         asksView,
         view.rulesVersion(),
--- a/chivecross-core/src/main/java/org/chivecross/model/fleet/FleetMember.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/fleet/FleetMember.java
@@ -7,6 +7,7 @@
  * @param incarnation random number that identifies one run of the process
  * @param dataCentre data centre that it runs in
  * @param ready whether it accepts new callers
+ * @param isolated whether it reaches no upstream while other entries do
  * @param ageMillis time since its last message, in ms
  * @param requestsPerSecond requests per second that it receives from callers
  */
@@ -15,5 +16,6 @@
     long incarnation,
     String dataCentre,
     boolean ready,
+    boolean isolated,
     long ageMillis,
     int requestsPerSecond) {}
--- a/chivecross-core/src/main/java/org/chivecross/model/fleet/FleetMessage.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/fleet/FleetMessage.java
@@ -9,6 +9,7 @@
  * @param incarnation random number that identifies this run of the sender
  * @param dataCentre data centre of the sender
  * @param ready whether the sender accepts new callers
+ * @param isolated whether the sender reaches no upstream while other entries do
  * @param asksMembers whether the sender requests the members that the receiver has
  * @param asksView whether the sender requests a snapshot of the view
  * @param knownRulesVersion version of the rules that the sender has; 0 for none
@@ -21,6 +22,7 @@
     long incarnation,
     String dataCentre,
     boolean ready,
+    boolean isolated,
     boolean asksMembers,
     boolean asksView,
     long knownRulesVersion,
--- a/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetDirectoryTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetDirectoryTest.java
@@ -9,7 +9,7 @@
 class FleetDirectoryTest {
 
   private static FleetMember member(String ip, String dataCentre, boolean ready) {
-    return new FleetMember(ip, 1, dataCentre, ready, 0, 0);
+    return new FleetMember(ip, 1, dataCentre, ready, false, 0, 0);
   }
 
   private static final List<FleetMember> OTHERS =
--- a/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetNodeTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetNodeTest.java
@@ -235,6 +235,7 @@
               true,
               false,
               false,
+              false,
               2,
               0,
               List.of(),
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -314,7 +314,8 @@
     synchronized (lock) {
       long now = System.nanoTime();
       FleetMember self =
-          new FleetMember(settings.ip(), incarnation, settings.dataCentre(), isReady(), 0, 0);
+          new FleetMember(
+              settings.ip(), incarnation, settings.dataCentre(), isReady(), false, 0, 0);
       int port = settings.callers().getPort();
       return FleetDirectory.selectEntries(
               self, node.others(now), dataCentre, MAX_DIRECTORY_ADDRESSES)
--- a/chivecross-wire/src/main/java/org/chivecross/wire/fleet/FleetCodec.java
+++ b/chivecross-wire/src/main/java/org/chivecross/wire/fleet/FleetCodec.java
@@ -34,6 +34,7 @@
             .setIncarnation(message.incarnation())
             .setDataCentre(message.dataCentre())
             .setReady(message.ready())
+            .setIsolated(message.isolated())
             .setAsksMembers(message.asksMembers())
             .setAsksView(message.asksView())
             .setKnownRulesVersion(message.knownRulesVersion())
@@ -45,6 +46,7 @@
               .setIncarnation(member.incarnation())
               .setDataCentre(member.dataCentre())
               .setReady(member.ready())
+              .setIsolated(member.isolated())
               .setAgeMillis((int) member.ageMillis())
               .setRequestsPerSecond(member.requestsPerSecond()));
     }
@@ -73,6 +75,7 @@
               datagram.getIncarnation(),
               datagram.getDataCentre(),
               datagram.getReady(),
+              datagram.getIsolated(),
               datagram.getAsksMembers(),
               datagram.getAsksView(),
               datagram.getKnownRulesVersion(),
@@ -91,6 +94,7 @@
         note.getIncarnation(),
         note.getDataCentre(),
         note.getReady(),
+        note.getIsolated(),
         note.getAgeMillis(),
         note.getRequestsPerSecond());
   }
--- a/chivecross-wire/src/test/java/org/chivecross/wire/fleet/FleetCodecTest.java
+++ b/chivecross-wire/src/test/java/org/chivecross/wire/fleet/FleetCodecTest.java
@@ -1,11 +1,13 @@
 package org.chivecross.wire.fleet;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -69,11 +71,12 @@
         -7,
         "a",
         true,
+        true,
         false,
         true,
         11,
         23,
-        List.of(new FleetMember("10.0.0.9", 99, "b", false, 250, 17)),
+        List.of(new FleetMember("10.0.0.9", 99, "b", false, true, 250, 17)),
         Optional.of(update),
         new TargetEvidence(
             List.of(new TargetIncarnation("i-3", 1790000000456L)),
@@ -87,6 +90,45 @@
     assertEquals(new Result.Success<>(message), decoded);
   }
 
+  private static FleetMessage stateMessage(boolean isSenderIsolated, boolean isMemberIsolated) {
+    return new FleetMessage(
+        -7,
+        "a",
+        true,
+        isSenderIsolated,
+        false,
+        true,
+        11,
+        23,
+        List.of(new FleetMember("10.0.0.9", 99, "b", true, isMemberIsolated, 250, 17)),
+        Optional.empty(),
+        TargetEvidence.NONE);
+  }
+
+  @Test
+  void isolationOfSenderAndOfMembersAreEncodedSeparately() {
+    for (boolean isSenderIsolated : new boolean[] {false, true}) {
+      for (boolean isMemberIsolated : new boolean[] {false, true}) {
+        FleetMessage message = stateMessage(isSenderIsolated, isMemberIsolated);
+        assertEquals(
+            new Result.Success<>(message), FleetCodec.decode(FleetCodec.encode(message), "peer"));
+      }
+    }
+  }
+
+  /** A datagram of a release without isolated entries, which may run beside this one. */
+  @Test
+  void datagramOfThePreviousFormIsReadAndWrittenAsBefore() {
+    byte[] previous =
+        HexFormat.of()
+            .parseHex(
+                "080111f9ffffffffffffff1a016120013001380b421d0a0831302e302e302e39"
+                    + "1163000000000000001a0162200128fa0130115017");
+    FleetMessage message = stateMessage(false, false);
+    assertEquals(new Result.Success<>(message), FleetCodec.decode(previous, "peer"));
+    assertArrayEquals(previous, FleetCodec.encode(message));
+  }
+
   @Test
   void rulesWithManyRoutesFitIntoOneDatagram() {
     int bytes = FleetCodec.encode(message(1_000)).length;
