Leave isolated entries out of directory answers

Cause: callers that ask for entries are sent to those that reach no upstream and can't serve them.

Change: FleetDirectory leaves isolated entries out while a ready one that isn't isolated remains; the minimum number of entries in the caller's data centre applies to those that remain. If all ready entries are isolated, all are named as before. The rule that prefers a data centre is a method of its own.

Conclusion: takes effect once entries advertise that they are isolated.

--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetDirectory.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetDirectory.java
@@ -6,11 +6,12 @@
 
 /**
  * Selects the entries that a caller should use: the ready ones in its own data centre, or all ready
- * ones when its data centre has too few to tolerate the loss of one. Stateless.
+ * ones when its data centre has too few to tolerate the loss of one. Isolated entries are left out
+ * unless all ready ones are isolated. Stateless.
  */
 public final class FleetDirectory {
 
-  /** Ready entries in the caller's data centre below which all data centres are included. */
+  /** Entries in the caller's data centre below which all data centres are included. */
   private static final int MIN_LOCAL_ENTRIES = 2;
 
   private FleetDirectory() {}
@@ -31,13 +32,23 @@
         ready.add(other);
       }
     }
+    List<FleetMember> notIsolated = ready.stream().filter(member -> !member.isolated()).toList();
+    List<String> selected = preferLocal(notIsolated.isEmpty() ? ready : notIsolated, dataCentre);
+    return selected.subList(0, Math.min(maxEntries, selected.size()));
+  }
+
+  /**
+   * Returns the IP addresses of the entries in a data centre, or of all entries when it has too few
+   * of them.
+   */
+  static List<String> preferLocal(List<FleetMember> entries, String dataCentre) {
     List<String> local =
-        ready.stream()
+        entries.stream()
             .filter(member -> member.dataCentre().equals(dataCentre))
             .map(FleetMember::ip)
             .toList();
-    List<String> selected =
-        local.size() >= MIN_LOCAL_ENTRIES ? local : ready.stream().map(FleetMember::ip).toList();
-    return selected.subList(0, Math.min(maxEntries, selected.size()));
+    return local.size() >= MIN_LOCAL_ENTRIES
+        ? local
+        : entries.stream().map(FleetMember::ip).toList();
   }
 }
