Tell other entries that this one reaches no upstream

Cause: an entry that is cut off from all targets stays in directory answers, and doesn't know to which entries it can forward requests.

Change: FleetNode.setIsolated sends a change at once to the own data centre and to one entry in each other one; the membership keeps the state, and heartbeats carry it on. FleetNode.forwardingIps returns the entries that accept callers, aren't isolated and were heard of at least one heartbeat interval before their expiry (2.5 s in the own data centre, 5 s in others), by the directory's rule on data centres. Budget shares don't depend on the state. A change that one entry receives from another data centre needed no further code: that entry is a relay, and its heartbeat has the later time of the last message.

Conclusion: takes effect once FleetEntry calls setIsolated. The simulation has one fixed delay of datagrams; an overtaken heartbeat may restore the old state until the next one.

--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetMembership.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetMembership.java
@@ -19,6 +19,9 @@
  */
 final class FleetMembership {
 
+  /** Time between heartbeats of an entry. */
+  static final long HEARTBEAT_INTERVAL_MILLIS = 1_000;
+
   /** Time without messages after which a member expires: three heartbeats were missed. */
   static final long EXPIRY_MILLIS = 3_500;
 
@@ -33,6 +36,7 @@
       long incarnation,
       String dataCentre,
       boolean ready,
+      boolean isolated,
       long lastSeenNanos,
       int requestsPerSecond) {}
 
@@ -57,6 +61,7 @@
             message.incarnation(),
             message.dataCentre(),
             message.ready(),
+            message.isolated(),
             nowNanos,
             message.requestsPerSecond()));
   }
@@ -92,6 +97,7 @@
                 member.incarnation(),
                 member.dataCentre(),
                 member.ready(),
+                member.isolated(),
                 lastSeenNanos,
                 member.requestsPerSecond()));
       }
@@ -130,13 +136,25 @@
               member.incarnation(),
               member.dataCentre(),
               member.ready(),
-              false,
+              member.isolated(),
               age,
               member.requestsPerSecond()));
     }
     return members;
   }
 
+  /**
+   * Returns the members whose last message is at least one heartbeat interval short of the expiry,
+   * ordered by IP address.
+   */
+  List<FleetMember> recentMembers(long nowNanos) {
+    return members(nowNanos).stream()
+        .filter(
+            member ->
+                member.ageMillis() <= expiryMillis(member.dataCentre()) - HEARTBEAT_INTERVAL_MILLIS)
+        .toList();
+  }
+
   /** Returns the members in the same data centre, ordered by IP address. */
   List<FleetMember> localMembers(long nowNanos) {
     return members(nowNanos).stream()
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetMessageFactory.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetMessageFactory.java
@@ -17,6 +17,7 @@
   private final FleetPreferences preferences;
   private final PlatformView view;
   private boolean ready;
+  private boolean isolated;
   private int requestsPerSecond;
 
   /** Creates a factory for an entry that doesn't accept callers yet. */
@@ -32,6 +33,16 @@
     return isChange;
   }
 
+  /**
+   * Sets whether the entry reaches no upstream while other entries do; returns whether this is a
+   * change.
+   */
+  boolean setIsolated(boolean value) {
+    boolean isChange = isolated != value;
+    isolated = value;
+    return isChange;
+  }
+
   /** Sets the rate of requests that the entry receives from callers. */
   void setRequestsPerSecond(int value) {
     requestsPerSecond = value;
@@ -71,7 +82,7 @@
         preferences.incarnation(),
         preferences.dataCentre(),
         ready,
-        false,
+        isolated,
         asksMembers,
         asksView,
         view.rulesVersion(),
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
@@ -40,7 +40,8 @@
   private static final int RELAY_ENTRIES = 3;
 
   /** Time between heartbeats; a member expires after three and a half intervals. */
-  private static final long HEARTBEAT_INTERVAL_NANOS = 1_000 * NANOS_PER_MILLI;
+  private static final long HEARTBEAT_INTERVAL_NANOS =
+      FleetMembership.HEARTBEAT_INTERVAL_MILLIS * NANOS_PER_MILLI;
 
   /** Minimum time between two requests for a snapshot of the view. */
   private static final long MIN_SNAPSHOT_REQUEST_INTERVAL_NANOS = 150 * NANOS_PER_MILLI;
@@ -178,6 +179,31 @@
     }
   }
 
+  /**
+   * Sets whether this entry reaches no upstream while other entries do. A change is sent at once to
+   * its data centre and to one entry in each other one, which relays it with its next heartbeat.
+   */
+  public void setIsolated(boolean value, long nowNanos) {
+    if (messages.setIsolated(value)) {
+      FleetMessage update = messages.createStateUpdate();
+      port.send(membership.localIps(nowNanos), update);
+      port.send(membership.firstRemoteIps(nowNanos), update);
+    }
+  }
+
+  /**
+   * Returns the IP addresses of the entries to which this one may forward requests while it is
+   * isolated: those that accept callers, are not isolated and sent a message recently; the ones in
+   * its data centre, or all when there are too few. Empty if there are none.
+   */
+  public List<String> forwardingIps(long nowNanos) {
+    List<FleetMember> candidates =
+        membership.recentMembers(nowNanos).stream()
+            .filter(member -> member.ready() && !member.isolated())
+            .toList();
+    return FleetDirectory.preferLocal(candidates, preferences.dataCentre());
+  }
+
   /** Handles a message from another entry. */
   public void received(String ip, FleetMessage message, long nowNanos) {
     if (message.incarnation() == preferences.incarnation() || ip.equals(preferences.ip())) {
