Forward the requests of an entry that reaches no target to other entries

An entry in that state can't serve by itself, and callers keep its address for a while.

Cause: an entry took each failed connect and probe for a failure of the target, and had no way to a target but its own links. Class of fault: a local failure taken for a remote one.

Change: UpstreamReachability takes failures of several targets without any response in between for the entry's own. An entry that reaches no target either, or has older rules, turns the request away with nothing sent (421), and the next one is tried without a retry token. Requests that may have run are not forwarded unless they may be retried. Probes find out when targets respond again; requests return over one second. A request whose connects failed twice is forwarded as well, since kept connections may live on while new ones are refused.

--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/DispatchEvent.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/DispatchEvent.java
@@ -16,6 +16,15 @@
   record Sent(int attempt, TargetLoad target, long expectedMillis, int usableTargets)
       implements DispatchEvent {}
 
+  /**
+   * The request is forwarded to another entry, since this one reaches no target.
+   *
+   * @param attempt number of the attempt, from 0
+   * @param entry IP address of the entry
+   * @param inFlight requests forwarded to it that it has not answered yet
+   */
+  record Forwarded(int attempt, String entry, int inFlight) implements DispatchEvent {}
+
   /**
    * An attempt failed.
    *
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/DispatchTargetTable.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/DispatchTargetTable.java
@@ -102,6 +102,11 @@
     return rowsByService.getOrDefault(service, new int[0]);
   }
 
+  /** Returns the usable rows of all services. */
+  int[] usableRows() {
+    return rowsByService.values().stream().flatMapToInt(Arrays::stream).toArray();
+  }
+
   /** Returns the usable rows of a service whose targets did not ask to be left alone. */
   int[] availableRows(String service, long nowNanos) {
     int[] rows = usableRows(service);
@@ -254,6 +259,11 @@
     return false;
   }
 
+  /** Forgets the failures of all targets, since they had a cause in common. */
+  void forgetFailures() {
+    Arrays.fill(failures, 0);
+  }
+
   /** Returns whether a connection to the target is likely to be open. */
   boolean isConnected(int row, long nowNanos) {
     return hasReportWithin(row, KEPT_CONNECTION_NANOS, nowNanos);
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -58,17 +58,28 @@
   private final ExpectedResponseTime expectedTimes;
   private final TargetRanking ranking;
   private final PlacementProbes probes;
+  private final RequestForwarding forwarding;
   private final RetryBudgets retryBudgets;
   private Optional<RouteTable> routes = Optional.empty();
   private boolean hasTargets;
   private double budgetShare = 1;
   private int budgetEntries;
 
+  /** Creates a dispatcher without routes and targets, whose entry forwards no requests. */
+  public Dispatcher(
+      DispatchPreferences preferences,
+      ProbeSender probeSender,
+      LeavingListener leavingListener,
+      RandomGenerator random) {
+    this(preferences, probeSender, leavingListener, ForwardingPort.NONE, random);
+  }
+
   /** Creates a dispatcher without routes and targets. */
   public Dispatcher(
       DispatchPreferences preferences,
       ProbeSender probeSender,
       LeavingListener leavingListener,
+      ForwardingPort forwardingPort,
       RandomGenerator random) {
     this.leavingListener = leavingListener;
     this.random = random;
@@ -83,6 +94,7 @@
             targets,
             ranking,
             new ProbeTokenBucket(preferences.probesPerTargetAndSecond()));
+    forwarding = new RequestForwarding(forwardingPort, targets, probes, () -> budgetShare, random);
   }
 
   /** Replaces the rule set. */
@@ -118,6 +130,11 @@
     return routes.isPresent();
   }
 
+  /** Returns the version of the rules in force; 0 before the first ones. */
+  public long rulesVersion() {
+    return routes.map(RouteTable::rulesVersion).orElse(0L);
+  }
+
   /** Returns whether a set of targets was applied, even an empty one. */
   public boolean hasTargets() {
     return hasTargets;
@@ -158,7 +175,10 @@
       long nowNanos) {
     rate.count(nowNanos);
     String service = roundRobin.next(route, random.nextDouble());
-    retryBudgets.ofService(service).recordRequest(nowNanos);
+    if (!forwarding.isIsolated()) {
+      // A forwarded request counts at the entry that sends it to targets.
+      retryBudgets.ofService(service).recordRequest(nowNanos);
+    }
     return new PlacementTicket(
         route, service, nowNanos, deadlineNanos, bodyBytes, schedulePlacement);
   }
@@ -178,8 +198,17 @@
     return delays.afterRefusalMillis(ticket, nowNanos);
   }
 
-  /** Tries to choose a target; may send probes. */
+  /** Returns the forwarding of requests to other entries. */
+  public RequestForwarding forwarding() {
+    return forwarding;
+  }
+
+  /** Tries to choose a target or, for a request to be forwarded, an entry; may send probes. */
   public Placement place(PlacementTicket ticket, long nowNanos) {
+    int entry = forwarding.choose(ticket, nowNanos);
+    if (entry != ForwardingTable.NONE) {
+      return new Placement.Chosen(entry);
+    }
     int[] rows = targets.availableRows(ticket.service(), nowNanos);
     if (rows.length == 0) {
       return placeWithoutTargets(ticket, nowNanos);
@@ -259,14 +288,22 @@
     }
   }
 
-  /** Records that an attempt was started on a target. */
+  /** Records that an attempt was started on a target or forwarded to an entry. */
   public void started(int row) {
-    targets.attemptStarted(row);
+    if (RequestForwarding.isEntry(row)) {
+      forwarding.started(row);
+    } else {
+      targets.attemptStarted(row);
+    }
   }
 
-  /** Records the end of an attempt that says nothing about the target. */
+  /** Records the end of an attempt that says nothing about the target or entry. */
   public void abandoned(int row) {
-    targets.attemptEnded(row);
+    if (RequestForwarding.isEntry(row)) {
+      forwarding.ended(row);
+    } else {
+      targets.attemptEnded(row);
+    }
   }
 
   /**
@@ -287,8 +324,20 @@
     }
   }
 
-  /** Records an attempt that failed because of its target. */
+  /** Records an attempt that ended without a response, since its connection failed. */
+  public void connectionFailed(int row, long nowNanos) {
+    failed(row, nowNanos);
+    if (!RequestForwarding.isEntry(row)) {
+      forwarding.targetFailed(row, nowNanos);
+    }
+  }
+
+  /** Records an attempt that failed because of its target or entry. */
   public void failed(int row, long nowNanos) {
+    if (RequestForwarding.isEntry(row)) {
+      forwarding.failed(row, nowNanos);
+      return;
+    }
     targets.attemptEnded(row);
     targets.failed(row, 1, nowNanos);
   }
@@ -300,12 +349,12 @@
 
   /** Returns whether a target has free slots and works at nominal speed, by its last report. */
   public boolean isAtNominalSpeed(int row, long nowNanos) {
-    return expectedTimes.isAtNominalSpeed(row, nowNanos);
+    return !RequestForwarding.isEntry(row) && expectedTimes.isAtNominalSpeed(row, nowNanos);
   }
 
-  /** Returns the last known load of a target. */
+  /** Returns the last known load of a target or entry. */
   public DispatchEvent.TargetLoad targetLoad(int row, long nowNanos) {
-    return targets.load(row, nowNanos);
+    return RequestForwarding.isEntry(row) ? forwarding.load(row) : targets.load(row, nowNanos);
   }
 
   /** Returns the number of usable targets of a request's service. */
@@ -313,9 +362,11 @@
     return targets.usableRows(ticket.service()).length;
   }
 
-  /** Returns the expected response time of a target, in ms. */
+  /** Returns the expected response time of a target or entry, in ms. */
   public double expectedMillis(PlacementTicket ticket, int row, long nowNanos) {
-    return ranking.expectedMillis(ticket, row, nowNanos);
+    return RequestForwarding.isEntry(row)
+        ? ticket.route().latencyObjectiveMillis()
+        : ranking.expectedMillis(ticket, row, nowNanos);
   }
 
   /** Stores a load report that came with an answer of a target. */
@@ -335,6 +386,11 @@
     if (!healthy) {
       targets.failed(row, 1, nowNanos);
     }
+    if (head.isPresent()) {
+      forwarding.targetResponded(row, nowNanos);
+    } else {
+      forwarding.targetFailed(row, nowNanos);
+    }
     probes.ended(row);
   }
 
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PlacementTicket.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PlacementTicket.java
@@ -1,6 +1,8 @@
 package org.chivecross.logic.dispatch;
 
 import java.util.BitSet;
+import java.util.HashSet;
+import java.util.Set;
 import org.chivecross.model.ruleset.RouteRule;
 
 /**
@@ -18,6 +20,10 @@
   private final BitSet tried = new BitSet();
   private final BitSet probed = new BitSet();
   private final BitSet outstandingProbes = new BitSet();
+  private final Set<Integer> forwardedTo = new HashSet<>(1);
+  private boolean mayBeForwarded = true;
+  private boolean returned;
+  private int failedConnects;
   private long placingSinceNanos;
   private int probeRounds;
   private int probeCount;
@@ -46,6 +52,41 @@
     placingSinceNanos = arrivedNanos;
   }
 
+  /** Keeps the request here; another entry forwarded it. */
+  public void forbidForwarding() {
+    mayBeForwarded = false;
+  }
+
+  /** Records that a target could not be connected, so that nothing was sent to it. */
+  public void connectFailed() {
+    failedConnects++;
+  }
+
+  boolean mayBeForwarded() {
+    return mayBeForwarded;
+  }
+
+  int failedConnects() {
+    return failedConnects;
+  }
+
+  boolean isReturned() {
+    return returned;
+  }
+
+  /** Keeps the request here while an entry that was isolated returns to its targets. */
+  void markReturned() {
+    returned = true;
+  }
+
+  boolean isForwardedTo(int row) {
+    return forwardedTo.contains(row);
+  }
+
+  void markForwarded(int row) {
+    forwardedTo.add(row);
+  }
+
   /** Returns the route of the request. */
   public RouteRule route() {
     return route;
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/RouteTable.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/RouteTable.java
@@ -14,6 +14,7 @@
 
   private final Map<String, List<RouteRule>> byHost;
   private final Map<String, Integer> maxConnections = new HashMap<>();
+  private final long rulesVersion;
 
   /** Creates a table of the routes of a rule set. */
   public RouteTable(RuleSet rules) {
@@ -25,11 +26,17 @@
       routes.sort(Comparator.comparingInt((RouteRule route) -> route.prefix().length()).reversed());
     }
     byHost = Map.copyOf(hosts);
+    rulesVersion = rules.version();
     rules
         .services()
         .forEach(service -> maxConnections.put(service.name(), service.maxConnections()));
   }
 
+  /** Returns the version of the rule set. */
+  long rulesVersion() {
+    return rulesVersion;
+  }
+
   /** Returns the connections that a target of a service accepts from all entries together. */
   int maxConnections(String service) {
     return maxConnections.getOrDefault(service, 0);
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/AttemptTable.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/AttemptTable.java
@@ -54,6 +54,11 @@
     notRun[attempt] = true;
   }
 
+  /** Marks that another entry, to which the request was forwarded, proved that it sent nothing. */
+  void markUnsent(int attempt) {
+    sent[attempt] = false;
+  }
+
   /** Stops waiting for the first byte of an attempt. */
   void clearFirstByteTimeout(int attempt) {
     firstByteDueNanos[attempt] = NEVER;
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
@@ -7,6 +7,7 @@
 import org.chivecross.logic.dispatch.Dispatcher;
 import org.chivecross.logic.dispatch.Placement;
 import org.chivecross.logic.dispatch.PlacementTicket;
+import org.chivecross.logic.dispatch.RequestForwarding;
 import org.chivecross.model.failure.Failure;
 import org.chivecross.model.failure.Step;
 import org.chivecross.model.request.ConnectionFault;
@@ -28,10 +29,11 @@
   private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
   private static final int NOT_FOUND = 404;
   private static final int SERVER_ERROR = 500;
+  private static final int MISDIRECTED = 421;
   private static final int UNAVAILABLE = 503;
 
   /** Statuses that promise the caller that its request did not run and never will. */
-  private static final Set<Integer> REFUSALS = Set.of(408, 421, 429, UNAVAILABLE);
+  private static final Set<Integer> REFUSALS = Set.of(408, MISDIRECTED, 429, UNAVAILABLE);
 
   /**
    * Deadline of a request without a stated deadline, before the timeout of its route is applied.
@@ -64,6 +66,7 @@
   private Phase phase = Phase.ARRIVING;
   private @Nullable PlacementTicket ticket;
   private boolean isPlacing;
+  private boolean isForwardedHere;
   private long placeAtNanos = AttemptTable.NEVER;
   private long hedgeAtNanos = AttemptTable.NEVER;
   private long deadlineNanos = AttemptTable.NEVER;
@@ -83,6 +86,10 @@
       return new Decision.Finish();
     }
     recorder.arrived(head.requestId(), nowNanos);
+    isForwardedHere = head.forwardedRulesVersion().isPresent();
+    if (head.forwardedRulesVersion().orElse(0) > dispatcher.rulesVersion()) {
+      return misdirected("rules are older than those of the forwarding entry", nowNanos);
+    }
     if (!dispatcher.hasRules() || !dispatcher.hasTargets()) {
       return answer(UNAVAILABLE, "no configuration yet", STARTING_RETRY_AFTER_MILLIS, nowNanos);
     }
@@ -96,6 +103,9 @@
     relayDeadlineNanos = nowNanos + requestedMillis * NANOS_PER_MILLI + RELAY_MARGIN_NANOS;
     phase = Phase.ACTIVE;
     ticket = dispatcher.open(route.get(), deadlineNanos, head.bodyBytes(), scheduleTimer, nowNanos);
+    if (isForwardedHere) {
+      ticket.forbidForwarding();
+    }
     isPlacing = true;
     return place(ticket, nowNanos);
   }
@@ -119,6 +129,10 @@
       return await();
     }
     int target = attempts.target(attempt);
+    if (RequestForwarding.isEntry(target)) {
+      return forwardedResponse(current, attempt, head, nowNanos);
+    }
+    dispatcher.forwarding().targetResponded(target, nowNanos);
     announced(attempt, head, nowNanos);
     head.load().ifPresent(load -> dispatcher.loadReported(target, load, nowNanos));
     if (head.notRun()) {
@@ -143,7 +157,37 @@
     } else {
       dispatcher.failed(target, nowNanos);
     }
-    if (REFUSALS.contains(head.status()) && !current.route().isIdempotent()) {
+    return relayUnlessUnproved(current, attempt, head.status(), nowNanos);
+  }
+
+  /** Handles the response of another entry to a request that was forwarded to it. */
+  private Decision forwardedResponse(
+      PlacementTicket current, int attempt, ResponseHead head, long nowNanos) {
+    int entry = attempts.target(attempt);
+    attempts.close(attempt);
+    if (head.status() == MISDIRECTED) {
+      attempts.markUnsent(attempt);
+      dispatcher.failed(entry, nowNanos);
+      return attemptFailed(current, "turned away by the entry", entry, nowNanos);
+    }
+    dispatcher.abandoned(entry);
+    if (!head.notRun()) {
+      return relayUnlessUnproved(current, attempt, head.status(), nowNanos);
+    }
+    attempts.markNotRun(attempt);
+    if (attempts.hasOpen() || isPlacing) {
+      return await();
+    }
+    return giveUp(
+        new Failure(Step.AWAIT_RESPONSE, peer(entry), "refused by the entry"),
+        head.holdOffMillis().orElse(STARTING_RETRY_AFTER_MILLIS),
+        nowNanos);
+  }
+
+  private Decision relayUnlessUnproved(
+      PlacementTicket current, int attempt, int status, long nowNanos) {
+    int target = attempts.target(attempt);
+    if (REFUSALS.contains(status) && !current.route().isIdempotent()) {
       // Relaying the status would promise that the request did not run, which is not proved.
       Failure unprovedRefusal =
           new Failure(
@@ -151,7 +195,7 @@
       return giveUp(unprovedRefusal, 0, nowNanos);
     }
     recorder.relayed(
-        current.route(), attempt, target, head.status(), attempts.startedNanos(attempt), nowNanos);
+        current.route(), attempt, target, status, attempts.startedNanos(attempt), nowNanos);
     return relay(attempt);
   }
 
@@ -161,6 +205,10 @@
       return;
     }
     int target = attempts.target(attempt);
+    if (RequestForwarding.isEntry(target)) {
+      // The entry that received it from the target sends it to all entries.
+      return;
+    }
     recorder.announced(target, head, nowNanos);
     dispatcher.announced(target, head, nowNanos);
   }
@@ -185,7 +233,14 @@
     }
     attempts.close(attempt);
     int target = attempts.target(attempt);
-    dispatcher.failed(target, nowNanos);
+    if (fault == ConnectionFault.MALFORMED || fault == ConnectionFault.LIMITED) {
+      dispatcher.failed(target, nowNanos);
+    } else {
+      dispatcher.connectionFailed(target, nowNanos);
+    }
+    if (fault == ConnectionFault.REFUSED || fault == ConnectionFault.CONNECT_TIMEOUT) {
+      current.connectFailed();
+    }
     return attemptFailed(current, "connection " + fault, target, nowNanos);
   }
 
@@ -242,6 +297,9 @@
 
   private Decision place(PlacementTicket current, long nowNanos) {
     placeAtNanos = AttemptTable.NEVER;
+    if (isForwardedHere && dispatcher.forwarding().isIsolated() && attempts.nothingSent()) {
+      return misdirected("no target is reached here either", nowNanos);
+    }
     Placement placement = dispatcher.place(current, nowNanos);
     if (placement instanceof Placement.Pending pending) {
       placeAtNanos = pending.placeAgainAtNanos();
@@ -329,6 +387,11 @@
     return answers.givenUp(failure, retryAfterMillis, nowNanos);
   }
 
+  /** Turns a forwarded request away; nothing of it was sent, so another entry may be tried. */
+  private Decision misdirected(String detail, long nowNanos) {
+    return answer(MISDIRECTED, detail, 0, nowNanos);
+  }
+
   /** Answers a request that was not placed. */
   private Decision answer(int status, String detail, long retryAfterMillis, long nowNanos) {
     abandonAll();
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/RequestRecorder.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/RequestRecorder.java
@@ -5,6 +5,7 @@
 import org.chivecross.logic.dispatch.DispatchJournal;
 import org.chivecross.logic.dispatch.Dispatcher;
 import org.chivecross.logic.dispatch.PlacementTicket;
+import org.chivecross.logic.dispatch.RequestForwarding;
 import org.chivecross.model.failure.Failure;
 import org.chivecross.model.request.ResponseHead;
 import org.chivecross.model.ruleset.RouteRule;
@@ -28,6 +29,13 @@
   }
 
   void sent(PlacementTicket ticket, int attempt, int target, long nowNanos) {
+    if (RequestForwarding.isEntry(target)) {
+      RequestForwarding forwarding = dispatcher.forwarding();
+      String entry = forwarding.ip(target).orElse("");
+      journal.record(
+          requestId, new DispatchEvent.Forwarded(attempt, entry, forwarding.inFlight(target)));
+      return;
+    }
     long expectedMillis = Math.round(dispatcher.expectedMillis(ticket, target, nowNanos));
     journal.record(
         requestId,
--- a/chivecross-core/src/main/java/org/chivecross/model/request/ConnectionFault.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/request/ConnectionFault.java
@@ -4,6 +4,8 @@
 public enum ConnectionFault {
   /** The connection was refused. */
   REFUSED,
+  /** This entry already has as many connections as it may have. */
+  LIMITED,
   /** The connection was not established in time. */
   CONNECT_TIMEOUT,
   /** The target closed or reset the connection. */
--- a/chivecross-core/src/main/java/org/chivecross/model/request/RequestHead.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/request/RequestHead.java
@@ -1,6 +1,7 @@
 package org.chivecross.model.request;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Properties of a request head on which decisions depend.
@@ -14,6 +15,8 @@
  * @param hasBody whether a body follows
  * @param bodyBytes size of the body as far as it is known when the request starts
  * @param requestId id that the caller gave this attempt of its request; empty when it gave none
+ * @param forwardedRulesVersion version of the rules of the entry that forwarded the request; empty
+ *     for a request that a caller sent here
  */
 public record RequestHead(
     String method,
@@ -24,7 +27,32 @@
     Optional<String> idempotencyKey,
     boolean hasBody,
     long bodyBytes,
-    String requestId) {
+    String requestId,
+    OptionalLong forwardedRulesVersion) {
+
+  /** Creates the head of a request that a caller sent here. */
+  public RequestHead(
+      String method,
+      String host,
+      String path,
+      Optional<Long> deadlineMillis,
+      int depth,
+      Optional<String> idempotencyKey,
+      boolean hasBody,
+      long bodyBytes,
+      String requestId) {
+    this(
+        method,
+        host,
+        path,
+        deadlineMillis,
+        depth,
+        idempotencyKey,
+        hasBody,
+        bodyBytes,
+        requestId,
+        OptionalLong.empty());
+  }
 
   /** Creates a head without body size and request id. */
   public RequestHead(
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/DecisionLogger.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/DecisionLogger.java
@@ -35,6 +35,11 @@
       fields.put("expectedMillis", Long.toString(sent.expectedMillis()));
       fields.put("usableTargets", Integer.toString(sent.usableTargets()));
       log.info("request sent", fields);
+    } else if (event instanceof DispatchEvent.Forwarded forwarded) {
+      fields.put("attempt", Integer.toString(forwarded.attempt()));
+      fields.put("entry", forwarded.entry());
+      fields.put("inFlight", Integer.toString(forwarded.inFlight()));
+      log.info("request forwarded", fields);
     } else if (event instanceof DispatchEvent.AttemptFailed failed) {
       fields.put("attempt", Integer.toString(failed.attempt()));
       putTarget(fields, failed.target());
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -95,8 +95,6 @@
     this.adapter = adapter;
     this.store = store;
     SplittableRandom random = new SplittableRandom(incarnation);
-    dispatcher =
-        new Dispatcher(settings.dispatch(), this::probe, this::leavingAnnounced, random.split());
     socket = new FleetSocket(settings.peers(), this::receiveMessage);
     FleetPreferences preferences =
         new FleetPreferences(
@@ -105,10 +103,19 @@
             incarnation,
             settings.seeds(),
             settings.firstStart());
+    SplittableRandom dispatchRandom = random.split();
     node = new FleetNode(preferences, new NodePort(), random.split());
+    dispatcher =
+        new Dispatcher(
+            settings.dispatch(),
+            this::probe,
+            this::leavingAnnounced,
+            new IsolationMonitor(lock, scheduler, node),
+            dispatchRandom);
     PrometheusRegistry registry = new PrometheusRegistry();
     metrics = new EntryMetrics(registry, this::serviceName);
-    DispatchAddresses addresses = new DispatchAddresses(lock, dispatcher);
+    DispatchAddresses addresses =
+        new DispatchAddresses(lock, dispatcher, settings.peers().getPort());
     DataPathPorts ports =
         new DataPathPorts(
             new DispatchRequestMachines(
@@ -140,6 +147,7 @@
       return port;
     }
     dataPath.start(settings.callers());
+    dataPath.serveForwarded(settings.peers());
     dataPath.serveLocally(settings.directory(), adapter.directory(this::directoryAddresses));
     dataPath.serveLocally(settings.readiness(), adapter.readiness(this::isReady));
     dataPath.serveLocally(settings.metrics(), FleetMetrics.routes(metrics));
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
@@ -66,6 +66,14 @@
         "chivecross_usable_targets",
         "Targets that may get requests",
         guarded(lock, dispatcher::usableTargets));
+    metrics.gauge(
+        "chivecross_isolated",
+        "1 while this entry reaches no target and forwards its requests, otherwise 0",
+        guarded(lock, () -> dispatcher.forwarding().isIsolated() ? 1 : 0));
+    metrics.counter(
+        "chivecross_requests_forwarded",
+        "Requests forwarded to other entries",
+        guarded(lock, () -> dispatcher.forwarding().forwardedCount()));
     metrics.gauge(
         "chivecross_entries",
         "Entries known to be alive, this one included",
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
@@ -119,13 +119,14 @@
       UpstreamConnection connection,
       HttpRequestPacket request,
       Connection<?> caller,
-      Optional<String> identity,
-      RequestDialect dialect,
+      DataPathPorts ports,
       long nowNanos) {
+    Optional<String> identity = ports.addresses().identity(target());
     long remaining = TimeUnit.NANOSECONDS.toMillis(decision.deadlineNanos() - nowNanos);
     // A new packet for each attempt: reused ones lost about one answer in a thousand.
     HttpRequestPacket head = HttpRequestPacket.builder().uri("/").build();
-    RequestHeads.fill(head, request, caller, Math.max(1, remaining), identity, dialect);
+    RequestHeads.fill(head, request, caller, Math.max(1, remaining), identity, ports.dialect());
+    ports.addresses().addedHeaders(target()).forEach(head::setHeader);
     upstream = connection;
     packet = head;
     sentNanos = nowNanos;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
@@ -21,6 +21,9 @@
  */
 public final class DataPath {
 
+  /** Header of a forwarded request: version of the rules of the entry that forwarded it. */
+  public static final String RULES_VERSION = "chivecross-rules-version";
+
   private static final int WRITE_QUEUE_BYTES = 256 * 1024;
   private static final int ACCEPT_BACKLOG = 4096;
 
@@ -32,6 +35,7 @@
   private final InFlightExchanges inFlight = new InFlightExchanges();
   private final CallerRegistry callers;
   private final CallerRegistry localCallers;
+  private final CallerRegistry entries;
   private volatile boolean leaving;
   private volatile long maxBodyBytes;
 
@@ -69,10 +73,12 @@
     CutRequestLog cuts = new CutRequestLog(new EventLog(System::nanoTime), ports.dialect());
     callers = new CallerRegistry(settings, cuts);
     localCallers = new CallerRegistry(DataPathSettings.defaults(), cuts);
+    entries = new CallerRegistry(DataPathSettings.defaults(), cuts);
     services =
-        new ExchangeServices(ports, client, inFlight, () -> leaving, () -> maxBodyBytes, settings);
+        new ExchangeServices(
+            ports, client, inFlight, () -> leaving, () -> maxBodyBytes, settings, false);
     maxBodyBytes = settings.maxBodyBytes();
-    transport.setProcessor(chain(callers, ports.localRoutes()));
+    transport.setProcessor(chain(callers, services, ports.localRoutes()));
   }
 
   /**
@@ -94,7 +100,19 @@
    */
   public void serveLocally(InetSocketAddress address, LocalRoutes routes) throws IOException {
     TCPNIOServerConnection server = transport.bind(address, ACCEPT_BACKLOG);
-    server.setProcessor(chain(localCallers, routes));
+    server.setProcessor(chain(localCallers, services, routes));
+  }
+
+  /**
+   * Serves requests that other entries forward, at a separate address.
+   *
+   * @return the address in use, with the port that the system chose if 0 was given
+   * @throws IOException if the address can't be bound
+   */
+  public InetSocketAddress serveForwarded(InetSocketAddress address) throws IOException {
+    TCPNIOServerConnection server = transport.bind(address, ACCEPT_BACKLOG);
+    server.setProcessor(chain(entries, services.forForwarded(), ports.localRoutes()));
+    return (InetSocketAddress) server.getLocalAddress();
   }
 
   /** Returns a prober that shares the connections of this data path to targets. */
@@ -129,7 +147,7 @@
 
   /** Returns whether no request is in flight, so that stopping interrupts none. */
   public boolean isDrained() {
-    return inFlight.count() == 0 && !callers.hasExchange();
+    return inFlight.count() == 0 && !callers.hasExchange() && !entries.hasExchange();
   }
 
   /**
@@ -144,6 +162,7 @@
     }
     stopAccepting();
     callers.closeAllIdle();
+    entries.closeAllIdle();
     return isDrained();
   }
 
@@ -167,13 +186,15 @@
     client.closeIdle(nowNanos);
     callers.closeIdle(nowNanos);
     localCallers.closeIdle(nowNanos);
+    entries.closeIdle(nowNanos);
   }
 
-  private FilterChain chain(CallerRegistry registry, LocalRoutes routes) {
+  private FilterChain chain(
+      CallerRegistry registry, ExchangeServices exchangeServices, LocalRoutes routes) {
     return FilterChainBuilder.stateless()
         .add(new TransportFilter())
         .add(new StrictServerFilter(settings, registry, ports.observer(), ports.dialect()))
-        .add(new CallerFilter(registry, services, routes))
+        .add(new CallerFilter(registry, exchangeServices, routes))
         .build();
   }
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -226,7 +226,8 @@
     times.ready(readyNanos);
     long elapsed = TimeUnit.NANOSECONDS.toMillis(readyNanos - times.arrivedNanos());
     RequestHead head =
-        RequestHeads.toDecisionHead(request, elapsed, body.receivedBytes(), ports.dialect());
+        RequestHeads.toDecisionHead(
+            request, elapsed, body.receivedBytes(), ports.dialect(), services.forwarded());
     services.inFlight().add(this);
     long now = System.nanoTime();
     carryOut(machine.arrived(head, now), now);
@@ -340,8 +341,7 @@
       carryOut(machine.timer(now), now);
       return;
     }
-    Optional<String> identity = services.client().identity(attempt.target());
-    attempt.bind(connection, request, caller.connection(), identity, ports.dialect(), now);
+    attempt.bind(connection, request, caller.connection(), ports, now);
     if (body.sendTo(attempt) || isUploadWithBody()) {
       machine.bodySent(now);
     }
@@ -358,7 +358,7 @@
       response.closeWhileReceiving();
     }
     over = true;
-    response.answer(answer);
+    response.answer(services.complete(answer, request, outcome));
     finish(answer.status(), outcome);
   }
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ExchangeServices.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ExchangeServices.java
@@ -2,6 +2,8 @@
 
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import org.chivecross.model.request.Outcome;
+import org.glassfish.grizzly.http.HttpRequestPacket;
 
 /**
  * Services that all exchanges share.
@@ -12,6 +14,7 @@
  * @param leaving whether this entry is leaving and closes connections after their next response
  * @param maxBodyBytes most bytes of a request body
  * @param settings limits and time-outs
+ * @param forwarded whether the requests were forwarded by other entries
  */
 record ExchangeServices(
     DataPathPorts ports,
@@ -19,4 +22,18 @@
     InFlightExchanges inFlight,
     BooleanSupplier leaving,
     LongSupplier maxBodyBytes,
-    DataPathSettings settings) {}
+    DataPathSettings settings,
+    boolean forwarded) {
+
+  /** Returns the same services for requests that other entries forwarded. */
+  ExchangeServices forForwarded() {
+    return new ExchangeServices(ports, client, inFlight, leaving, maxBodyBytes, settings, true);
+  }
+
+  /** Completes an answer of this entry to a request. */
+  LocalResponse complete(LocalResponse answer, HttpRequestPacket request, Outcome outcome) {
+    return forwarded
+        ? ports.dialect().answerToEntry(answer, request.getHeaders(), outcome)
+        : answer;
+  }
+}
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/NativeDialect.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/NativeDialect.java
@@ -99,6 +99,12 @@
     return ProblemAnswers.of(status, outcome, failure, retryAfterMillis);
   }
 
+  @Override
+  public LocalResponse answerToEntry(LocalResponse answer, MimeHeaders request, Outcome outcome) {
+    // Requests in this dialect are not forwarded.
+    return answer;
+  }
+
   private static Optional<LoadReport> parseLoad(@Nullable String text) {
     if (text == null) {
       return Optional.empty();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestDialect.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestDialect.java
@@ -72,4 +72,12 @@
    * @param retryAfterMillis time after which the caller may retry, in ms
    */
   LocalResponse answer(int status, Outcome outcome, Failure failure, OptionalLong retryAfterMillis);
+
+  /**
+   * Adds to an answer of this entry what the entry that forwarded the request needs: that it
+   * belongs to the request and, if so, the proof that the request did not run.
+   *
+   * @param request headers of the forwarded request
+   */
+  LocalResponse answerToEntry(LocalResponse answer, MimeHeaders request, Outcome outcome);
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestHeads.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestHeads.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.chivecross.logic.routing.RequestRouter;
@@ -26,9 +27,14 @@
    *
    * @param elapsedMillis time since the head arrived, in ms; deducted from the caller's deadline
    * @param bodyBytes bytes of the body that have arrived
+   * @param forwarded whether another entry forwarded the request
    */
   static RequestHead toDecisionHead(
-      HttpRequestPacket request, long elapsedMillis, long bodyBytes, RequestDialect dialect) {
+      HttpRequestPacket request,
+      long elapsedMillis,
+      long bodyBytes,
+      RequestDialect dialect,
+      boolean forwarded) {
     MimeHeaders headers = request.getHeaders();
     Optional<Long> deadline =
         dialect.deadlineMillis(headers).map(millis -> Math.max(0, millis - elapsedMillis));
@@ -41,7 +47,10 @@
         idempotencyKey(request),
         hasBody(request),
         Math.max(bodyBytes, request.getContentLength()),
-        dialect.requestId(headers).orElse(""));
+        dialect.requestId(headers).orElse(""),
+        forwarded
+            ? OptionalLong.of(parseLong(headers.getHeader(DataPath.RULES_VERSION)).orElse(0L))
+            : OptionalLong.empty());
   }
 
   /** Returns the host of a request, in lower case and without port. */
@@ -122,7 +131,7 @@
     Set<String> hop = HopHeaders.of(from);
     for (int i = 0; i < from.size(); i++) {
       String name = HeaderText.of(from.getName(i)).toLowerCase(Locale.ROOT);
-      if (hop.contains(name) || dialect.isReplaced(name)) {
+      if (hop.contains(name) || dialect.isReplaced(name) || name.equals(DataPath.RULES_VERSION)) {
         continue;
       }
       to.addValue(name).setString(HeaderText.of(from.getValue(i)));
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamAddresses.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamAddresses.java
@@ -1,6 +1,7 @@
 package org.chivecross.cli.entry.http;
 
 import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -17,6 +18,11 @@
     return Optional.empty();
   }
 
+  /** Returns headers that are added to requests for a target row. */
+  default Map<String, String> addedHeaders(int target) {
+    return Map.of();
+  }
+
   /** Returns the limit on connections from this entry to a target; at least 1. */
   int connectionLimit(int target);
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
@@ -66,7 +66,7 @@
       return;
     }
     if (!pool.tryReserve(addresses.connectionLimit(target))) {
-      handler.failed(ConnectionFault.REFUSED);
+      handler.failed(ConnectionFault.LIMITED);
       return;
     }
     connector.connect(
