Leave an isolated entry out of its own directory answers

Callers that asked an entry which reaches no target got its own address, while all others left it out. Change: the entry passes its state to FleetDirectory, whose tests cover the rule (FleetDirectoryTest).

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -323,7 +323,13 @@
       long now = System.nanoTime();
       FleetMember self =
           new FleetMember(
-              settings.ip(), incarnation, settings.dataCentre(), isReady(), false, 0, 0);
+              settings.ip(),
+              incarnation,
+              settings.dataCentre(),
+              isReady(),
+              dispatcher.forwarding().isIsolated(),
+              0,
+              0);
       int port = settings.callers().getPort();
       return FleetDirectory.selectEntries(
               self, node.others(now), dataCentre, MAX_DIRECTORY_ADDRESSES)
