Send a pipelined response that became ready just in its turn

Callers that pipeline waited for a response that never came, or got responses in the wrong order; the target had run the request.

Cause: when an exchange ended, it was removed and the next one was told that it may write, in two steps. If the next one queued its response before the first step and ended before the second, it was removed unsent. On entries of the platform one lock guards all exchanges, so this needs the stand-alone entry, where each exchange has its own.

Change: only an exchange that has been told may be removed.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
@@ -30,6 +30,7 @@
   private final CutRequestListener cuts;
   private final Deque<CallerExchange> open = new ArrayDeque<>();
   private final Map<CallerExchange, Outcome> ended = new HashMap<>();
+  private @Nullable CallerExchange writer;
   private @Nullable HttpRequestPacket unreadEndedRequest;
   private @Nullable FilterChainContext suspendedRequest;
   private @Nullable CloseReason closeReason;
@@ -140,6 +141,9 @@
     if (isEnding || closeReason != null) {
       return false;
     }
+    if (open.isEmpty()) {
+      writer = exchange;
+    }
     open.addLast(exchange);
     headStartNanos = 0;
     isEnding = !exchange.request().getProcessingState().isKeepAlive();
@@ -195,14 +199,19 @@
       CallerExchange next;
       synchronized (this) {
         CallerExchange first = open.peekFirst();
-        if (first == null || ended.remove(first) == null) {
+        // One that has not been told yet may have queued its response before its turn.
+        if (first == null || first != writer || ended.remove(first) == null) {
           break;
         }
         open.removeFirst();
         next = open.peekFirst();
+        writer = null;
       }
       if (next != null) {
         next.writeAllowed();
+        synchronized (this) {
+          writer = next;
+        }
       }
     }
     synchronized (this) {
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerConnectionTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerConnectionTest.java
@@ -132,6 +132,30 @@
     assertEquals(List.of(), cuts);
   }
 
+  /** Guards against a response that is never sent since its exchange ended just in its turn. */
+  @Test
+  void exchangeThatEndsWhileItIsToldThatItMayWriteStillWrites() {
+    List<Boolean> mayWrite = new ArrayList<>();
+    FakeExchange first = new FakeExchange();
+    FakeExchange second = new FakeExchange();
+    FakeExchange third = new FakeExchange();
+    second.onAllowed =
+        () -> {
+          caller.end(second, Outcome.ANSWERED, 1);
+          mayWrite.add(caller.mayWrite(second));
+          mayWrite.add(caller.mayWrite(third));
+        };
+    assertTrue(caller.begin(first));
+    assertTrue(caller.begin(second));
+    assertTrue(caller.begin(third));
+    caller.end(first, Outcome.ANSWERED, 1);
+
+    assertEquals(List.of(true, false), mayWrite);
+    assertTrue(caller.mayWrite(third));
+    caller.end(third, Outcome.ANSWERED, 2);
+    assertTrue(caller.isIdle());
+  }
+
   /** A request without an answer, as it was reported. */
   private record Cut(HttpRequestPacket request, CloseReason reason, Outcome outcome) {}
 
@@ -141,6 +165,8 @@
     private final HttpRequestPacket request =
         HttpRequestPacket.builder().method("GET").uri("/").protocol(Protocol.HTTP_1_1).build();
 
+    private Runnable onAllowed = () -> {};
+
     FakeExchange() {
       request.getProcessingState().setKeepAlive(true);
     }
@@ -173,7 +199,9 @@
     public void bodyBroken() {}
 
     @Override
-    public void writeAllowed() {}
+    public void writeAllowed() {
+      onAllowed.run();
+    }
 
     @Override
     public void callerClosed() {}
