Mend the nullness check of CallerCloseTest

The build of the module failed: the value of an AtomicReference may be null. The test had been compiled without the checker. It asserts as before.

--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerCloseTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerCloseTest.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
@@ -118,7 +119,7 @@
             router ->
                 (method, host, path) -> {
                   if (path.equals("/read/2")) {
-                    awaitQuietly(aborted.get());
+                    awaitQuietly(Objects.requireNonNull(aborted.get()));
                   }
                   return router.route(method, host, path);
                 },
@@ -130,7 +131,7 @@
           readUntil(socket, "\r\n\r\nab");
           send(socket, get("/read/2", "X-A: b"));
           entry.observer().nextSummary();
-          aborted.get().countDown();
+          Objects.requireNonNull(aborted.get()).countDown();
           assertThrows(SocketException.class, () -> readUntil(socket, "\r\n\r\nok"));
         }
       }
