--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -175,10 +175,7 @@
       long nowNanos) {
     rate.count(nowNanos);
     String service = roundRobin.next(route, random.nextDouble());
-    if (!forwarding.isIsolated()) {
-      // A forwarded request counts at the entry that sends it to targets.
-      retryBudgets.ofService(service).recordRequest(nowNanos);
-    }
+    retryBudgets.ofService(service).recordRequest(nowNanos);
     return new PlacementTicket(
         route, service, nowNanos, deadlineNanos, bodyBytes, schedulePlacement);
   }
@@ -207,6 +204,8 @@
   public Placement place(PlacementTicket ticket, long nowNanos) {
     int entry = forwarding.choose(ticket, nowNanos);
     if (entry != ForwardingTable.NONE) {
+      // The entry that sends it to targets counts it.
+      retryBudgets.ofService(ticket.service()).forgetRequest(nowNanos);
       return new Placement.Chosen(entry);
     }
     int[] rows = targets.availableRows(ticket.service(), nowNanos);
@@ -332,6 +331,15 @@
     }
   }
 
+  /** Records an attempt that had no response when the time of its request was over. */
+  public void timedOut(int row, long nowNanos) {
+    if (RequestForwarding.isEntry(row)) {
+      forwarding.ended(row);
+    } else {
+      failed(row, nowNanos);
+    }
+  }
+
   /** Records an attempt that failed because of its target or entry. */
   public void failed(int row, long nowNanos) {
     if (RequestForwarding.isEntry(row)) {
@@ -362,11 +370,9 @@
     return targets.usableRows(ticket.service()).length;
   }
 
-  /** Returns the expected response time of a target or entry, in ms. */
+  /** Returns the expected response time of a target, in ms. */
   public double expectedMillis(PlacementTicket ticket, int row, long nowNanos) {
-    return RequestForwarding.isEntry(row)
-        ? ticket.route().latencyObjectiveMillis()
-        : ranking.expectedMillis(ticket, row, nowNanos);
+    return ranking.expectedMillis(ticket, row, nowNanos);
   }
 
   /** Stores a load report that came with an answer of a target. */
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/RetryBudget.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/RetryBudget.java
@@ -43,6 +43,12 @@
     requests[index(currentBucket)]++;
   }
 
+  /** Takes back a request that was recorded shortly before. */
+  void forgetRequest(long nowNanos) {
+    advance(nowNanos);
+    requests[index(currentBucket)]--;
+  }
+
   /**
    * Takes one retry; false when the budget is used up.
    *
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/UpstreamReachability.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/UpstreamReachability.java
@@ -8,8 +8,9 @@
  *
  * <p>The entry counts as isolated once several targets failed without a response and none responded
  * meanwhile; the failure of single targets is no evidence about the entry itself. It stays isolated
- * until several targets in a row have responded. After that, requests return to the targets
- * gradually, since the first responses don't show that all targets can be reached. Not thread-safe.
+ * until several targets have responded, of which each failure takes one back. After that, requests
+ * return to the targets gradually, since the first responses don't show that all targets can be
+ * reached. Not thread-safe.
  */
 final class UpstreamReachability {
 
@@ -50,10 +51,11 @@
       return false;
     }
     responded.set(row);
-    if (responded.cardinality() < Math.min(MIN_TARGETS, targets)) {
+    if (responded.cardinality() < Math.min(MIN_TARGETS, targets / 2 + 1)) {
       return false;
     }
     isolated = false;
+    responded.clear();
     returningSinceNanos = nowNanos;
     return true;
   }
@@ -66,8 +68,9 @@
    * @return whether the entry is isolated because of it and was not before
    */
   boolean recordFailure(int row, int targets, long nowNanos) {
-    responded.clear();
     if (isolated) {
+      responded.clear(row);
+      responded.clear(Math.max(0, responded.length() - 1));
       return false;
     }
     unreached.set(row);
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
@@ -13,6 +13,7 @@
 import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.ConnectionKind;
 import org.chivecross.model.request.Decision;
+import org.chivecross.model.request.ForwardedBy;
 import org.chivecross.model.request.RequestHead;
 import org.chivecross.model.request.ResponseHead;
 import org.chivecross.model.ruleset.RouteRule;
@@ -67,6 +68,7 @@
   private @Nullable PlacementTicket ticket;
   private boolean isPlacing;
   private boolean isForwardedHere;
+  private int earlierAttempts;
   private long placeAtNanos = AttemptTable.NEVER;
   private long hedgeAtNanos = AttemptTable.NEVER;
   private long deadlineNanos = AttemptTable.NEVER;
@@ -86,9 +88,12 @@
       return new Decision.Finish();
     }
     recorder.arrived(head.requestId(), nowNanos);
-    isForwardedHere = head.forwardedRulesVersion().isPresent();
-    if (head.forwardedRulesVersion().orElse(0) > dispatcher.rulesVersion()) {
-      return misdirected("rules are older than those of the forwarding entry", nowNanos);
+    isForwardedHere = head.forwardedBy().isPresent();
+    earlierAttempts = head.forwardedBy().map(ForwardedBy::earlierAttempts).orElse(0);
+    long requiredVersion = head.forwardedBy().map(ForwardedBy::rulesVersion).orElse(0L);
+    if (requiredVersion > dispatcher.rulesVersion()
+        || (isForwardedHere && !dispatcher.hasTargets())) {
+      return answer(MISDIRECTED, "configuration is older than at the other entry", 0, nowNanos);
     }
     if (!dispatcher.hasRules() || !dispatcher.hasTargets()) {
       return answer(UNAVAILABLE, "no configuration yet", STARTING_RETRY_AFTER_MILLIS, nowNanos);
@@ -298,7 +303,7 @@
   private Decision place(PlacementTicket current, long nowNanos) {
     placeAtNanos = AttemptTable.NEVER;
     if (isForwardedHere && dispatcher.forwarding().isIsolated() && attempts.nothingSent()) {
-      return misdirected("no target is reached here either", nowNanos);
+      return answer(MISDIRECTED, "no target is reached here either", 0, nowNanos);
     }
     Placement placement = dispatcher.place(current, nowNanos);
     if (placement instanceof Placement.Pending pending) {
@@ -358,7 +363,7 @@
     if (attempts.isFull() || nowNanos >= deadlineNanos) {
       return false;
     }
-    if (attempts.sentCount() >= current.route().maxAttempts()) {
+    if (earlierAttempts + attempts.sentCount() >= current.route().maxAttempts()) {
       return false;
     }
     return current.route().isIdempotent() || NotRunProof.of(attempts).isPresent();
@@ -368,7 +373,7 @@
     for (int i = 0; i < attempts.size(); i++) {
       if (attempts.isOpen(i)) {
         attempts.close(i);
-        dispatcher.failed(attempts.target(i), nowNanos);
+        dispatcher.timedOut(attempts.target(i), nowNanos);
       }
     }
     return giveUp(
@@ -387,11 +392,6 @@
     return answers.givenUp(failure, retryAfterMillis, nowNanos);
   }
 
-  /** Turns a forwarded request away; nothing of it was sent, so another entry may be tried. */
-  private Decision misdirected(String detail, long nowNanos) {
-    return answer(MISDIRECTED, detail, 0, nowNanos);
-  }
-
   /** Answers a request that was not placed. */
   private Decision answer(int status, String detail, long retryAfterMillis, long nowNanos) {
     abandonAll();
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/HedgeSchedule.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/HedgeSchedule.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeUnit;
 import org.chivecross.logic.dispatch.Dispatcher;
 import org.chivecross.logic.dispatch.PlacementTicket;
+import org.chivecross.logic.dispatch.RequestForwarding;
 
 /** Computes when a request without a response is also sent to another target. Stateless. */
 final class HedgeSchedule {
@@ -17,10 +18,13 @@
 
   private HedgeSchedule() {}
 
-  /** Returns when a request that is sent now is hedged; never if it must not run twice. */
+  /**
+   * Returns when a request that is sent now is hedged; never if it must not run twice, or if
+   * another entry gets it, which hedges it itself.
+   */
   static long hedgeAtNanos(
       Dispatcher dispatcher, PlacementTicket ticket, int target, long nowNanos) {
-    if (!ticket.route().isIdempotent()) {
+    if (!ticket.route().isIdempotent() || RequestForwarding.isEntry(target)) {
       return AttemptTable.NEVER;
     }
     double delayMillis =
--- a/chivecross-core/src/main/java/org/chivecross/model/request/RequestHead.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/request/RequestHead.java
@@ -1,7 +1,6 @@
 package org.chivecross.model.request;
 
 import java.util.Optional;
-import java.util.OptionalLong;
 
 /**
  * Properties of a request head on which decisions depend.
@@ -15,8 +14,7 @@
  * @param hasBody whether a body follows
  * @param bodyBytes size of the body as far as it is known when the request starts
  * @param requestId id that the caller gave this attempt of its request; empty when it gave none
- * @param forwardedRulesVersion version of the rules of the entry that forwarded the request; empty
- *     for a request that a caller sent here
+ * @param forwardedBy entry that forwarded the request; empty for one that a caller sent here
  */
 public record RequestHead(
     String method,
@@ -28,7 +26,7 @@
     boolean hasBody,
     long bodyBytes,
     String requestId,
-    OptionalLong forwardedRulesVersion) {
+    Optional<ForwardedBy> forwardedBy) {
 
   /** Creates the head of a request that a caller sent here. */
   public RequestHead(
@@ -51,7 +49,7 @@
         hasBody,
         bodyBytes,
         requestId,
-        OptionalLong.empty());
+        Optional.empty());
   }
 
   /** Creates a head without body size and request id. */
--- a/chivecross-core/src/test/java/org/chivecross/logic/dispatch/UpstreamReachabilityTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/UpstreamReachabilityTest.java
@@ -91,6 +91,20 @@
     assertEquals(1, reachability.placedFraction(now + 5_000 * MILLI));
   }
 
+  /** Otherwise one dead target would keep the entry away from the others. */
+  @Test
+  void isolationEndsAlthoughOneOfThreeTargetsIsDead() {
+    for (int row = 0; row < 3; row++) {
+      reachability.recordFailure(row, 3, now);
+    }
+    assertTrue(reachability.isIsolated());
+    reachability.recordFailure(2, 3, now);
+    reachability.recordResponse(0, 3, now);
+    reachability.recordFailure(2, 3, now);
+    reachability.recordResponse(0, 3, now);
+    assertTrue(reachability.recordResponse(1, 3, now));
+  }
+
   @Test
   void aSingleTargetIsEvidenceWhereThereIsNoOther() {
     assertTrue(reachability.recordFailure(0, 1, now));
--- a/chivecross-core/src/test/java/org/chivecross/logic/request/ForwardedRequestMachineTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/request/ForwardedRequestMachineTest.java
@@ -23,6 +23,7 @@
 import org.chivecross.model.registry.RegisteredTarget;
 import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.Decision;
+import org.chivecross.model.request.ForwardedBy;
 import org.chivecross.model.request.LoadReport;
 import org.chivecross.model.request.Outcome;
 import org.chivecross.model.request.RequestHead;
@@ -95,7 +96,7 @@
     dispatcher.applyTargets(registered, now);
   }
 
-  private static RequestHead head(RequestClass requestClass, OptionalLong forwardedRulesVersion) {
+  private static RequestHead head(RequestClass requestClass, Optional<ForwardedBy> forwardedBy) {
     return new RequestHead(
         "GET",
         "h",
@@ -106,11 +107,11 @@
         false,
         0,
         "id-1",
-        forwardedRulesVersion);
+        forwardedBy);
   }
 
   private Decision arrive(RequestMachine machine, RequestClass requestClass) {
-    return machine.arrived(head(requestClass, OptionalLong.empty()), now);
+    return machine.arrived(head(requestClass, Optional.empty()), now);
   }
 
   /** Lets probes fail until the entry is isolated. */
@@ -187,7 +188,8 @@
     isolate();
     RequestMachine machine = machines.create(() -> {});
     Decision decision =
-        machine.arrived(head(RequestClass.READ, OptionalLong.of(RULES_VERSION)), now);
+        machine.arrived(
+            head(RequestClass.READ, Optional.of(new ForwardedBy(RULES_VERSION, 0))), now);
     Decision.Answer answer = assertInstanceOf(Decision.Answer.class, decision);
     assertEquals(421, answer.status());
     assertEquals(Outcome.NOT_RUN, answer.outcome());
@@ -197,7 +199,8 @@
   void waitingForwardedRequestIsTurnedAwayOnceThisEntryIsIsolatedToo() {
     RequestMachine machine = machines.create(() -> {});
     Decision decision =
-        machine.arrived(head(RequestClass.WRITE, OptionalLong.of(RULES_VERSION)), now);
+        machine.arrived(
+            head(RequestClass.WRITE, Optional.of(new ForwardedBy(RULES_VERSION, 0))), now);
     while (decision instanceof Decision.Await) {
       now += Dispatcher.probeTimeoutMillis() * MILLI;
       failProbes();
@@ -211,7 +214,8 @@
   void forwardedRequestIsTurnedAwayWhereTheRulesAreOlder() {
     RequestMachine machine = machines.create(() -> {});
     Decision decision =
-        machine.arrived(head(RequestClass.READ, OptionalLong.of(RULES_VERSION + 1)), now);
+        machine.arrived(
+            head(RequestClass.READ, Optional.of(new ForwardedBy(RULES_VERSION + 1, 0))), now);
     assertEquals(421, assertInstanceOf(Decision.Answer.class, decision).status());
   }
 
@@ -224,9 +228,14 @@
     Decision.Send second = forwarded(machine, next);
     assertNotEquals(first.target(), second.target());
     Decision end = machine.responseHead(second.attempt(), MISDIRECTED, now);
-    assertFalse(
-        end instanceof Decision.Send send && RequestForwarding.isEntry(send.target()),
-        "each entry is tried once");
+    while (end instanceof Decision.Await) {
+      now += Dispatcher.probeTimeoutMillis() * MILLI;
+      failProbes();
+      end = machine.timer(now);
+    }
+    Decision.Answer answer = assertInstanceOf(Decision.Answer.class, end);
+    assertEquals(503, answer.status());
+    assertEquals(Outcome.NOT_RUN, answer.outcome());
   }
 
   @Test
@@ -329,6 +338,49 @@
     return count;
   }
 
+  /** Both entries together must not send a request to more targets than its route allows. */
+  @Test
+  void attemptsOfTheForwardingEntryCountAtTheNextOne() {
+    RequestMachine machine = machines.create(() -> {});
+    ForwardedBy once = new ForwardedBy(RULES_VERSION, 1);
+    Decision decision = machine.arrived(head(RequestClass.READ, Optional.of(once)), now);
+    while (decision instanceof Decision.Await) {
+      now += MILLI;
+      while (!probes.isEmpty()) {
+        dispatcher.probeEnded(probes.remove(), true, Optional.of(IDLE), now);
+      }
+      decision = machine.timer(now);
+    }
+    Decision.Send send = assertInstanceOf(Decision.Send.class, decision);
+    assertTrue(machine.sending(send.attempt(), now));
+    assertInstanceOf(
+        Decision.Answer.class,
+        machine.connectionFailed(send.attempt(), ConnectionFault.CLOSED, now));
+  }
+
+  @Test
+  void forwardedReadIsHedgedByTheOtherEntryOnly() {
+    isolate();
+    RequestMachine machine = machines.create(() -> {});
+    forwarded(machine, arrive(machine, RequestClass.READ));
+    now += 999 * MILLI;
+    assertInstanceOf(Decision.Await.class, machine.timer(now));
+  }
+
+  /** A request that takes too long says nothing about the entry that has it. */
+  @Test
+  void requestThatTimesOutDoesNotKeepOthersFromItsEntry() {
+    entries = List.of("10.0.1.1");
+    isolate();
+    RequestMachine slow = machines.create(() -> {});
+    Decision.Send send = forwarded(slow, arrive(slow, RequestClass.WRITE));
+    now += 1_000 * MILLI;
+    assertEquals(504, assertInstanceOf(Decision.Answer.class, slow.timer(now)).status());
+    RequestMachine next = machines.create(() -> {});
+    assertEquals(send.target(), forwarded(next, arrive(next, RequestClass.WRITE)).target());
+    assertEquals(1, dispatcher.forwarding().inFlight(send.target()));
+  }
+
   /** Names the other entries and records when the isolation changes. */
   private final class FakePort implements ForwardingPort {
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/DispatchAddresses.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/DispatchAddresses.java
@@ -61,12 +61,16 @@
   }
 
   @Override
-  public Map<String, String> addedHeaders(int target) {
+  public Map<String, String> addedHeaders(int target, int earlierAttempts) {
     if (!RequestForwarding.isEntry(target)) {
       return Map.of();
     }
     synchronized (lock) {
-      return Map.of(DataPath.RULES_VERSION, Long.toString(dispatcher.rulesVersion()));
+      return Map.of(
+          DataPath.RULES_VERSION,
+          Long.toString(dispatcher.rulesVersion()),
+          DataPath.EARLIER_ATTEMPTS,
+          Integer.toString(earlierAttempts));
     }
   }
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/IsolationMonitor.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/IsolationMonitor.java
@@ -49,8 +49,11 @@
       if (!forwarding.isIsolated()) {
         return;
       }
-      forwarding.tick(System.nanoTime());
-      scheduleTick(forwarding);
+      try {
+        forwarding.tick(System.nanoTime());
+      } finally {
+        scheduleTick(forwarding);
+      }
     }
   }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
@@ -120,13 +120,14 @@
       HttpRequestPacket request,
       Connection<?> caller,
       DataPathPorts ports,
+      int earlierAttempts,
       long nowNanos) {
     Optional<String> identity = ports.addresses().identity(target());
     long remaining = TimeUnit.NANOSECONDS.toMillis(decision.deadlineNanos() - nowNanos);
     // A new packet for each attempt: reused ones lost about one answer in a thousand.
     HttpRequestPacket head = HttpRequestPacket.builder().uri("/").build();
     RequestHeads.fill(head, request, caller, Math.max(1, remaining), identity, ports.dialect());
-    ports.addresses().addedHeaders(target()).forEach(head::setHeader);
+    ports.addresses().addedHeaders(target(), earlierAttempts).forEach(head::setHeader);
     upstream = connection;
     packet = head;
     sentNanos = nowNanos;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/AttemptList.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/AttemptList.java
@@ -20,12 +20,12 @@
 
   /** Returns whether a byte of any attempt may have been sent. */
   boolean isAnySent() {
-    for (Attempt attempt : attempts) {
-      if (attempt.isSent()) {
-        return true;
-      }
-    }
-    return false;
+    return sentCount() > 0;
+  }
+
+  /** Returns the number of attempts of which a byte may have been sent. */
+  int sentCount() {
+    return (int) attempts.stream().filter(Attempt::isSent).count();
   }
 
   /** Returns one attempt and abandons all others. */
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
@@ -24,6 +24,9 @@
   /** Header of a forwarded request: version of the rules of the entry that forwarded it. */
   public static final String RULES_VERSION = "chivecross-rules-version";
 
+  /** Header of a forwarded request: attempts that the entry that forwarded it sent before. */
+  public static final String EARLIER_ATTEMPTS = "chivecross-earlier-attempts";
+
   private static final int WRITE_QUEUE_BYTES = 256 * 1024;
   private static final int ACCEPT_BACKLOG = 4096;
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -341,7 +341,7 @@
       carryOut(machine.timer(now), now);
       return;
     }
-    attempt.bind(connection, request, caller.connection(), ports, now);
+    attempt.bind(connection, request, caller.connection(), ports, attempts.sentCount(), now);
     if (body.sendTo(attempt) || isUploadWithBody()) {
       machine.bodySent(now);
     }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestHeads.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestHeads.java
@@ -3,11 +3,11 @@
 import java.net.InetSocketAddress;
 import java.util.Locale;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.chivecross.logic.routing.RequestRouter;
 import org.chivecross.logic.routing.Route;
+import org.chivecross.model.request.ForwardedBy;
 import org.chivecross.model.request.RequestHead;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.HttpRequestPacket;
@@ -20,6 +20,10 @@
 
   private static final String IDEMPOTENCY_KEY = "idempotency-key";
 
+  /** Headers between entries that are not for targets. */
+  private static final Set<String> ENTRY_HEADERS =
+      Set.of(DataPath.RULES_VERSION, DataPath.EARLIER_ATTEMPTS);
+
   private RequestHeads() {}
 
   /**
@@ -48,9 +52,13 @@
         hasBody(request),
         Math.max(bodyBytes, request.getContentLength()),
         dialect.requestId(headers).orElse(""),
-        forwarded
-            ? OptionalLong.of(parseLong(headers.getHeader(DataPath.RULES_VERSION)).orElse(0L))
-            : OptionalLong.empty());
+        forwarded ? Optional.of(forwardedBy(headers)) : Optional.empty());
+  }
+
+  private static ForwardedBy forwardedBy(MimeHeaders headers) {
+    long version = parseLong(headers.getHeader(DataPath.RULES_VERSION)).orElse(0L);
+    long attempts = parseLong(headers.getHeader(DataPath.EARLIER_ATTEMPTS)).orElse(0L);
+    return new ForwardedBy(version, (int) Math.min(Integer.MAX_VALUE, attempts));
   }
 
   /** Returns the host of a request, in lower case and without port. */
@@ -131,7 +139,7 @@
     Set<String> hop = HopHeaders.of(from);
     for (int i = 0; i < from.size(); i++) {
       String name = HeaderText.of(from.getName(i)).toLowerCase(Locale.ROOT);
-      if (hop.contains(name) || dialect.isReplaced(name) || name.equals(DataPath.RULES_VERSION)) {
+      if (hop.contains(name) || dialect.isReplaced(name) || ENTRY_HEADERS.contains(name)) {
         continue;
       }
       to.addValue(name).setString(HeaderText.of(from.getValue(i)));
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamAddresses.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamAddresses.java
@@ -18,8 +18,12 @@
     return Optional.empty();
   }
 
-  /** Returns headers that are added to requests for a target row. */
-  default Map<String, String> addedHeaders(int target) {
+  /**
+   * Returns headers that are added to requests for a target row.
+   *
+   * @param earlierAttempts attempts of the request that were sent before
+   */
+  default Map<String, String> addedHeaders(int target, int earlierAttempts) {
     return Map.of();
   }
 
