Let a response that breaks off end the connection in its turn

Callers that pipeline saw a connection reset without an answer to a request at which a target was at work, because the response to a later request on it had broken off.

Cause: an abort reset the connection at once, whatever responses were due before it.

Change: an abort waits until its response may be written; no request begins meanwhile. If no byte of the response was sent, the connection is closed after the responses before it, without a reset that could destroy these on their way. Requests behind it are still cut, since nothing can be sent in its place.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
@@ -22,8 +22,9 @@
 /**
  * The response to one request of a caller. Guarded by the lock of the exchange.
  *
- * <p>Invariant: it ends either with its last part or with a reset of the connection, so that a
- * caller never takes an incomplete response for a complete one.
+ * <p>Invariant: once a byte of it was sent, it ends either with its last part or with a reset of
+ * the connection, so that a caller never takes an incomplete response for a complete one. It never
+ * cuts the responses before it.
  */
 final class CallerResponse {
 
@@ -42,6 +43,7 @@
   private final HttpResponsePacket packet;
   private boolean closeAfter;
   private boolean committed;
+  private boolean aborted;
   private boolean lingerBeforeClose;
 
   /**
@@ -104,6 +106,9 @@
       Part part = pendingParts.remove();
       writeNow(part.content(), part.last());
     }
+    if (aborted && caller.mayWrite(exchange)) {
+      closeAborted();
+    }
   }
 
   private void writeNow(Buffer content, boolean last) {
@@ -155,8 +160,30 @@
     request.recycle();
   }
 
-  /** Resets the connection, so that the caller sees that the response is incomplete. */
+  /**
+   * Ends the connection without the rest of this response, as soon as this response may be written.
+   * Once a byte of it was sent, the connection is reset, so that the caller sees that it is
+   * incomplete; otherwise it is closed after the responses before this one.
+   */
   void abort() {
+    aborted = true;
+    pendingParts.clear();
+    caller.endAfterOpenExchanges();
+    if (caller.mayWrite(exchange)) {
+      closeAborted();
+    }
+  }
+
+  private void closeAborted() {
+    if (committed) {
+      reset();
+    } else {
+      caller.noteCloseReason(CloseReason.RESPONSE_ABORTED);
+      connection.closeSilently();
+    }
+  }
+
+  private void reset() {
     caller.noteCloseReason(CloseReason.RESPONSE_ABORTED);
     if (connection.getChannel() instanceof SocketChannel channel) {
       try {
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerCloseTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerCloseTest.java
@@ -236,6 +236,31 @@
     }
   }
 
+  /** Guards against a response that breaks off and cuts the request before it. */
+  @Test
+  void brokenResponseDoesNotCutTheRequestBeforeIt() throws Exception {
+    CountDownLatch secondBroken = new CountDownLatch(1);
+    upstream.setScript(
+        call -> {
+          if (isFor(call, "/read/2")) {
+            call.reply(HALF);
+            call.socket().close();
+            secondBroken.countDown();
+            return;
+          }
+          awaitQuietly(secondBroken);
+          LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(100));
+          call.reply(ScriptedUpstream.OK);
+        });
+    try (DataPathFixture entry = DataPathFixture.to(upstream);
+        Socket socket = entry.connect()) {
+      send(socket, get("/read/1", "X-A: b") + get("/read/2", "X-A: b"));
+
+      readUntil(socket, "\r\n\r\nok");
+      assertEquals(-1, socket.getInputStream().read());
+    }
+  }
+
   private static void sendAtTheIdleLimit(
       DataPathFixture entry, long end, AtomicInteger requests, Set<String> unanswered) {
     while (System.nanoTime() < end) {
