Take no request on a connection accepted at the end of a planned stop

A caller whose connection was accepted while the entry closed its listeners could lose a request that was sent on to a target.

Cause: the last step of a stop closed the connections that were registered; one that was accepted before and registered after it stayed open.

Change: once a stop has closed the idle connections, one that is added is closed by the same step under its lock.

Found by reading; it was not seen over sockets.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerRegistry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerRegistry.java
@@ -21,6 +21,7 @@
   private final CutRequestListener cuts;
   private volatile long idleNanos;
   private volatile long headNanos;
+  private volatile boolean stopping;
 
   CallerRegistry(DataPathSettings settings, CutRequestListener cuts) {
     this.cuts = cuts;
@@ -39,6 +40,9 @@
     attribute.set(connection, caller);
     open.add(caller);
     connection.addCloseListener((closeable, type) -> closed(caller));
+    if (stopping) {
+      closeIfIdle(caller);
+    }
   }
 
   /** Returns the caller of a connection, if it was accepted here. */
@@ -73,12 +77,18 @@
     }
   }
 
-  /** Closes all connections on which no request is being served. */
+  /**
+   * Closes all connections on which no request is being served, also those that were accepted
+   * before and are added later.
+   */
   void closeAllIdle() {
-    for (CallerConnection caller : open) {
-      if (caller.closeIfIdle()) {
-        caller.connection().closeSilently();
-      }
+    stopping = true;
+    open.forEach(CallerRegistry::closeIfIdle);
+  }
+
+  private static void closeIfIdle(CallerConnection caller) {
+    if (caller.closeIfIdle()) {
+      caller.connection().closeSilently();
     }
   }
 
