Give each round of the abort test its own latch

NullAway refused the reference that the hook read, so the test sources of the entry did not compile under Maven from on (they were compiled with plain javac then). The test checks the same.

--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerCloseTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerCloseTest.java
@@ -9,7 +9,7 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
-import java.util.Objects;
+import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
@@ -21,7 +21,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -111,27 +110,27 @@
   /** Guards against a target that runs a request whose connection a neighbour reset meanwhile. */
   @Test
   void requestReadBeforeAnAbortIsNotPassedOnAfterIt() throws Exception {
-    AtomicReference<CountDownLatch> aborted = new AtomicReference<>(new CountDownLatch(1));
+    List<CountDownLatch> aborted =
+        List.of(new CountDownLatch(1), new CountDownLatch(1), new CountDownLatch(1));
     upstream.setScript(call -> call.reply(isFor(call, "/read/1") ? HALF : ScriptedUpstream.OK));
     try (DataPathFixture entry =
         new DataPathFixture(
             DataPathSettings.defaults(),
             router ->
                 (method, host, path) -> {
-                  if (path.equals("/read/2")) {
-                    awaitQuietly(Objects.requireNonNull(aborted.get()));
+                  if (path.startsWith("/read/2/")) {
+                    awaitQuietly(aborted.get(Integer.parseInt(path.substring(8))));
                   }
                   return router.route(method, host, path);
                 },
             upstream.address())) {
-      for (int i = 0; i < 3; i++) {
-        aborted.set(new CountDownLatch(1));
+      for (int i = 0; i < aborted.size(); i++) {
         try (Socket socket = entry.connect()) {
           send(socket, get("/read/1", "Chivecross-Deadline-Ms: 800"));
           readUntil(socket, "\r\n\r\nab");
-          send(socket, get("/read/2", "X-A: b"));
+          send(socket, get("/read/2/" + i, "X-A: b"));
           entry.observer().nextSummary();
-          Objects.requireNonNull(aborted.get()).countDown();
+          aborted.get(i).countDown();
           assertThrows(SocketException.class, () -> readUntil(socket, "\r\n\r\nok"));
         }
       }
