Keep connections open behind failures that the library would close

Callers that pipeline got a 503, 500 or 400 that announced the end of its connection while requests behind it were running, or were begun after it. What stands behind such a response counts as unread and is sent again: a write could run twice, and reads behind a refusal were dropped.

Cause: for ten statuses the HTTP library adds `Connection: close` while it encodes a head, after the exchange has decided that the connection stays open. Same class of fault as the request lost beside an idle close: a decision to close and the acceptance of requests were not one step.

Change: the exchange alone decides; what the library adds is taken back between the status line and the headers. Head refusals of the library still close.

Found by a review.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
@@ -244,6 +244,8 @@
     if (closeAfter) {
       request.getProcessingState().setKeepAlive(false);
       packet.setHeader("Connection", "close");
+    } else if (request.getProcessingState().isKeepAlive()) {
+      StrictServerFilter.keepOpen(request);
     }
   }
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/StrictServerFilter.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/StrictServerFilter.java
@@ -26,6 +26,7 @@
   private static final int UNLIMITED = -1;
   private static final int BAD_REQUEST = 400;
   private static final String REFUSAL = "chivecross.refusal";
+  private static final String KEPT_OPEN = "chivecross.keptOpen";
 
   private final RequestHeadGuard guard;
   private final CallerRegistry callers;
@@ -85,6 +86,25 @@
     return complete;
   }
 
+  /** Keeps the connection of a request open after its response, whatever its status. */
+  static void keepOpen(HttpRequestPacket request) {
+    request.setAttribute(KEPT_OPEN, Boolean.TRUE);
+  }
+
+  /**
+   * Takes back the close that the library announces after some statuses: requests behind the
+   * response may be running, and the exchange has decided about the connection.
+   */
+  @Override
+  protected void onInitialLineEncoded(HttpHeader header, FilterChainContext context) {
+    super.onInitialLineEncoded(header, context);
+    HttpRequestPacket request = ((HttpResponsePacket) header).getRequest();
+    if (request.getAttribute(KEPT_OPEN) != null) {
+      header.getHeaders().removeHeader("Connection");
+      request.getProcessingState().setKeepAlive(true);
+    }
+  }
+
   /** Leaves the response to the exchange, which has recorded whether an attempt was sent. */
   @Override
   protected void onHttpContentError(
