Test that a closed connection takes no request, whoever closed it

The test of the aborted neighbour no longer reaches that check alone, since an abort lets no request begin by itself now.

--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerConnectionTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerConnectionTest.java
@@ -79,6 +79,13 @@
     assertFalse(caller.closeIfIdle());
   }
 
+  /** Guards against an exchange that begins after a close and is never told of it. */
+  @Test
+  void connectionThatTheLibraryClosedTakesNoFurtherRequest() {
+    assertEquals(List.of(), caller.closed(CloseReason.LIBRARY));
+    assertFalse(caller.begin(new FakeExchange()));
+  }
+
   @Test
   void requestThatIsReadAfterTheDecisionToCloseIsReported() {
     FakeExchange refused = new FakeExchange();
