--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/DataPathTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/DataPathTest.java
@@ -100,7 +100,7 @@
             "HEAD /read HTTP/1.1\r\nHost: a\r\n\r\n"
                 + "HEAD /read HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
 
-    assertEquals(2, answers.split("Content-Length: 99\r\n", -1).length - 1);
+    assertEquals(2, answers.split("Content-Length: 99\r\n", -1).length - 1, answers);
     assertTrue(answers.endsWith("\r\n\r\n"), answers);
   }
 
