--- a/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
@@ -20,7 +20,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * State machine of one request whose targets are chosen by a {@link Dispatcher}.
+ * State machine of one request whose targets are chosen by a {@link Dispatcher}. An attempt goes to
+ * a target or, while this entry reaches none, to another entry.
  *
  * <p>Invariants: each started attempt ends exactly once; a non-idempotent request is sent again
  * only with a {@link NotRunProof}; nothing is sent after the request was answered. Not thread-safe.
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
@@ -38,7 +38,7 @@
   private final InFlightExchanges inFlight = new InFlightExchanges();
   private final CallerRegistry callers;
   private final CallerRegistry localCallers;
-  private final CallerRegistry entries;
+  private final CallerRegistry forwarders;
   private volatile boolean leaving;
   private volatile long maxBodyBytes;
 
@@ -76,7 +76,7 @@
     CutRequestLog cuts = new CutRequestLog(new EventLog(System::nanoTime), ports.dialect());
     callers = new CallerRegistry(settings, cuts);
     localCallers = new CallerRegistry(DataPathSettings.defaults(), cuts);
-    entries = new CallerRegistry(DataPathSettings.defaults(), cuts);
+    forwarders = new CallerRegistry(DataPathSettings.defaults(), cuts);
     services =
         new ExchangeServices(
             ports, client, inFlight, () -> leaving, () -> maxBodyBytes, settings, false);
@@ -114,7 +114,7 @@
    */
   public InetSocketAddress serveForwarded(InetSocketAddress address) throws IOException {
     TCPNIOServerConnection server = transport.bind(address, ACCEPT_BACKLOG);
-    server.setProcessor(chain(entries, services.forForwarded(), ports.localRoutes()));
+    server.setProcessor(chain(forwarders, services.forForwarded(), ports.localRoutes()));
     return (InetSocketAddress) server.getLocalAddress();
   }
 
@@ -150,7 +150,7 @@
 
   /** Returns whether no request is in flight, so that stopping interrupts none. */
   public boolean isDrained() {
-    return inFlight.count() == 0 && !callers.hasExchange() && !entries.hasExchange();
+    return inFlight.count() == 0 && !callers.hasExchange() && !forwarders.hasExchange();
   }
 
   /**
@@ -165,7 +165,7 @@
     }
     stopAccepting();
     callers.closeAllIdle();
-    entries.closeAllIdle();
+    forwarders.closeAllIdle();
     return isDrained();
   }
 
@@ -189,7 +189,7 @@
     client.closeIdle(nowNanos);
     callers.closeIdle(nowNanos);
     localCallers.closeIdle(nowNanos);
-    entries.closeIdle(nowNanos);
+    forwarders.closeIdle(nowNanos);
   }
 
   private FilterChain chain(
