Move the placement of requests on targets into a class of its own

Change: TargetPlacement has the methods and constants of Dispatcher that choose a target, probe, wait or refuse; none of them is changed. Check: the tests of dispatch, of request machines and of the architecture in core, green as before.

--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -4,8 +4,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
-import org.chivecross.model.failure.Failure;
-import org.chivecross.model.failure.Step;
 import org.chivecross.model.registry.RegisteredTarget;
 import org.chivecross.model.request.LoadReport;
 import org.chivecross.model.request.ResponseHead;
@@ -25,31 +23,8 @@
 
   private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
-  /** Age up to which a report is used without a new probe; much shorter than a slow phase. */
-  private static final long FRESH_REPORT_NANOS = 25 * NANOS_PER_MILLI;
-
-  /** Timeout of a probe; a healthy target answers at once. */
-  private static final long PROBE_TIMEOUT_NANOS = 60 * NANOS_PER_MILLI;
-
-  /**
-   * Probe rounds after which the request is placed on the best target so far, waits or is refused.
-   */
-  private static final int MAX_PROBE_ROUNDS = 5;
-
-  /** Delay until busy targets are probed again; a fraction of a slow phase. */
-  private static final long REPROBE_DELAY_NANOS = 30 * NANOS_PER_MILLI;
-
-  /**
-   * Queue timeout of a request without a suitable target, as a fraction of the latency objective.
-   */
-  private static final double QUEUE_TIMEOUT_FRACTION = 0.25;
-
-  /** Fraction of the remaining time that the expected response time may take. */
-  private static final double USABLE_TIME_FRACTION = 0.85;
-
   private final RandomGenerator random;
   private final LeavingListener leavingListener;
-  private final RetryAdvice advice;
   private final RetryDelays delays;
   private final DispatchTargetTable targets = new DispatchTargetTable();
   private final ResponseTimeEstimates responseTimes = new ResponseTimeEstimates();
@@ -58,6 +33,7 @@
   private final ExpectedResponseTime expectedTimes;
   private final TargetRanking ranking;
   private final PlacementProbes probes;
+  private final TargetPlacement placement;
   private final RequestForwarding forwarding;
   private final RetryBudgets retryBudgets;
   private Optional<RouteTable> routes = Optional.empty();
@@ -84,7 +60,7 @@
     this.leavingListener = leavingListener;
     this.random = random;
     retryBudgets = new RetryBudgets(preferences);
-    advice = new RetryAdvice(random);
+    RetryAdvice advice = new RetryAdvice(random);
     expectedTimes = new ExpectedResponseTime(targets, preferences);
     ranking = new TargetRanking(targets, expectedTimes, responseTimes, preferences, random);
     delays = new RetryDelays(targets, ranking, advice);
@@ -94,6 +70,7 @@
             targets,
             ranking,
             new ProbeTokenBucket(preferences.probesPerTargetAndSecond()));
+    placement = new TargetPlacement(targets, ranking, responseTimes, probes, advice, delays);
     forwarding = new RequestForwarding(forwardingPort, targets, probes, () -> budgetShare, random);
   }
 
@@ -208,71 +185,7 @@
       retryBudgets.ofService(ticket.service()).forgetRequest(nowNanos);
       return new Placement.Chosen(entry);
     }
-    int[] rows = targets.availableRows(ticket.service(), nowNanos);
-    if (rows.length == 0) {
-      return placeWithoutTargets(ticket, nowNanos);
-    }
-    double nominalMillis = responseTimes.nominalMillis(ticket.route());
-    double leftMillis = (ticket.deadlineNanos() - nowNanos) / (double) NANOS_PER_MILLI;
-    if (leftMillis < nominalMillis / 2) {
-      return refuse("too little time left for a target", advice.soonMillis());
-    }
-    int best = ranking.best(ticket, rows, FRESH_REPORT_NANOS, nowNanos);
-    if (ranking.isGoodEnough(ticket, best, rows, nowNanos)) {
-      return choose(ticket, best);
-    }
-    if (ticket.hasOutstandingProbes()) {
-      return new Placement.Pending(nowNanos + PROBE_TIMEOUT_NANOS);
-    }
-    if (ticket.probeRounds() < MAX_PROBE_ROUNDS
-        && probes.startRound(ticket, rows, budgetShare, nowNanos)) {
-      return new Placement.Pending(nowNanos + PROBE_TIMEOUT_NANOS);
-    }
-    return placeAfterProbing(ticket, ranking.bestByRecentReports(ticket, rows, nowNanos), nowNanos);
-  }
-
-  /** Places a request after its last probe round: takes the best target, waits or refuses. */
-  private Placement placeAfterProbing(PlacementTicket ticket, int best, long nowNanos) {
-    double bestMillis = expectedMillis(ticket, best, nowNanos);
-    double leftMillis = (ticket.deadlineNanos() - nowNanos) / (double) NANOS_PER_MILLI;
-    double waitedMillis = (nowNanos - ticket.placingSinceNanos()) / (double) NANOS_PER_MILLI;
-    double objectiveMillis = ticket.route().latencyObjectiveMillis();
-    double untilObjectiveMillis =
-        objectiveMillis - (nowNanos - ticket.arrivedNanos()) / (double) NANOS_PER_MILLI;
-    boolean mayWait = waitedMillis < QUEUE_TIMEOUT_FRACTION * objectiveMillis;
-    if (best != DispatchTargetTable.NONE
-        && bestMillis <= untilObjectiveMillis * USABLE_TIME_FRACTION) {
-      return choose(ticket, best);
-    }
-    if (best != DispatchTargetTable.NONE
-        && !mayWait
-        && bestMillis <= leftMillis * USABLE_TIME_FRACTION) {
-      return choose(ticket, best);
-    }
-    if (!mayWait) {
-      boolean onlySlow = targets.hasFreeSlot(targets.availableRows(ticket.service(), nowNanos));
-      return refuse(
-          "all targets of " + ticket.service() + (onlySlow ? " are slow" : " are busy"),
-          onlySlow ? advice.nextPhaseMillis() : advice.afterBacklogMillis(bestMillis));
-    }
-    ticket.restartProbeRounds();
-    return new Placement.Pending(nowNanos + REPROBE_DELAY_NANOS);
-  }
-
-  /** Waits for the end of the first hold-off if that is soon, otherwise refuses the request. */
-  private Placement placeWithoutTargets(PlacementTicket ticket, long nowNanos) {
-    int[] heldOff = targets.usableRows(ticket.service());
-    if (heldOff.length == 0) {
-      return refuse("no usable target of " + ticket.service(), advice.maxMillis());
-    }
-    long endNanos = targets.earliestHoldOffEndNanos(heldOff);
-    double waitMillis = (endNanos - ticket.placingSinceNanos()) / (double) NANOS_PER_MILLI;
-    if (waitMillis < QUEUE_TIMEOUT_FRACTION * ticket.route().latencyObjectiveMillis()) {
-      return new Placement.Pending(endNanos);
-    }
-    return refuse(
-        "all targets of " + ticket.service() + " asked for a hold-off",
-        delays.afterHoldOffMillis(ticket, nowNanos));
+    return placement.place(ticket, budgetShare, nowNanos);
   }
 
   /**
@@ -402,16 +315,6 @@
 
   /** Returns the timeout of a probe, in ms. */
   public static long probeTimeoutMillis() {
-    return PROBE_TIMEOUT_NANOS / NANOS_PER_MILLI;
-  }
-
-  private Placement choose(PlacementTicket ticket, int row) {
-    ticket.markTried(row);
-    return new Placement.Chosen(row);
-  }
-
-  private Placement refuse(String detail, long retryAfterMillis) {
-    return new Placement.Refused(
-        new Failure(Step.SELECT_TARGET, Failure.LOCAL, detail), retryAfterMillis);
+    return TargetPlacement.PROBE_TIMEOUT_NANOS / NANOS_PER_MILLI;
   }
 }
