Keep the request limit of a target over all entries together

Cause: nothing read the limit; and what each entry may do alone, twenty of them do. A bucket of each entry that holds a single request would exceed small limits as well.

Change: limits in responses are recorded by run of the target and time of the response, and sent to the other entries at once and with heartbeats. Few entries, chosen by a rendezvous hash of target and entry, hold the right to send; their number grows with the limit (ADR 0068). A limited target isn't probed; each request there takes a token. Its service's other targets take the work.

--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.chivecross.model.registry.RegisteredTarget;
@@ -33,6 +34,7 @@
   private final ExpectedResponseTime expectedTimes;
   private final TargetRanking ranking;
   private final PlacementProbes probes;
+  private final LimitedTargets limitedTargets;
   private final TargetPlacement placement;
   private final RequestForwarding forwarding;
   private final RetryBudgets retryBudgets;
@@ -47,7 +49,13 @@
       ProbeSender probeSender,
       LeavingListener leavingListener,
       RandomGenerator random) {
-    this(preferences, probeSender, leavingListener, ForwardingPort.NONE, random);
+    this(
+        preferences,
+        probeSender,
+        leavingListener,
+        ForwardingPort.NONE,
+        RequestLimitPort.NONE,
+        random);
   }
 
   /** Creates a dispatcher without routes and targets. */
@@ -56,6 +64,7 @@
       ProbeSender probeSender,
       LeavingListener leavingListener,
       ForwardingPort forwardingPort,
+      RequestLimitPort limitPort,
       RandomGenerator random) {
     this.leavingListener = leavingListener;
     this.random = random;
@@ -70,7 +79,10 @@
             targets,
             ranking,
             new ProbeTokenBucket(preferences.probesPerTargetAndSecond()));
-    placement = new TargetPlacement(targets, ranking, responseTimes, probes, advice, delays);
+    limitedTargets = new LimitedTargets(limitPort, targets, ranking);
+    placement =
+        new TargetPlacement(
+            targets, ranking, responseTimes, probes, advice, delays, limitedTargets);
     forwarding = new RequestForwarding(forwardingPort, targets, probes, () -> budgetShare, random);
   }
 
@@ -189,10 +201,13 @@
   }
 
   /**
-   * Takes note of what a target announced in a response: its shutdown, or a hold-off. The load
-   * report is not evaluated.
+   * Takes note of what a target announced in a response: its shutdown, a hold-off or a request
+   * limit. The load report is not evaluated.
    */
   public void announced(int row, ResponseHead head, long nowNanos) {
+    if (head.requestLimit().isPresent()) {
+      limitedTargets.stated(row, head.requestLimit(), nowNanos);
+    }
     head.holdOffMillis()
         .ifPresent(millis -> targets.holdOff(row, nowNanos + millis * NANOS_PER_MILLI));
     if (head.leaving() && targets.markLeaving(row)) {
@@ -200,6 +215,16 @@
     }
   }
 
+  /** Handles the request limit that a target named in the response to a served request, or none. */
+  public void limitStated(int row, OptionalDouble requestsPerSecond, long nowNanos) {
+    limitedTargets.stated(row, requestsPerSecond, nowNanos);
+  }
+
+  /** Returns the number of requests that were placed on targets with a request limit. */
+  public long limitedCount() {
+    return limitedTargets.sentCount();
+  }
+
   /** Records that an attempt was started on a target or forwarded to an entry. */
   public void started(int row) {
     if (RequestForwarding.isEntry(row)) {
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/LimitedTargets.java
@@ -0,0 +1,185 @@
+package org.chivecross.logic.dispatch;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.concurrent.TimeUnit;
+import org.chivecross.model.fleet.LimitShare;
+import org.chivecross.model.fleet.TargetIncarnation;
+import org.chivecross.model.registry.RegisteredTarget;
+
+/**
+ * Targets that named a request limit for all entries together. They are not probed, and get a
+ * request only if the token bucket of this entry's share allows it. Not thread-safe.
+ *
+ * <p>Invariant: a bucket is nearly empty when the entry learns of the limit or gets a share of it.
+ */
+final class LimitedTargets {
+
+  /**
+   * Age of the last response of a limited target from which the next request goes there, to learn
+   * whether the limit still holds.
+   */
+  private static final long MAX_RESPONSE_AGE_MILLIS = 1_000;
+
+  /** Time for which a bucket is filled at once; the entry may have had no share before. */
+  private static final double MAX_REFILL_SECONDS = 1;
+
+  /** Buckets from which those of targets without a limit are dropped. */
+  private static final int MAX_BUCKETS = 512;
+
+  private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
+  /** Token bucket of one run of a target. */
+  private static final class Bucket {
+    private double tokens;
+    private long refilledNanos;
+
+    Bucket(long nowNanos) {
+      refilledNanos = nowNanos;
+    }
+
+    void refill(LimitShare share, long nowNanos) {
+      double seconds = Math.min(MAX_REFILL_SECONDS, (nowNanos - refilledNanos) / NANOS_PER_SECOND);
+      tokens = Math.min(share.burst(), tokens + share.requestsPerSecond() * seconds);
+      refilledNanos = nowNanos;
+    }
+  }
+
+  private final RequestLimitPort port;
+  private final DispatchTargetTable targets;
+  private final TargetRanking ranking;
+  private final Map<TargetIncarnation, Bucket> buckets = new HashMap<>();
+  private long sentCount;
+
+  LimitedTargets(RequestLimitPort port, DispatchTargetTable targets, TargetRanking ranking) {
+    this.port = port;
+    this.targets = targets;
+    this.ranking = ranking;
+  }
+
+  /**
+   * Handles what a response of a target said about its limit.
+   *
+   * @param requestsPerSecond the limit; empty if a response to a served request named none
+   */
+  void stated(int row, OptionalDouble requestsPerSecond, long nowNanos) {
+    targets.target(row).ifPresent(target -> port.responded(target, requestsPerSecond, nowNanos));
+  }
+
+  /** Returns the rows of targets without a limit. */
+  int[] withoutLimit(int[] rows, long nowNanos) {
+    boolean[] limited = new boolean[rows.length];
+    boolean isAnyLimited = false;
+    for (int i = 0; i < rows.length; i++) {
+      Optional<LimitShare> share = share(rows[i], nowNanos);
+      limited[i] = share.isPresent();
+      isAnyLimited |= limited[i];
+      if (share.isPresent()) {
+        tokens(rows[i], share.get(), nowNanos);
+      }
+    }
+    if (!isAnyLimited) {
+      return rows;
+    }
+    int[] others = new int[rows.length];
+    int count = 0;
+    for (int i = 0; i < rows.length; i++) {
+      if (!limited[i]) {
+        others[count++] = rows[i];
+      }
+    }
+    return Arrays.copyOf(others, count);
+  }
+
+  /**
+   * Takes a token of a limited target from which no entry had a response lately.
+   *
+   * @return its row, or {@link DispatchTargetTable#NONE}
+   */
+  int takeUnsampled(PlacementTicket ticket, int[] rows, long nowNanos) {
+    for (int row : rows) {
+      Optional<LimitShare> share = share(row, nowNanos);
+      if (share.isPresent()
+          && share.get().ageMillis() > MAX_RESPONSE_AGE_MILLIS
+          && !ticket.isTried(row)
+          && tokens(row, share.get(), nowNanos) >= 1) {
+        return takeToken(row);
+      }
+    }
+    return DispatchTargetTable.NONE;
+  }
+
+  /**
+   * Takes a token of the best limited target that has one.
+   *
+   * @return its row, or {@link DispatchTargetTable#NONE}
+   */
+  int take(PlacementTicket ticket, int[] rows, long nowNanos) {
+    int[] withToken =
+        Arrays.stream(rows)
+            .filter(row -> !ticket.isTried(row) && hasToken(row, nowNanos))
+            .toArray();
+    if (withToken.length == 0) {
+      return DispatchTargetTable.NONE;
+    }
+    int best = ranking.best(ticket, withToken, Long.MAX_VALUE, nowNanos);
+    return takeToken(best == DispatchTargetTable.NONE ? withToken[0] : best);
+  }
+
+  /**
+   * Returns when the next token is available; {@code Long.MAX_VALUE} if this entry has no share.
+   */
+  long nextTokenNanos(PlacementTicket ticket, int[] rows, long nowNanos) {
+    long next = Long.MAX_VALUE;
+    for (int row : rows) {
+      Optional<LimitShare> share = share(row, nowNanos);
+      if (share.isEmpty() || share.get().requestsPerSecond() <= 0 || ticket.isTried(row)) {
+        continue;
+      }
+      double missing = Math.max(0, 1 - tokens(row, share.get(), nowNanos));
+      long waitNanos = (long) (missing / share.get().requestsPerSecond() * NANOS_PER_SECOND);
+      next = Math.min(next, nowNanos + waitNanos + 1);
+    }
+    return next;
+  }
+
+  /** Returns the number of requests that were placed on limited targets. */
+  long sentCount() {
+    return sentCount;
+  }
+
+  private boolean hasToken(int row, long nowNanos) {
+    Optional<LimitShare> share = share(row, nowNanos);
+    return share.isPresent() && tokens(row, share.get(), nowNanos) >= 1;
+  }
+
+  private double tokens(int row, LimitShare share, long nowNanos) {
+    if (buckets.size() >= MAX_BUCKETS) {
+      buckets.clear();
+    }
+    Bucket bucket = buckets.computeIfAbsent(incarnation(row), run -> new Bucket(nowNanos));
+    bucket.refill(share, nowNanos);
+    return bucket.tokens;
+  }
+
+  private int takeToken(int row) {
+    Bucket bucket = buckets.get(incarnation(row));
+    if (bucket != null) {
+      bucket.tokens--;
+    }
+    sentCount++;
+    return row;
+  }
+
+  private Optional<LimitShare> share(int row, long nowNanos) {
+    return targets.target(row).flatMap(target -> port.shareOf(target, nowNanos));
+  }
+
+  private TargetIncarnation incarnation(int row) {
+    RegisteredTarget target = targets.target(row).orElseThrow();
+    return new TargetIncarnation(target.id(), target.startedAtMillis());
+  }
+}
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetPlacement.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetPlacement.java
@@ -40,6 +40,7 @@
   private final PlacementProbes probes;
   private final RetryAdvice advice;
   private final RetryDelays delays;
+  private final LimitedTargets limitedTargets;
 
   TargetPlacement(
       DispatchTargetTable targets,
@@ -47,7 +48,9 @@
       ResponseTimeEstimates responseTimes,
       PlacementProbes probes,
       RetryAdvice advice,
-      RetryDelays delays) {
+      RetryDelays delays,
+      LimitedTargets limitedTargets) {
+    this.limitedTargets = limitedTargets;
     this.targets = targets;
     this.ranking = ranking;
     this.responseTimes = responseTimes;
@@ -62,8 +65,8 @@
    * @param budgetShare this entry's share of the probe budget, from 0 to 1
    */
   Placement place(PlacementTicket ticket, double budgetShare, long nowNanos) {
-    int[] rows = targets.availableRows(ticket.service(), nowNanos);
-    if (rows.length == 0) {
+    int[] available = targets.availableRows(ticket.service(), nowNanos);
+    if (available.length == 0) {
       return placeWithoutTargets(ticket, nowNanos);
     }
     double nominalMillis = responseTimes.nominalMillis(ticket.route());
@@ -71,6 +74,16 @@
     if (leftMillis < nominalMillis / 2) {
       return refuse("too little time left for a target", advice.soonMillis());
     }
+    int[] rows = limitedTargets.withoutLimit(available, nowNanos);
+    if (rows.length < available.length) {
+      int unsampled = limitedTargets.takeUnsampled(ticket, available, nowNanos);
+      if (unsampled != DispatchTargetTable.NONE) {
+        return choose(ticket, unsampled);
+      }
+    }
+    if (rows.length == 0) {
+      return placeOnLimited(ticket, available, nowNanos);
+    }
     int best = ranking.best(ticket, rows, FRESH_REPORT_NANOS, nowNanos);
     if (ranking.isGoodEnough(ticket, best, rows, nowNanos)) {
       return choose(ticket, best);
@@ -82,11 +95,13 @@
         && probes.startRound(ticket, rows, budgetShare, nowNanos)) {
       return new Placement.Pending(nowNanos + PROBE_TIMEOUT_NANOS);
     }
-    return placeAfterProbing(ticket, ranking.bestByRecentReports(ticket, rows, nowNanos), nowNanos);
+    return placeAfterProbing(ticket, available, rows, nowNanos);
   }
 
   /** Places a request after its last probe round: takes the best target, waits or refuses. */
-  private Placement placeAfterProbing(PlacementTicket ticket, int best, long nowNanos) {
+  private Placement placeAfterProbing(
+      PlacementTicket ticket, int[] available, int[] rows, long nowNanos) {
+    int best = ranking.bestByRecentReports(ticket, rows, nowNanos);
     double bestMillis = ranking.expectedMillis(ticket, best, nowNanos);
     double leftMillis = (ticket.deadlineNanos() - nowNanos) / (double) NANOS_PER_MILLI;
     double waitedMillis = (nowNanos - ticket.placingSinceNanos()) / (double) NANOS_PER_MILLI;
@@ -98,6 +113,10 @@
         && bestMillis <= untilObjectiveMillis * USABLE_TIME_FRACTION) {
       return choose(ticket, best);
     }
+    int limited = limitedTargets.take(ticket, available, nowNanos);
+    if (limited != DispatchTargetTable.NONE) {
+      return choose(ticket, limited);
+    }
     if (best != DispatchTargetTable.NONE
         && !mayWait
         && bestMillis <= leftMillis * USABLE_TIME_FRACTION) {
@@ -113,6 +132,23 @@
     return new Placement.Pending(nowNanos + REPROBE_DELAY_NANOS);
   }
 
+  /** Places a request for which all targets have a request limit. */
+  private Placement placeOnLimited(PlacementTicket ticket, int[] rows, long nowNanos) {
+    int row = limitedTargets.take(ticket, rows, nowNanos);
+    if (row != DispatchTargetTable.NONE) {
+      return choose(ticket, row);
+    }
+    long nextNanos = limitedTargets.nextTokenNanos(ticket, rows, nowNanos);
+    double waitMillis = (nextNanos - ticket.placingSinceNanos()) / (double) NANOS_PER_MILLI;
+    if (waitMillis < QUEUE_TIMEOUT_FRACTION * ticket.route().latencyObjectiveMillis()) {
+      return new Placement.Pending(nextNanos);
+    }
+    return refuse(
+        "request limits of all targets of " + ticket.service() + " are used up",
+        advice.afterHoldOffMillis(
+            Math.min(advice.maxMillis(), (nextNanos - nowNanos) / NANOS_PER_MILLI)));
+  }
+
   /** Waits for the end of the first hold-off if that is soon, otherwise refuses the request. */
   private Placement placeWithoutTargets(PlacementTicket ticket, long nowNanos) {
     int[] heldOff = targets.usableRows(ticket.service());
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/EvidenceGossip.java
@@ -0,0 +1,126 @@
+package org.chivecross.logic.fleet;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import org.chivecross.model.fleet.FleetMessage;
+import org.chivecross.model.fleet.LimitShare;
+import org.chivecross.model.fleet.TargetEvidence;
+import org.chivecross.model.fleet.TargetIncarnation;
+import org.chivecross.model.fleet.TargetLimit;
+
+/**
+ * Exchanges with other entries what responses of targets say: that a target leaves, or how many
+ * requests it takes. Not thread-safe.
+ *
+ * <p>Invariants: what is new is sent at once to the own data centre and to one entry in each other
+ * one, which relays it there; request limits are repeated with heartbeats, since messages may be
+ * lost.
+ */
+public final class EvidenceGossip {
+
+  private final FleetPreferences preferences;
+  private final FleetPort port;
+  private final FleetMembership membership;
+  private final PlatformView view;
+  private final FleetMessageFactory messages;
+  private final TargetLimitTable limits = new TargetLimitTable();
+  private final LimitDivision division;
+
+  EvidenceGossip(
+      FleetPreferences preferences,
+      FleetPort port,
+      FleetMembership membership,
+      PlatformView view,
+      FleetMessageFactory messages) {
+    this.preferences = preferences;
+    this.port = port;
+    this.membership = membership;
+    this.view = view;
+    this.messages = messages;
+    division = new LimitDivision(preferences.ip());
+  }
+
+  /**
+   * Updates the entries that share the limits and drops outdated evidence.
+   *
+   * @param expectsOthers whether other entries are likely to run although none is known
+   */
+  void tick(boolean expectsOthers, long nowNanos) {
+    division.recordEntries(
+        membership.members(nowNanos), messages.isServing(), expectsOthers, nowNanos);
+    limits.expire(nowNanos);
+  }
+
+  /** Records that a run of a target announced its shutdown, and sends a new announcement on. */
+  public void leavingAnnounced(TargetIncarnation incarnation, long nowNanos) {
+    if (view.recordLeaving(incarnation, nowNanos)) {
+      port.viewChanged(false);
+      publish(TargetEvidence.leaving(incarnation), nowNanos);
+    }
+  }
+
+  /**
+   * Records what a response of a run of a target said about its request limit, and sends a change
+   * on.
+   *
+   * @param requestsPerSecond the limit for all entries together; empty if it named none
+   * @return whether it differs from what was known
+   */
+  public boolean limitStated(
+      TargetIncarnation target, OptionalDouble requestsPerSecond, long nowNanos) {
+    boolean isChange = limits.record(target, requestsPerSecond, nowNanos);
+    if (isChange) {
+      TargetLimit limit = new TargetLimit(target, requestsPerSecond, 0);
+      publish(TargetEvidence.limits(List.of(limit)), nowNanos);
+    }
+    return isChange;
+  }
+
+  /** Returns this entry's share of the request limit of a target; empty if it has no limit. */
+  public Optional<LimitShare> limitShare(TargetIncarnation target, long nowNanos) {
+    return limits
+        .find(target, nowNanos)
+        .map(
+            limit ->
+                division.shareOf(
+                    target.id(), limit.requestsPerSecond().orElse(0), limit.ageMillis(), nowNanos));
+  }
+
+  /** Returns the number of targets with a request limit. */
+  public int limitCount() {
+    return limits.size();
+  }
+
+  /**
+   * Adds the evidence of a message; sends what is new from another data centre on within this one.
+   */
+  void received(FleetMessage message, long nowNanos) {
+    List<TargetIncarnation> newlyLeaving = view.merge(message.evidence(), nowNanos);
+    if (!newlyLeaving.isEmpty() || !message.evidence().removed().isEmpty()) {
+      port.viewChanged(false);
+    }
+    List<TargetLimit> changedLimits = limits.merge(message.evidence().limits(), nowNanos);
+    boolean isRemote = !message.dataCentre().equals(preferences.dataCentre());
+    if (isRemote && !(newlyLeaving.isEmpty() && changedLimits.isEmpty())) {
+      TargetEvidence changed = new TargetEvidence(newlyLeaving, List.of(), changedLimits);
+      port.send(membership.localIps(nowNanos), messages.createEvidenceUpdate(changed));
+    }
+  }
+
+  /** Returns all evidence, for an entry that has just started. */
+  TargetEvidence all(long nowNanos) {
+    return view.evidence().withLimits(limits.newest(nowNanos));
+  }
+
+  /** Returns the evidence that is repeated with heartbeats. */
+  TargetEvidence repeated(long nowNanos) {
+    return TargetEvidence.limits(limits.newest(nowNanos));
+  }
+
+  private void publish(TargetEvidence evidence, long nowNanos) {
+    FleetMessage update = messages.createEvidenceUpdate(evidence);
+    port.send(membership.localIps(nowNanos), update);
+    port.send(membership.firstRemoteIps(nowNanos), update);
+  }
+}
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetMessageFactory.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetMessageFactory.java
@@ -43,6 +43,11 @@
     return isChange;
   }
 
+  /** Returns whether the entry accepts callers and reaches targets. */
+  boolean isServing() {
+    return ready && !isolated;
+  }
+
   /** Sets the rate of requests that the entry receives from callers. */
   void setRequestsPerSecond(int value) {
     requestsPerSecond = value;
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
@@ -15,7 +15,6 @@
 import org.chivecross.model.fleet.StoreChange;
 import org.chivecross.model.fleet.StoreVersion;
 import org.chivecross.model.fleet.TargetEvidence;
-import org.chivecross.model.fleet.TargetIncarnation;
 import org.chivecross.model.fleet.ViewUpdate;
 import org.chivecross.model.registry.RegisteredTarget;
 import org.chivecross.model.ruleset.RuleSet;
@@ -54,6 +53,7 @@
   private final PlatformView view = new PlatformView();
   private final FleetMessageFactory messages;
   private final LoadShare loadShare = new LoadShare();
+  private final EvidenceGossip evidence;
   private final Set<String> entriesAwaitingSnapshot = new TreeSet<>();
   private List<String> seeds;
   private boolean isStarted;
@@ -70,6 +70,7 @@
     this.random = random;
     reads = new StoreReadSchedule(random);
     messages = new FleetMessageFactory(preferences, view);
+    evidence = new EvidenceGossip(preferences, port, membership, view, messages);
   }
 
   /** Expires members and targets, and sends heartbeats and store reads that are scheduled. */
@@ -80,6 +81,7 @@
       reads.start(isSeed, preferences.firstStart(), nowNanos);
     }
     membership.expire(nowNanos);
+    evidence.tick(expectsOthers(), nowNanos);
     if (view.expire(nowNanos)) {
       port.viewChanged(false);
     }
@@ -134,15 +136,9 @@
     }
   }
 
-  /** Records that a run of a target announced its shutdown, and sends a new announcement on. */
-  public void leavingAnnounced(TargetIncarnation incarnation, long nowNanos) {
-    if (!view.recordLeaving(incarnation, nowNanos)) {
-      return;
-    }
-    port.viewChanged(false);
-    FleetMessage update = messages.createEvidenceUpdate(TargetEvidence.leaving(incarnation));
-    port.send(membership.localIps(nowNanos), update);
-    port.send(membership.firstRemoteIps(nowNanos), update);
+  /** Returns what entries tell each other about targets. */
+  public EvidenceGossip evidence() {
+    return evidence;
   }
 
   /** Replaces the IP numbers of VMs on which entries are likely to run. */
@@ -161,12 +157,15 @@
    */
   public double budgetShare(long nowNanos) {
     loadShare.recordLoads(membership, nowNanos);
-    boolean expectsOthers = seeds.stream().anyMatch(seed -> !seed.equals(preferences.ip()));
-    return loadShare.otherEntryCount() == 0 && expectsOthers
+    return loadShare.otherEntryCount() == 0 && expectsOthers()
         ? 0
         : loadShare.shareOf(messages.requestsPerSecond());
   }
 
+  private boolean expectsOthers() {
+    return seeds.stream().anyMatch(seed -> !seed.equals(preferences.ip()));
+  }
+
   /** Returns the number of entries that share the budgets; 0 while no other entry is known. */
   public int budgetEntries() {
     return loadShare.otherEntryCount() == 0 ? 0 : loadShare.otherEntryCount() + 1;
@@ -211,29 +210,13 @@
     }
     membership.recordMessage(ip, message, nowNanos);
     membership.merge(message.members(), preferences.ip(), nowNanos);
-    applyEvidence(message, nowNanos);
+    evidence.received(message, nowNanos);
     message.viewUpdate().ifPresent(update -> applyViewUpdate(ip, message, update, nowNanos));
     if (message.asksMembers() || message.asksView()) {
       replyTo(ip, message, nowNanos);
     }
   }
 
-  /**
-   * Adds the evidence of a message; sends what is new from another data centre on within this one.
-   */
-  private void applyEvidence(FleetMessage message, long nowNanos) {
-    List<TargetIncarnation> newlyLeaving = view.merge(message.evidence(), nowNanos);
-    if (!newlyLeaving.isEmpty() || !message.evidence().removed().isEmpty()) {
-      port.viewChanged(false);
-    }
-    boolean isRemote = !message.dataCentre().equals(preferences.dataCentre());
-    if (isRemote && !newlyLeaving.isEmpty()) {
-      FleetMessage update =
-          messages.createEvidenceUpdate(new TargetEvidence(newlyLeaving, List.of()));
-      port.send(membership.localIps(nowNanos), update);
-    }
-  }
-
   private void replyTo(String ip, FleetMessage request, long nowNanos) {
     boolean isSameDataCentre = request.dataCentre().equals(preferences.dataCentre());
     boolean hasJustStarted = request.knownRulesVersion() == 0;
@@ -250,7 +233,8 @@
     List<FleetMember> members =
         request.asksMembers() ? membership.members(nowNanos) : List.<FleetMember>of();
     // An entry that has just started may find targets in the store that have left.
-    port.send(List.of(ip), messages.create(members, snapshot, view.evidence(), false, false));
+    port.send(
+        List.of(ip), messages.create(members, snapshot, evidence.all(nowNanos), false, false));
   }
 
   /** Sends the view to the entries that requested it before this entry had one. */
@@ -358,15 +342,16 @@
         isRelay
             ? members
             : local.stream().filter(m -> membership.hasRecentDirectMessage(m.ip())).toList();
+    TargetEvidence repeated = evidence.repeated(nowNanos);
     FleetMessage heartbeat =
-        messages.create(reported, Optional.empty(), false, asksView && !isRelay);
+        messages.create(reported, Optional.empty(), repeated, false, asksView && !isRelay);
     List<FleetMember> receivers =
         isRelay ? local : local.subList(0, Math.min(RELAY_ENTRIES, local.size()));
     port.send(receivers.stream().map(FleetMember::ip).toList(), heartbeat);
     if (rank == 0) {
       List<FleetMember> remote = new ArrayList<>(members);
       remote.removeAll(local);
-      sendMembersToOtherDataCentres(local, remote);
+      sendMembersToOtherDataCentres(local, remote, repeated);
     }
     FleetMessage joinRequest = messages.create(List.of(), Optional.empty(), true, asksView);
     for (String seed : seeds) {
@@ -377,7 +362,8 @@
   }
 
   /** Sends the members here and there to one relay entry in each other data centre. */
-  private void sendMembersToOtherDataCentres(List<FleetMember> local, List<FleetMember> remote) {
+  private void sendMembersToOtherDataCentres(
+      List<FleetMember> local, List<FleetMember> remote, TargetEvidence repeated) {
     TreeMap<String, List<FleetMember>> byDataCentre = new TreeMap<>();
     remote.forEach(
         member ->
@@ -388,7 +374,8 @@
       List<FleetMember> reported = new ArrayList<>(local);
       reported.addAll(receivers);
       String relayIp = receivers.get(random.nextInt(relayCount)).ip();
-      port.send(List.of(relayIp), messages.create(reported, Optional.empty(), false, false));
+      port.send(
+          List.of(relayIp), messages.create(reported, Optional.empty(), repeated, false, false));
     }
   }
 
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
@@ -159,6 +159,7 @@
     if (head.status() < SERVER_ERROR) {
       long elapsedNanos = nowNanos - attempts.startedNanos(attempt);
       dispatcher.served(current, target, elapsedNanos, atNominalSpeed[attempt], nowNanos);
+      dispatcher.limitStated(target, head.requestLimit(), nowNanos);
       head.bodyBytes().ifPresent(bytes -> dispatcher.responseSized(current, bytes));
     } else {
       dispatcher.failed(target, nowNanos);
@@ -207,7 +208,7 @@
 
   @Override
   public void announced(int attempt, ResponseHead head, long nowNanos) {
-    if (attempt >= attempts.size() || (!head.leaving() && head.holdOffMillis().isEmpty())) {
+    if (attempt >= attempts.size() || !head.hasAnnouncement()) {
       return;
     }
     int target = attempts.target(attempt);
--- a/chivecross-core/src/main/java/org/chivecross/model/fleet/TargetEvidence.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/fleet/TargetEvidence.java
@@ -7,8 +7,10 @@
  *
  * @param leaving runs that announced their shutdown, in the store or in a response
  * @param removed runs whose registration was removed, which an older copy of the store may restore
+ * @param limits request limits that runs named, and ends of such limits
  */
-public record TargetEvidence(List<TargetIncarnation> leaving, List<RemovedTarget> removed) {
+public record TargetEvidence(
+    List<TargetIncarnation> leaving, List<RemovedTarget> removed, List<TargetLimit> limits) {
 
   /** No evidence. */
   public static final TargetEvidence NONE = new TargetEvidence(List.of(), List.of());
@@ -16,6 +18,22 @@
   public TargetEvidence {
     leaving = List.copyOf(leaving);
     removed = List.copyOf(removed);
+    limits = List.copyOf(limits);
+  }
+
+  /** Creates evidence without request limits. */
+  public TargetEvidence(List<TargetIncarnation> leaving, List<RemovedTarget> removed) {
+    this(leaving, removed, List.of());
+  }
+
+  /** Returns evidence about request limits only. */
+  public static TargetEvidence limits(List<TargetLimit> limits) {
+    return new TargetEvidence(List.of(), List.of(), limits);
+  }
+
+  /** Returns this evidence with request limits. */
+  public TargetEvidence withLimits(List<TargetLimit> added) {
+    return new TargetEvidence(leaving, removed, added);
   }
 
   /** Returns evidence that a run of a target is leaving. */
--- a/chivecross-core/src/test/java/org/chivecross/logic/fleet/StoreEraTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fleet/StoreEraTest.java
@@ -228,7 +228,7 @@
   void announcedLeavingReachesAllEntriesAndOutlivesTheRestartOfTheFirst() {
     simulation.runMillis(5_000);
     GossipSimulation.Entry first = simulation.entry("10.1.0.1");
-    first.node.leavingAnnounced(new TargetIncarnation("t2", 1), simulation.now);
+    first.node.evidence().leavingAnnounced(new TargetIncarnation("t2", 1), simulation.now);
     assertTrue(!isUsable(first.node, "t2"));
     simulation.runMillis(100);
     assertEquals(0, usableAt("t2"));
@@ -245,6 +245,7 @@
     simulation
         .entry("10.2.0.2")
         .node
+        .evidence()
         .leavingAnnounced(new TargetIncarnation("t2", 1), simulation.now);
     simulation.put("t2", 1, false);
     simulation.runMillis(BOUND_MILLIS);
--- a/chivecross-core/src/test/java/org/chivecross/logic/request/ForwardedRequestMachineTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/request/ForwardedRequestMachineTest.java
@@ -19,6 +19,7 @@
 import org.chivecross.logic.dispatch.Dispatcher;
 import org.chivecross.logic.dispatch.ForwardingPort;
 import org.chivecross.logic.dispatch.RequestForwarding;
+import org.chivecross.logic.dispatch.RequestLimitPort;
 import org.chivecross.model.fileset.RequestClass;
 import org.chivecross.model.registry.RegisteredTarget;
 import org.chivecross.model.request.ConnectionFault;
@@ -61,6 +62,7 @@
           probes::add,
           target -> {},
           new FakePort(),
+          RequestLimitPort.NONE,
           new SplittableRandom(5));
   private final DispatchRequestMachines machines =
       new DispatchRequestMachines(dispatcher, (id, event) -> {});
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -111,6 +111,7 @@
             this::probe,
             this::leavingAnnounced,
             new IsolationMonitor(lock, scheduler, node),
+            new RequestLimitMonitor(node.evidence()),
             dispatchRandom);
     PrometheusRegistry registry = new PrometheusRegistry();
     metrics = new EntryMetrics(registry, this::serviceName);
@@ -362,8 +363,9 @@
   /** Sends the announcement of a target on to the other entries. */
   private void leavingAnnounced(RegisteredTarget target) {
     Logger.info("target {} at {} announced its shutdown", target.id(), target.address());
-    node.leavingAnnounced(
-        new TargetIncarnation(target.id(), target.startedAtMillis()), System.nanoTime());
+    node.evidence()
+        .leavingAnnounced(
+            new TargetIncarnation(target.id(), target.startedAtMillis()), System.nanoTime());
   }
 
   private void probe(int row) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
@@ -74,6 +74,14 @@
         "chivecross_requests_forwarded",
         "Requests forwarded to other entries",
         guarded(lock, () -> dispatcher.forwarding().forwardedCount()));
+    metrics.gauge(
+        "chivecross_limited_targets",
+        "Targets that named a request limit for all entries together",
+        guarded(lock, () -> node.evidence().limitCount()));
+    metrics.counter(
+        "chivecross_requests_on_limited_targets",
+        "Requests placed on targets with a request limit",
+        guarded(lock, dispatcher::limitedCount));
     metrics.gauge(
         "chivecross_entries",
         "Entries known to be alive, this one included",
--- a/chivecross-wire/src/main/java/org/chivecross/wire/fleet/FleetCodec.java
+++ b/chivecross-wire/src/main/java/org/chivecross/wire/fleet/FleetCodec.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.chivecross.model.failure.Result;
 import org.chivecross.model.failure.Step;
 import org.chivecross.model.fleet.FleetMember;
@@ -10,11 +11,13 @@
 import org.chivecross.model.fleet.StoreVersion;
 import org.chivecross.model.fleet.TargetEvidence;
 import org.chivecross.model.fleet.TargetIncarnation;
+import org.chivecross.model.fleet.TargetLimit;
 import org.chivecross.model.fleet.ViewUpdate;
 import org.chivecross.model.registry.RegisteredTarget;
 import org.chivecross.model.ruleset.RuleSet;
 import org.chivecross.wire.generated.fleet.FleetDatagram;
 import org.chivecross.wire.generated.fleet.IncarnationNote;
+import org.chivecross.wire.generated.fleet.LimitNote;
 import org.chivecross.wire.generated.fleet.MemberNote;
 import org.chivecross.wire.generated.fleet.RemovalNote;
 import org.chivecross.wire.generated.fleet.TargetNote;
@@ -58,6 +61,7 @@
               .setIncarnation(toNote(removed.incarnation()))
               .setEra(removed.era()));
     }
+    message.evidence().limits().forEach(limit -> datagram.addLimits(toNote(limit)));
     return datagram.build().toByteArray();
   }
 
@@ -111,7 +115,26 @@
         datagram.getLeavingList().stream().map(FleetCodec::toIncarnation).toList(),
         datagram.getRemovalsList().stream()
             .map(note -> new RemovedTarget(toIncarnation(note.getIncarnation()), note.getEra()))
-            .toList());
+            .toList(),
+        datagram.getLimitsList().stream().map(FleetCodec::toLimit).toList());
+  }
+
+  private static LimitNote toNote(TargetLimit limit) {
+    LimitNote.Builder note =
+        LimitNote.newBuilder()
+            .setIncarnation(toNote(limit.incarnation()))
+            .setAgeMillis((int) Math.min(Integer.MAX_VALUE, limit.ageMillis()));
+    limit.requestsPerSecond().ifPresent(note::setRequestsPerSecond);
+    return note.build();
+  }
+
+  private static TargetLimit toLimit(LimitNote note) {
+    return new TargetLimit(
+        toIncarnation(note.getIncarnation()),
+        note.hasRequestsPerSecond()
+            ? OptionalDouble.of(note.getRequestsPerSecond())
+            : OptionalDouble.empty(),
+        note.getAgeMillis());
   }
 
   private static TargetIncarnation toIncarnation(IncarnationNote note) {
--- a/chivecross-wire/src/test/java/org/chivecross/wire/fleet/FleetCodecTest.java
+++ b/chivecross-wire/src/test/java/org/chivecross/wire/fleet/FleetCodecTest.java
@@ -10,6 +10,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.SplittableRandom;
 import org.chivecross.model.failure.Result;
 import org.chivecross.model.fileset.RequestClass;
@@ -19,6 +20,7 @@
 import org.chivecross.model.fleet.StoreVersion;
 import org.chivecross.model.fleet.TargetEvidence;
 import org.chivecross.model.fleet.TargetIncarnation;
+import org.chivecross.model.fleet.TargetLimit;
 import org.chivecross.model.fleet.ViewUpdate;
 import org.chivecross.model.registry.RegisteredTarget;
 import org.chivecross.model.ruleset.CallerLimits;
@@ -80,7 +82,11 @@
         Optional.of(update),
         new TargetEvidence(
             List.of(new TargetIncarnation("i-3", 1790000000456L)),
-            List.of(new RemovedTarget(new TargetIncarnation("i-4", 5), 2))));
+            List.of(new RemovedTarget(new TargetIncarnation("i-4", 5), 2)),
+            List.of(
+                new TargetLimit(new TargetIncarnation("i-5", 6), OptionalDouble.of(2.2), 40),
+                new TargetLimit(new TargetIncarnation("i-6", 7), OptionalDouble.of(0), 0),
+                new TargetLimit(new TargetIncarnation("i-7", 8), OptionalDouble.empty(), 9))));
   }
 
   @Test
