Block requests under which three targets have ended

Cause: nothing recognises a request that comes again with another id, at another entry; and the retry of a read whose connection closed ends a second target at once.

Change: requests have a fingerprint of their content. A closed connection is followed by a probe; if the target refuses it, the target ended under the requests that it ran, and all entries learn of that. A response clears a request. After two ends it is neither retried nor hedged and runs once at a time, after three it is refused at once as not run, but for three single trials by one entry (ADR 0069).

Conclusion: the first three ends can't be prevented; further ones need a trial.

--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/DispatchTargetTable.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/DispatchTargetTable.java
@@ -150,6 +150,10 @@
     return isNew;
   }
 
+  boolean isLeaving(int row) {
+    return leaving[row];
+  }
+
   /** Returns the number of targets that are usable. */
   int usableCount() {
     return rowsByService.values().stream().mapToInt(rows -> rows.length).sum();
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -7,6 +7,7 @@
 import java.util.random.RandomGenerator;
 import org.chivecross.model.registry.RegisteredTarget;
 import org.chivecross.model.request.LoadReport;
+import org.chivecross.model.request.ProbeResult;
 import org.chivecross.model.request.ResponseHead;
 import org.chivecross.model.ruleset.RouteRule;
 import org.chivecross.model.ruleset.RuleSet;
@@ -37,6 +38,7 @@
   private final LimitedTargets limitedTargets;
   private final TargetPlacement placement;
   private final RequestForwarding forwarding;
+  private final CrashDetection crashes;
   private final RetryBudgets retryBudgets;
   private Optional<RouteTable> routes = Optional.empty();
   private boolean hasTargets;
@@ -49,24 +51,12 @@
       ProbeSender probeSender,
       LeavingListener leavingListener,
       RandomGenerator random) {
-    this(
-        preferences,
-        probeSender,
-        leavingListener,
-        ForwardingPort.NONE,
-        RequestLimitPort.NONE,
-        random);
+    this(preferences, DispatchPorts.ofSingleEntry(probeSender, leavingListener), random);
   }
 
   /** Creates a dispatcher without routes and targets. */
-  public Dispatcher(
-      DispatchPreferences preferences,
-      ProbeSender probeSender,
-      LeavingListener leavingListener,
-      ForwardingPort forwardingPort,
-      RequestLimitPort limitPort,
-      RandomGenerator random) {
-    this.leavingListener = leavingListener;
+  public Dispatcher(DispatchPreferences preferences, DispatchPorts ports, RandomGenerator random) {
+    leavingListener = ports.leaving();
     this.random = random;
     retryBudgets = new RetryBudgets(preferences);
     RetryAdvice advice = new RetryAdvice(random);
@@ -75,15 +65,17 @@
     delays = new RetryDelays(targets, ranking, advice);
     probes =
         new PlacementProbes(
-            probeSender,
+            ports.probes(),
             targets,
             ranking,
             new ProbeTokenBucket(preferences.probesPerTargetAndSecond()));
-    limitedTargets = new LimitedTargets(limitPort, targets, ranking);
+    limitedTargets = new LimitedTargets(ports.limits(), targets, ranking);
     placement =
         new TargetPlacement(
             targets, ranking, responseTimes, probes, advice, delays, limitedTargets);
-    forwarding = new RequestForwarding(forwardingPort, targets, probes, () -> budgetShare, random);
+    forwarding =
+        new RequestForwarding(ports.forwarding(), targets, probes, () -> budgetShare, random);
+    crashes = new CrashDetection(ports.suspects(), targets, probes, () -> budgetShare);
   }
 
   /** Replaces the rule set. */
@@ -189,6 +181,11 @@
     return forwarding;
   }
 
+  /** Returns the detection of requests that end targets. */
+  public CrashDetection crashes() {
+    return crashes;
+  }
+
   /** Tries to choose a target or, for a request to be forwarded, an entry; may send probes. */
   public Placement place(PlacementTicket ticket, long nowNanos) {
     int entry = forwarding.choose(ticket, nowNanos);
@@ -318,6 +315,18 @@
     targets.report(row, report, nowNanos);
   }
 
+  /** Handles the end of a probe. */
+  public void probeEnded(int row, ProbeResult result, long nowNanos) {
+    if (result instanceof ProbeResult.Responded responded) {
+      probeEnded(row, responded.healthy(), Optional.of(responded.head()), nowNanos);
+      return;
+    }
+    if (result instanceof ProbeResult.Failed failed && failed.refused()) {
+      crashes.connectionRefused(row, nowNanos);
+    }
+    probeEnded(row, false, Optional.empty(), nowNanos);
+  }
+
   /**
    * Handles the end of a probe.
    *
@@ -335,6 +344,7 @@
     } else {
       forwarding.targetFailed(row, nowNanos);
     }
+    crashes.probeEnded(row);
     probes.ended(row);
   }
 
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/EvidenceGossip.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/EvidenceGossip.java
@@ -5,17 +5,19 @@
 import java.util.OptionalDouble;
 import org.chivecross.model.fleet.FleetMessage;
 import org.chivecross.model.fleet.LimitShare;
+import org.chivecross.model.fleet.RequestStanding;
+import org.chivecross.model.fleet.SuspectRequest;
 import org.chivecross.model.fleet.TargetEvidence;
 import org.chivecross.model.fleet.TargetIncarnation;
 import org.chivecross.model.fleet.TargetLimit;
 
 /**
- * Exchanges with other entries what responses of targets say: that a target leaves, or how many
- * requests it takes. Not thread-safe.
+ * Exchanges with other entries what attempts show about targets and requests: that a target leaves,
+ * how many requests it takes, or that it ended under a request. Not thread-safe.
  *
  * <p>Invariants: what is new is sent at once to the own data centre and to one entry in each other
- * one, which relays it there; request limits are repeated with heartbeats, since messages may be
- * lost.
+ * one, which relays it there; request limits and blocked requests are repeated with heartbeats,
+ * since messages may be lost.
  */
 public final class EvidenceGossip {
 
@@ -26,6 +28,7 @@
   private final FleetMessageFactory messages;
   private final TargetLimitTable limits = new TargetLimitTable();
   private final LimitDivision division;
+  private final SuspectRequestTable suspects = new SuspectRequestTable();
 
   EvidenceGossip(
       FleetPreferences preferences,
@@ -50,6 +53,7 @@
     division.recordEntries(
         membership.members(nowNanos), messages.isServing(), expectsOthers, nowNanos);
     limits.expire(nowNanos);
+    suspects.expire(nowNanos);
   }
 
   /** Records that a run of a target announced its shutdown, and sends a new announcement on. */
@@ -87,6 +91,55 @@
                     target.id(), limit.requestsPerSecond().orElse(0), limit.ageMillis(), nowNanos));
   }
 
+  /**
+   * Returns whether a request may be sent to targets now. A blocked request is tried by the entry
+   * that a rendezvous hash names.
+   */
+  public RequestStanding standing(long fingerprint, long nowNanos) {
+    return suspects.standing(fingerprint, division.isFirst(fingerprint, nowNanos), nowNanos);
+  }
+
+  /**
+   * Records that a run of a target ended while it ran a request, and sends that on if it is new.
+   *
+   * @return the targets that have ended under the request; 0 if this was known
+   */
+  public int targetEnded(long fingerprint, TargetIncarnation target, long nowNanos) {
+    if (!suspects.recordEnd(fingerprint, target, nowNanos)) {
+      return 0;
+    }
+    publishSuspect(fingerprint, nowNanos);
+    return suspects.standing(fingerprint, false, nowNanos).endedTargets();
+  }
+
+  /**
+   * Records that a target completed a request, and sends on that it is no longer suspect.
+   *
+   * @return whether it was suspect
+   */
+  public boolean requestCompleted(long fingerprint, long nowNanos) {
+    boolean isChange = suspects.recordCompletion(fingerprint, nowNanos);
+    if (isChange) {
+      publishSuspect(fingerprint, nowNanos);
+    }
+    return isChange;
+  }
+
+  /** Records that a suspect request is sent to a target once more. */
+  public void requestTried(long fingerprint, long nowNanos) {
+    suspects.recordTrial(fingerprint, nowNanos);
+  }
+
+  /** Returns the number of requests that are kept from targets. */
+  public int blockedRequestCount() {
+    return suspects.blockedCount();
+  }
+
+  private void publishSuspect(long fingerprint, long nowNanos) {
+    List<SuspectRequest> described = suspects.describe(List.of(fingerprint), nowNanos);
+    publish(TargetEvidence.suspects(described), nowNanos);
+  }
+
   /** Returns the number of targets with a request limit. */
   public int limitCount() {
     return limits.size();
@@ -101,21 +154,23 @@
       port.viewChanged(false);
     }
     List<TargetLimit> changedLimits = limits.merge(message.evidence().limits(), nowNanos);
-    boolean isRemote = !message.dataCentre().equals(preferences.dataCentre());
-    if (isRemote && !(newlyLeaving.isEmpty() && changedLimits.isEmpty())) {
-      TargetEvidence changed = new TargetEvidence(newlyLeaving, List.of(), changedLimits);
+    List<Long> changedSuspects = suspects.merge(message.evidence().suspects(), nowNanos);
+    TargetEvidence changed =
+        new TargetEvidence(
+            newlyLeaving, List.of(), changedLimits, suspects.describe(changedSuspects, nowNanos));
+    if (!message.dataCentre().equals(preferences.dataCentre()) && !changed.isEmpty()) {
       port.send(membership.localIps(nowNanos), messages.createEvidenceUpdate(changed));
     }
   }
 
   /** Returns all evidence, for an entry that has just started. */
   TargetEvidence all(long nowNanos) {
-    return view.evidence().withLimits(limits.newest(nowNanos));
+    return view.evidence().with(limits.newest(nowNanos), suspects.newest(nowNanos));
   }
 
   /** Returns the evidence that is repeated with heartbeats. */
   TargetEvidence repeated(long nowNanos) {
-    return TargetEvidence.limits(limits.newest(nowNanos));
+    return TargetEvidence.NONE.with(limits.newest(nowNanos), suspects.newestBlocked(nowNanos));
   }
 
   private void publish(TargetEvidence evidence, long nowNanos) {
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/LimitDivision.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/LimitDivision.java
@@ -94,20 +94,28 @@
    * @param ageMillis time since the last response that named the limit, in ms
    */
   LimitShare shareOf(String targetId, double limit, long ageMillis, long nowNanos) {
-    if (!mayHaveShare || nowNanos - SETTLING_NANOS < startedNanos) {
+    if (!mayHaveShare(nowNanos)) {
       return LimitShare.none(ageMillis);
     }
     double used = Math.max(MIN_LIMIT, limit);
     double burst = MIN_SENDERS + SENDERS_PER_REQUEST * used;
     int senders = Math.min((int) burst, others.size() + 1);
-    if (ranksByTarget.computeIfAbsent(targetId, this::ownRank) >= senders) {
+    if (ranksByTarget.computeIfAbsent(targetId, id -> ownRank(RendezvousHash.of(id))) >= senders) {
       return LimitShare.none(ageMillis);
     }
     return new LimitShare(USED_FRACTION * used / senders, burst / senders, ageMillis);
   }
 
-  private int ownRank(String targetId) {
-    long key = RendezvousHash.of(targetId);
+  /** Returns whether this entry is the first of all in the order that belongs to a key. */
+  boolean isFirst(long key, long nowNanos) {
+    return mayHaveShare(nowNanos) && ownRank(key) == 0;
+  }
+
+  private boolean mayHaveShare(long nowNanos) {
+    return mayHaveShare && nowNanos - SETTLING_NANOS >= startedNanos;
+  }
+
+  private int ownRank(long key) {
     long own = RendezvousHash.weight(key, RendezvousHash.of(ownIp));
     int rank = 0;
     for (String ip : others.keySet()) {
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
@@ -64,6 +64,7 @@
   private final Runnable scheduleTimer;
   private final AttemptTable attempts = new AttemptTable();
   private final RequestAnswers answers;
+  private final AttemptEnds ends;
   private final boolean[] atNominalSpeed = new boolean[AttemptTable.CAPACITY];
   private Phase phase = Phase.ARRIVING;
   private @Nullable PlacementTicket ticket;
@@ -80,6 +81,7 @@
     this.dispatcher = dispatcher;
     recorder = new RequestRecorder(dispatcher, journal);
     answers = new RequestAnswers(attempts, recorder);
+    ends = new AttemptEnds(dispatcher, attempts);
     this.scheduleTimer = scheduleTimer;
   }
 
@@ -89,6 +91,7 @@
       return new Decision.Finish();
     }
     recorder.arrived(head.requestId(), nowNanos);
+    ends.arrived(head.fingerprint());
     isForwardedHere = head.forwardedBy().isPresent();
     earlierAttempts = head.forwardedBy().map(ForwardedBy::earlierAttempts).orElse(0);
     long requiredVersion = head.forwardedBy().map(ForwardedBy::rulesVersion).orElse(0L);
@@ -147,6 +150,7 @@
       dispatcher.failed(target, nowNanos);
       return attemptFailed(current, "turned away by the target", target, nowNanos);
     }
+    dispatcher.crashes().completed(ends.fingerprint(), nowNanos);
     if (head.status() >= SERVER_ERROR && current.route().isIdempotent()) {
       attempts.close(attempt);
       dispatcher.failed(target, nowNanos);
@@ -238,16 +242,8 @@
     if (phase != Phase.ACTIVE || current == null || !attempts.isOpen(attempt)) {
       return await();
     }
-    attempts.close(attempt);
     int target = attempts.target(attempt);
-    if (fault == ConnectionFault.MALFORMED || fault == ConnectionFault.LIMITED) {
-      dispatcher.failed(target, nowNanos);
-    } else {
-      dispatcher.connectionFailed(target, nowNanos);
-    }
-    if (fault == ConnectionFault.REFUSED || fault == ConnectionFault.CONNECT_TIMEOUT) {
-      current.connectFailed();
-    }
+    ends.connectionFailed(current, attempt, fault, nowNanos);
     return attemptFailed(current, "connection " + fault, target, nowNanos);
   }
 
@@ -276,7 +272,7 @@
 
   @Override
   public Decision cancelled(long nowNanos) {
-    abandonAll();
+    ends.abandonAll();
     phase = Phase.DONE;
     return new Decision.Finish();
   }
@@ -307,6 +303,11 @@
     if (isForwardedHere && dispatcher.forwarding().isIsolated() && attempts.nothingSent()) {
       return answer(MISDIRECTED, "no target is reached here either", 0, nowNanos);
     }
+    long blockedMillis = dispatcher.crashes().blockedMillis(ends.fingerprint(), nowNanos);
+    if (blockedMillis > 0) {
+      isPlacing = false;
+      return attempts.hasOpen() ? await() : blocked(blockedMillis, nowNanos);
+    }
     Placement placement = dispatcher.place(current, nowNanos);
     if (placement instanceof Placement.Pending pending) {
       placeAtNanos = pending.placeAgainAtNanos();
@@ -323,17 +324,24 @@
     return giveUp(refused.failure(), refused.retryAfterMillis(), nowNanos);
   }
 
+  private Decision blocked(long millis, long nowNanos) {
+    String detail =
+        "targets ended under requests with fingerprint " + Long.toHexString(ends.fingerprint());
+    Failure failure = new Failure(Step.SELECT_TARGET, Failure.LOCAL, detail);
+    return giveUp(failure, millis, nowNanos);
+  }
+
   private Decision send(PlacementTicket current, int target, long nowNanos) {
     int attempt = attempts.open(target, nowNanos);
     atNominalSpeed[attempt] = dispatcher.isAtNominalSpeed(target, nowNanos);
     hedgeAtNanos = HedgeSchedule.hedgeAtNanos(dispatcher, current, target, nowNanos);
     recorder.sent(current, attempt, target, nowNanos);
-    dispatcher.started(target);
+    ends.started(target, nowNanos);
     return new Decision.Send(attempt, target, ConnectionKind.RECENTLY_LIVE, deadlineNanos);
   }
 
   private Decision relay(int attempt) {
-    abandonAll();
+    ends.abandonAll();
     phase = Phase.RELAYING;
     relayedAttempt = attempt;
     return new Decision.Relay(attempt);
@@ -368,16 +376,12 @@
     if (earlierAttempts + attempts.sentCount() >= current.route().maxAttempts()) {
       return false;
     }
-    return current.route().isIdempotent() || NotRunProof.of(attempts).isPresent();
+    boolean isSafe = current.route().isIdempotent() || NotRunProof.of(attempts).isPresent();
+    return isSafe && dispatcher.crashes().mayResend(ends.fingerprint(), nowNanos);
   }
 
   private Decision timedOut(long nowNanos) {
-    for (int i = 0; i < attempts.size(); i++) {
-      if (attempts.isOpen(i)) {
-        attempts.close(i);
-        dispatcher.timedOut(attempts.target(i), nowNanos);
-      }
-    }
+    ends.timeOutAll(nowNanos);
     return giveUp(
         new Failure(Step.AWAIT_RESPONSE, Failure.LOCAL, "time-out of the route or the caller"),
         STARTING_RETRY_AFTER_MILLIS,
@@ -389,27 +393,18 @@
    * outcome.
    */
   private Decision giveUp(Failure failure, long retryAfterMillis, long nowNanos) {
-    abandonAll();
+    ends.abandonAll();
     phase = Phase.DONE;
     return answers.givenUp(failure, retryAfterMillis, nowNanos);
   }
 
   /** Answers a request that was not placed. */
   private Decision answer(int status, String detail, long retryAfterMillis, long nowNanos) {
-    abandonAll();
+    ends.abandonAll();
     phase = Phase.DONE;
     return answers.notPlaced(status, detail, retryAfterMillis, nowNanos);
   }
 
-  private void abandonAll() {
-    for (int i = 0; i < attempts.size(); i++) {
-      if (attempts.isOpen(i)) {
-        attempts.close(i);
-        dispatcher.abandoned(attempts.target(i));
-      }
-    }
-  }
-
   private String peer(int target) {
     return "target " + target;
   }
--- a/chivecross-core/src/main/java/org/chivecross/model/fleet/TargetEvidence.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/fleet/TargetEvidence.java
@@ -8,9 +8,13 @@
  * @param leaving runs that announced their shutdown, in the store or in a response
  * @param removed runs whose registration was removed, which an older copy of the store may restore
  * @param limits request limits that runs named, and ends of such limits
+ * @param suspects requests under which runs ended
  */
 public record TargetEvidence(
-    List<TargetIncarnation> leaving, List<RemovedTarget> removed, List<TargetLimit> limits) {
+    List<TargetIncarnation> leaving,
+    List<RemovedTarget> removed,
+    List<TargetLimit> limits,
+    List<SuspectRequest> suspects) {
 
   /** No evidence. */
   public static final TargetEvidence NONE = new TargetEvidence(List.of(), List.of());
@@ -19,21 +23,32 @@
     leaving = List.copyOf(leaving);
     removed = List.copyOf(removed);
     limits = List.copyOf(limits);
+    suspects = List.copyOf(suspects);
   }
 
-  /** Creates evidence without request limits. */
+  /** Creates evidence without request limits and suspect requests. */
   public TargetEvidence(List<TargetIncarnation> leaving, List<RemovedTarget> removed) {
-    this(leaving, removed, List.of());
+    this(leaving, removed, List.of(), List.of());
   }
 
   /** Returns evidence about request limits only. */
   public static TargetEvidence limits(List<TargetLimit> limits) {
-    return new TargetEvidence(List.of(), List.of(), limits);
+    return new TargetEvidence(List.of(), List.of(), limits, List.of());
   }
 
-  /** Returns this evidence with request limits. */
-  public TargetEvidence withLimits(List<TargetLimit> added) {
-    return new TargetEvidence(leaving, removed, added);
+  /** Returns evidence about suspect requests only. */
+  public static TargetEvidence suspects(List<SuspectRequest> suspects) {
+    return new TargetEvidence(List.of(), List.of(), List.of(), suspects);
+  }
+
+  /** Returns this evidence with other request limits and suspect requests. */
+  public TargetEvidence with(List<TargetLimit> otherLimits, List<SuspectRequest> otherSuspects) {
+    return new TargetEvidence(leaving, removed, otherLimits, otherSuspects);
+  }
+
+  /** Returns whether there is no evidence. */
+  public boolean isEmpty() {
+    return leaving.isEmpty() && removed.isEmpty() && limits.isEmpty() && suspects.isEmpty();
   }
 
   /** Returns evidence that a run of a target is leaving. */
--- a/chivecross-core/src/main/java/org/chivecross/model/request/RequestHead.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/request/RequestHead.java
@@ -15,6 +15,8 @@
  * @param bodyBytes size of the body as far as it is known when the request starts
  * @param requestId id that the caller gave this attempt of its request; empty when it gave none
  * @param forwardedBy entry that forwarded the request; empty for one that a caller sent here
+ * @param fingerprint hash of the content of the request, the same for each of its attempts and at
+ *     each entry
  */
 public record RequestHead(
     String method,
@@ -26,7 +28,34 @@
     boolean hasBody,
     long bodyBytes,
     String requestId,
-    Optional<ForwardedBy> forwardedBy) {
+    Optional<ForwardedBy> forwardedBy,
+    long fingerprint) {
+
+  /** Creates the head of a request whose content is not compared with that of others. */
+  public RequestHead(
+      String method,
+      String host,
+      String path,
+      Optional<Long> deadlineMillis,
+      int depth,
+      Optional<String> idempotencyKey,
+      boolean hasBody,
+      long bodyBytes,
+      String requestId,
+      Optional<ForwardedBy> forwardedBy) {
+    this(
+        method,
+        host,
+        path,
+        deadlineMillis,
+        depth,
+        idempotencyKey,
+        hasBody,
+        bodyBytes,
+        requestId,
+        forwardedBy,
+        0);
+  }
 
   /** Creates the head of a request that a caller sent here. */
   public RequestHead(
--- a/chivecross-core/src/test/java/org/chivecross/logic/dispatch/LimitedTargetTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/LimitedTargetTest.java
@@ -39,10 +39,12 @@
   private final Dispatcher dispatcher =
       new Dispatcher(
           new DispatchPreferences("a", 20, 10, 1_000, 0.5, 100, 10_000),
-          probes::add,
-          target -> {},
-          ForwardingPort.NONE,
-          new FakePort(),
+          new DispatchPorts(
+              probes::add,
+              target -> {},
+              ForwardingPort.NONE,
+              new FakePort(),
+              SuspectRequestPort.NONE),
           new SplittableRandom(5));
   private long now = 1_000 * MILLI;
 
--- a/chivecross-core/src/test/java/org/chivecross/logic/request/ForwardedRequestMachineTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/request/ForwardedRequestMachineTest.java
@@ -15,11 +15,13 @@
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import org.chivecross.logic.dispatch.DispatchPorts;
 import org.chivecross.logic.dispatch.DispatchPreferences;
 import org.chivecross.logic.dispatch.Dispatcher;
 import org.chivecross.logic.dispatch.ForwardingPort;
 import org.chivecross.logic.dispatch.RequestForwarding;
 import org.chivecross.logic.dispatch.RequestLimitPort;
+import org.chivecross.logic.dispatch.SuspectRequestPort;
 import org.chivecross.model.fileset.RequestClass;
 import org.chivecross.model.registry.RegisteredTarget;
 import org.chivecross.model.request.ConnectionFault;
@@ -59,10 +61,12 @@
   private final Dispatcher dispatcher =
       new Dispatcher(
           new DispatchPreferences("a", 20, 10, 1_000, 0.5, 100, 10_000),
-          probes::add,
-          target -> {},
-          new FakePort(),
-          RequestLimitPort.NONE,
+          new DispatchPorts(
+              probes::add,
+              target -> {},
+              new FakePort(),
+              RequestLimitPort.NONE,
+              SuspectRequestPort.NONE),
           new SplittableRandom(5));
   private final DispatchRequestMachines machines =
       new DispatchRequestMachines(dispatcher, (id, event) -> {});
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -17,6 +17,7 @@
 import org.chivecross.cli.entry.http.TargetProber;
 import org.chivecross.cli.entry.metrics.EntryMetrics;
 import org.chivecross.cli.log.EventLog;
+import org.chivecross.logic.dispatch.DispatchPorts;
 import org.chivecross.logic.dispatch.Dispatcher;
 import org.chivecross.logic.fleet.FleetDirectory;
 import org.chivecross.logic.fleet.FleetNode;
@@ -31,7 +32,7 @@
 import org.chivecross.model.fleet.FleetMessage;
 import org.chivecross.model.fleet.TargetIncarnation;
 import org.chivecross.model.registry.RegisteredTarget;
-import org.chivecross.model.request.ResponseHead;
+import org.chivecross.model.request.ProbeResult;
 import org.chivecross.model.ruleset.RouteRule;
 import org.chivecross.model.ruleset.RuleSet;
 import org.chivecross.model.ruleset.ServiceRule;
@@ -108,10 +109,12 @@
     dispatcher =
         new Dispatcher(
             settings.dispatch(),
-            this::probe,
-            this::leavingAnnounced,
-            new IsolationMonitor(lock, scheduler, node),
-            new RequestLimitMonitor(node.evidence()),
+            new DispatchPorts(
+                this::probe,
+                this::leavingAnnounced,
+                new IsolationMonitor(lock, scheduler, node),
+                new RequestLimitMonitor(node.evidence()),
+                new SuspectRequestMonitor(node.evidence())),
             dispatchRandom);
     PrometheusRegistry registry = new PrometheusRegistry();
     metrics = new EntryMetrics(registry, this::serviceName);
@@ -372,7 +375,7 @@
     Optional<RegisteredTarget> target = dispatcher.target(row);
     ServiceRule service = target.map(t -> services.get(t.service())).orElse(null);
     if (service == null) {
-      scheduler.execute(() -> probeEnded(row, false, Optional.empty()));
+      scheduler.execute(() -> probeEnded(row, new ProbeResult.Failed(false)));
       return;
     }
     prober.probe(
@@ -380,12 +383,12 @@
         target.get().address(),
         service.healthPath(),
         Dispatcher.probeTimeoutMillis(),
-        (healthy, head) -> probeEnded(row, healthy, head));
+        result -> probeEnded(row, result));
   }
 
-  private void probeEnded(int row, boolean healthy, Optional<ResponseHead> head) {
+  private void probeEnded(int row, ProbeResult result) {
     synchronized (lock) {
-      dispatcher.probeEnded(row, healthy, head, System.nanoTime());
+      dispatcher.probeEnded(row, result, System.nanoTime());
     }
   }
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
@@ -82,6 +82,14 @@
         "chivecross_requests_on_limited_targets",
         "Requests placed on targets with a request limit",
         guarded(lock, dispatcher::limitedCount));
+    metrics.gauge(
+        "chivecross_blocked_fingerprints",
+        "Requests that are kept from targets because several targets ended under them",
+        guarded(lock, () -> node.evidence().blockedRequestCount()));
+    metrics.counter(
+        "chivecross_requests_blocked",
+        "Times that such a request was refused",
+        guarded(lock, () -> dispatcher.crashes().blockedCount()));
     metrics.gauge(
         "chivecross_entries",
         "Entries known to be alive, this one included",
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/BodyFlow.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/BodyFlow.java
@@ -65,7 +65,7 @@
    * @return whether the body can no longer be sent to another attempt
    */
   boolean sendTo(Attempt attempt) {
-    Buffer content = body.retainedContent(memory);
+    Buffer content = retainedContent();
     boolean complete = body.isComplete();
     if (!complete) {
       body.startStreaming();
@@ -78,9 +78,14 @@
     return !complete;
   }
 
+  /** Returns what was received and is still kept. */
+  Buffer retainedContent() {
+    return body.retainedContent(memory);
+  }
+
   /** Returns a copy of a body that is complete and was kept completely. */
   byte[] wholeBytes() {
-    Buffer content = body.retainedContent(memory);
+    Buffer content = retainedContent();
     byte[] bytes = new byte[content.remaining()];
     content.get(bytes);
     return bytes;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -226,8 +226,7 @@
     times.ready(readyNanos);
     long elapsed = TimeUnit.NANOSECONDS.toMillis(readyNanos - times.arrivedNanos());
     RequestHead head =
-        RequestHeads.toDecisionHead(
-            request, elapsed, body.receivedBytes(), ports.dialect(), services.forwarded());
+        RequestHeads.toDecisionHead(request, elapsed, body, ports.dialect(), services.forwarded());
     services.inFlight().add(this);
     long now = System.nanoTime();
     carryOut(machine.arrived(head, now), now);
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestHeads.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestHeads.java
@@ -30,16 +30,17 @@
    * Returns the parts of a request head that the decisions need.
    *
    * @param elapsedMillis time since the head arrived, in ms; deducted from the caller's deadline
-   * @param bodyBytes bytes of the body that have arrived
+   * @param body body as far as it has arrived
    * @param forwarded whether another entry forwarded the request
    */
   static RequestHead toDecisionHead(
       HttpRequestPacket request,
       long elapsedMillis,
-      long bodyBytes,
+      BodyFlow body,
       RequestDialect dialect,
       boolean forwarded) {
     MimeHeaders headers = request.getHeaders();
+    long bodyBytes = body.receivedBytes();
     Optional<Long> deadline =
         dialect.deadlineMillis(headers).map(millis -> Math.max(0, millis - elapsedMillis));
     return new RequestHead(
@@ -52,7 +53,8 @@
         hasBody(request),
         Math.max(bodyBytes, request.getContentLength()),
         dialect.requestId(headers).orElse(""),
-        forwarded ? Optional.of(forwardedBy(headers)) : Optional.empty());
+        forwarded ? Optional.of(forwardedBy(headers)) : Optional.empty(),
+        RequestFingerprint.of(request, body.retainedContent()));
   }
 
   private static ForwardedBy forwardedBy(MimeHeaders headers) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/TargetProber.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/TargetProber.java
@@ -1,9 +1,9 @@
 package org.chivecross.cli.entry.http;
 
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.ConnectionKind;
+import org.chivecross.model.request.ProbeResult;
 import org.chivecross.model.request.ResponseHead;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.HttpContent;
@@ -36,13 +36,8 @@
   @FunctionalInterface
   public interface ProbeListener {
 
-    /**
-     * Handles the result.
-     *
-     * @param healthy whether the target answered with status 200
-     * @param head its answer; empty if none arrived in time
-     */
-    void ended(boolean healthy, Optional<ResponseHead> head);
+    /** Handles the result. */
+    void ended(ProbeResult result);
   }
 
   /**
@@ -72,7 +67,6 @@
     private boolean retried;
     private @Nullable UpstreamConnection connection;
     private boolean over;
-    private Optional<ResponseHead> answer = Optional.empty();
 
     Probe(int target, String host, String path, ProbeListener listener) {
       this.target = target;
@@ -116,7 +110,6 @@
         if (!dialect.isResponseToProbe(head)) {
           isForeign = true;
         }
-        answer = Optional.of(dialect.toDecisionHead(head));
         if (!content.isLast() && !isForeign) {
           return true;
         }
@@ -138,9 +131,10 @@
       }
       if (isForeign) {
         org.tinylog.Logger.info("late response on a probed connection to {}: closed", host);
-        listener.ended(false, Optional.empty());
+        listener.ended(new ProbeResult.Failed(false));
       } else {
-        listener.ended(head.getStatus() == OK, answer);
+        ResponseHead answer = dialect.toDecisionHead(head);
+        listener.ended(new ProbeResult.Responded(head.getStatus() == OK, answer));
       }
       return true;
     }
@@ -167,7 +161,7 @@
       if (used != null) {
         used.close();
       }
-      listener.ended(false, Optional.empty());
+      listener.ended(new ProbeResult.Failed(fault == ConnectionFault.REFUSED));
     }
 
     @Override
--- a/chivecross-wire/src/main/java/org/chivecross/wire/fleet/FleetCodec.java
+++ b/chivecross-wire/src/main/java/org/chivecross/wire/fleet/FleetCodec.java
@@ -3,12 +3,14 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import org.chivecross.model.failure.Result;
 import org.chivecross.model.failure.Step;
 import org.chivecross.model.fleet.FleetMember;
 import org.chivecross.model.fleet.FleetMessage;
 import org.chivecross.model.fleet.RemovedTarget;
 import org.chivecross.model.fleet.StoreVersion;
+import org.chivecross.model.fleet.SuspectRequest;
 import org.chivecross.model.fleet.TargetEvidence;
 import org.chivecross.model.fleet.TargetIncarnation;
 import org.chivecross.model.fleet.TargetLimit;
@@ -20,6 +22,7 @@
 import org.chivecross.wire.generated.fleet.LimitNote;
 import org.chivecross.wire.generated.fleet.MemberNote;
 import org.chivecross.wire.generated.fleet.RemovalNote;
+import org.chivecross.wire.generated.fleet.SuspectNote;
 import org.chivecross.wire.generated.fleet.TargetNote;
 import org.chivecross.wire.generated.fleet.ViewNote;
 
@@ -62,6 +65,7 @@
               .setEra(removed.era()));
     }
     message.evidence().limits().forEach(limit -> datagram.addLimits(toNote(limit)));
+    message.evidence().suspects().forEach(suspect -> datagram.addSuspects(toNote(suspect)));
     return datagram.build().toByteArray();
   }
 
@@ -116,14 +120,39 @@
         datagram.getRemovalsList().stream()
             .map(note -> new RemovedTarget(toIncarnation(note.getIncarnation()), note.getEra()))
             .toList(),
-        datagram.getLimitsList().stream().map(FleetCodec::toLimit).toList());
+        datagram.getLimitsList().stream().map(FleetCodec::toLimit).toList(),
+        datagram.getSuspectsList().stream().map(FleetCodec::toSuspect).toList());
+  }
+
+  private static SuspectNote toNote(SuspectRequest suspect) {
+    SuspectNote.Builder note =
+        SuspectNote.newBuilder()
+            .setFingerprint(suspect.fingerprint())
+            .setEndAgeMillis(toInt(suspect.endAgeMillis()));
+    suspect.ended().forEach(target -> note.addEnded(toNote(target)));
+    suspect.completedAgeMillis().ifPresent(age -> note.setCompletedAgeMillis(toInt(age)));
+    return note.build();
+  }
+
+  private static int toInt(long millis) {
+    return (int) Math.min(Integer.MAX_VALUE, millis);
+  }
+
+  private static SuspectRequest toSuspect(SuspectNote note) {
+    return new SuspectRequest(
+        note.getFingerprint(),
+        note.getEndedList().stream().map(FleetCodec::toIncarnation).toList(),
+        note.getEndAgeMillis(),
+        note.hasCompletedAgeMillis()
+            ? OptionalLong.of(note.getCompletedAgeMillis())
+            : OptionalLong.empty());
   }
 
   private static LimitNote toNote(TargetLimit limit) {
     LimitNote.Builder note =
         LimitNote.newBuilder()
             .setIncarnation(toNote(limit.incarnation()))
-            .setAgeMillis((int) Math.min(Integer.MAX_VALUE, limit.ageMillis()));
+            .setAgeMillis(toInt(limit.ageMillis()));
     limit.requestsPerSecond().ifPresent(note::setRequestsPerSecond);
     return note.build();
   }
@@ -146,7 +175,7 @@
         ViewNote.newBuilder()
             .setEra(view.version().era())
             .setRevision(view.version().revision())
-            .setAgeMillis((int) Math.min(Integer.MAX_VALUE, view.ageMillis()))
+            .setAgeMillis(toInt(view.ageMillis()))
             .setDigest(view.digest())
             .setRulesVersion(view.rulesVersion())
             .setWhole(view.isSnapshot())
--- a/chivecross-wire/src/test/java/org/chivecross/wire/fleet/FleetCodecTest.java
+++ b/chivecross-wire/src/test/java/org/chivecross/wire/fleet/FleetCodecTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import org.chivecross.model.failure.Result;
 import org.chivecross.model.fileset.RequestClass;
@@ -18,6 +19,7 @@
 import org.chivecross.model.fleet.FleetMessage;
 import org.chivecross.model.fleet.RemovedTarget;
 import org.chivecross.model.fleet.StoreVersion;
+import org.chivecross.model.fleet.SuspectRequest;
 import org.chivecross.model.fleet.TargetEvidence;
 import org.chivecross.model.fleet.TargetIncarnation;
 import org.chivecross.model.fleet.TargetLimit;
@@ -86,7 +88,11 @@
             List.of(
                 new TargetLimit(new TargetIncarnation("i-5", 6), OptionalDouble.of(2.2), 40),
                 new TargetLimit(new TargetIncarnation("i-6", 7), OptionalDouble.of(0), 0),
-                new TargetLimit(new TargetIncarnation("i-7", 8), OptionalDouble.empty(), 9))));
+                new TargetLimit(new TargetIncarnation("i-7", 8), OptionalDouble.empty(), 9)),
+            List.of(
+                new SuspectRequest(
+                    -5, List.of(new TargetIncarnation("i-8", 9)), 77, OptionalLong.empty()),
+                new SuspectRequest(6, List.of(), 5, OptionalLong.of(0)))));
   }
 
   @Test
