Ask which entry tries a blocked request only when a trial is possible

Cause: each placement of any request ranked all entries by hash, although hardly any request is suspect. Change: the rank is computed once a trial of a blocked request is possible. Check: SuspectRequestTest, CrashingRequestMachineTest, RequestLimitTest.

--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/EvidenceGossip.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/EvidenceGossip.java
@@ -96,7 +96,7 @@
    * that a rendezvous hash names.
    */
   public RequestStanding standing(long fingerprint, long nowNanos) {
-    return suspects.standing(fingerprint, division.isFirst(fingerprint, nowNanos), nowNanos);
+    return suspects.standing(fingerprint, () -> division.isFirst(fingerprint, nowNanos), nowNanos);
   }
 
   /**
@@ -109,7 +109,7 @@
       return 0;
     }
     publishSuspect(fingerprint, nowNanos);
-    return suspects.standing(fingerprint, false, nowNanos).endedTargets();
+    return suspects.standing(fingerprint, () -> false, nowNanos).endedTargets();
   }
 
   /**
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/SuspectRequestTable.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/SuspectRequestTable.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.chivecross.model.fleet.RequestStanding;
 import org.chivecross.model.fleet.SuspectRequest;
 import org.chivecross.model.fleet.TargetIncarnation;
@@ -118,7 +119,7 @@
    *
    * @param mayTry whether this entry is the one that tries the request if it is blocked
    */
-  RequestStanding standing(long fingerprint, boolean mayTry, long nowNanos) {
+  RequestStanding standing(long fingerprint, BooleanSupplier mayTry, long nowNanos) {
     Suspect suspect = suspects.get(fingerprint);
     if (suspect == null) {
       return RequestStanding.GOOD;
@@ -129,7 +130,7 @@
       return new RequestStanding(ended, 0);
     }
     long trialNanos = suspect.nextTrialNanos();
-    if (mayTry && nowNanos >= trialNanos) {
+    if (nowNanos >= trialNanos && mayTry.getAsBoolean()) {
       return new RequestStanding(ended, 0);
     }
     long endNanos = trialNanos == Long.MAX_VALUE ? nowNanos + BLOCKED_RETENTION_NANOS : trialNanos;
--- a/chivecross-core/src/test/java/org/chivecross/logic/fleet/SuspectRequestTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fleet/SuspectRequestTest.java
@@ -25,7 +25,7 @@
   }
 
   private boolean isBlocked(long nowNanos) {
-    return table.standing(REQUEST, false, nowNanos).isBlocked();
+    return table.standing(REQUEST, () -> false, nowNanos).isBlocked();
   }
 
   @Test
@@ -44,7 +44,7 @@
     table.recordEnd(REQUEST, target(2), 2 * SECOND);
     assertTrue(table.recordCompletion(REQUEST, 3 * SECOND));
     assertFalse(table.recordEnd(REQUEST, target(3), 2 * SECOND));
-    assertEquals(0, table.standing(REQUEST, false, 4 * SECOND).endedTargets());
+    assertEquals(0, table.standing(REQUEST, () -> false, 4 * SECOND).endedTargets());
   }
 
   /** A request that ends each target must not reach more than three after it is blocked. */
@@ -56,8 +56,9 @@
     int trials = 0;
     for (long second = 3; second < 100_000; second++) {
       long now = second * SECOND;
-      assertTrue(table.standing(REQUEST, false, now).isBlocked(), "an entry that is not the first");
-      if (!table.standing(REQUEST, true, now).isBlocked()) {
+      assertTrue(
+          table.standing(REQUEST, () -> false, now).isBlocked(), "an entry that is not the first");
+      if (!table.standing(REQUEST, () -> true, now).isBlocked()) {
         assertTrue(second >= 30, "tried after " + second + " s");
         trials++;
         table.recordTrial(REQUEST, now);
@@ -87,8 +88,8 @@
     }
     table.expire(2 * SECOND);
     assertTrue(isBlocked(2 * SECOND), "blocked requests are kept before others");
-    assertEquals(0, table.standing(0, false, 2 * SECOND).endedTargets());
-    assertEquals(1, table.standing(9_999, false, 2 * SECOND).endedTargets());
+    assertEquals(0, table.standing(0, () -> false, 2 * SECOND).endedTargets());
+    assertEquals(1, table.standing(9_999, () -> false, 2 * SECOND).endedTargets());
     table.expire(SECOND * 3_600 * 2);
     assertFalse(isBlocked(SECOND * 3_600 * 2));
   }
@@ -152,7 +153,7 @@
           break;
         }
       }
-      blocked += table.standing(fingerprint, false, now).isBlocked() ? 1 : 0;
+      blocked += table.standing(fingerprint, () -> false, now).isBlocked() ? 1 : 0;
     }
     assertTrue(blocked <= mostBlocked, blocked + " of " + requests);
   }
