Send nothing to a limited target that has just failed

Cause: limited targets aren't probed. One that no longer responds got a request from each entry with a share every second until the store removed it. Change: a remembered failure keeps requests away for some seconds. Check: LimitedTargetTest.failedTargetGetsNoRequestForSomeSeconds; without the change the target gets one request for each token.

--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/LimitedTargets.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/LimitedTargets.java
@@ -27,6 +27,9 @@
   /** Time for which a bucket is filled at once; the entry may have had no share before. */
   private static final double MAX_REFILL_SECONDS = 1;
 
+  /** Remembered failures from which a target gets no request; one lasts for some seconds. */
+  private static final double MAX_FAILURES = 0.25;
+
   /** Buckets from which those of targets without a limit are dropped. */
   private static final int MAX_BUCKETS = 512;
 
@@ -104,7 +107,7 @@
       Optional<LimitShare> share = share(row, nowNanos);
       if (share.isPresent()
           && share.get().ageMillis() > MAX_RESPONSE_AGE_MILLIS
-          && !ticket.isTried(row)
+          && mayTry(ticket, row, nowNanos)
           && tokens(row, share.get(), nowNanos) >= 1) {
         return takeToken(row);
       }
@@ -120,7 +123,7 @@
   int take(PlacementTicket ticket, int[] rows, long nowNanos) {
     int[] withToken =
         Arrays.stream(rows)
-            .filter(row -> !ticket.isTried(row) && hasToken(row, nowNanos))
+            .filter(row -> mayTry(ticket, row, nowNanos) && hasToken(row, nowNanos))
             .toArray();
     if (withToken.length == 0) {
       return DispatchTargetTable.NONE;
@@ -151,6 +154,11 @@
     return sentCount;
   }
 
+  /** Without probes, a target that doesn't respond would get requests until it is removed. */
+  private boolean mayTry(PlacementTicket ticket, int row, long nowNanos) {
+    return !ticket.isTried(row) && targets.failures(row, nowNanos) < MAX_FAILURES;
+  }
+
   private boolean hasToken(int row, long nowNanos) {
     Optional<LimitShare> share = share(row, nowNanos);
     return share.isPresent() && tokens(row, share.get(), nowNanos) >= 1;
--- a/chivecross-core/src/test/java/org/chivecross/logic/dispatch/LimitedTargetTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/LimitedTargetTest.java
@@ -118,6 +118,26 @@
     assertEquals(onLimited, dispatcher.limitedCount());
   }
 
+  /** A limited target isn't probed, so only requests show that it doesn't respond. */
+  @Test
+  void failedTargetGetsNoRequestForSomeSeconds() {
+    applyTargets(2);
+    shares.put("t1", new LimitShare(5, 1, 5_000));
+    int onLimited = 0;
+    for (int i = 0; i < 500; i++) {
+      now += 10 * MILLI;
+      Placement.Chosen chosen = assertInstanceOf(Placement.Chosen.class, place(open()));
+      dispatcher.started(chosen.target());
+      if (dispatcher.target(chosen.target()).orElseThrow().id().equals("t1")) {
+        onLimited++;
+        dispatcher.failed(chosen.target(), now);
+      } else {
+        dispatcher.abandoned(chosen.target());
+      }
+    }
+    assertTrue(onLimited >= 1 && onLimited <= 3, onLimited + " in 5 s");
+  }
+
   @Test
   void entryWithoutAShareSendsNothingToALimitedTarget() {
     applyTargets(2);
