--- a/chivecross-bench/src/main/java/org/chivecross/cli/experiment/RealFleet.java
+++ b/chivecross-bench/src/main/java/org/chivecross/cli/experiment/RealFleet.java
@@ -11,12 +11,14 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.tinylog.Logger;
 
 /** Entry processes started on the loopback interface. Not thread-safe. */
 final class RealFleet implements AutoCloseable {
 
   private static final Duration TIMEOUT = Duration.ofSeconds(2);
   private static final int DATA_CENTRES = 3;
+  private static final int FIRST_PORT = 22_000;
 
   /** An entry process and its ports for callers, administration and peers. */
   record RealEntry(Process process, int listen, int admin, int peer) {}
@@ -37,12 +39,12 @@
    */
   void start(int count, int connectedCount, int platformPort, List<String> entryFlags)
       throws IOException {
-    List<Integer> ports = freePorts(3 * count);
+    List<Integer> ports = unusedPorts(3 * count);
     StringBuilder peers = new StringBuilder();
     for (int i = 0; i < Math.min(count, 5); i++) {
       peers.append(i == 0 ? "" : ",").append("127.0.0.1:").append(ports.get(3 * i + 2));
     }
-    int closedPort = freePorts(1).get(0);
+    int closedPort = unusedPorts(3 * count + 1).get(3 * count);
     for (int i = 0; i < count; i++) {
       List<String> command =
           new ArrayList<>(
@@ -167,16 +169,18 @@
     entries.forEach(entry -> entry.process().destroyForcibly());
   }
 
-  private static List<Integer> freePorts(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
+  /**
+   * Returns ports below the range from which outgoing connections get theirs; one that such a
+   * connection takes after this check could not be bound.
+   */
+  private static List<Integer> unusedPorts(int count) {
     List<Integer> ports = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      ServerSocket socket = new ServerSocket(0);
-      sockets.add(socket);
-      ports.add(socket.getLocalPort());
-    }
-    for (ServerSocket socket : sockets) {
-      socket.close();
+    for (int port = FIRST_PORT; ports.size() < count; port++) {
+      try (ServerSocket socket = new ServerSocket(port)) {
+        ports.add(socket.getLocalPort());
+      } catch (IOException e) {
+        Logger.debug("port {} is in use", port);
+      }
     }
     return ports;
   }
