--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/DispatchPreferences.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/DispatchPreferences.java
@@ -1,5 +1,6 @@
 package org.chivecross.logic.dispatch;
 
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -13,6 +14,7 @@
  * @param retryBudgetFixed retries and hedged requests allowed in each window independently of the
  *     number of requests
  * @param retryBudgetWindowMillis length of that window, in ms
+ * @param regions region of each data centre
  */
 public record DispatchPreferences(
     String dataCentre,
@@ -21,7 +23,32 @@
     double probesPerTargetAndSecond,
     double retryBudgetRatio,
     double retryBudgetFixed,
-    long retryBudgetWindowMillis) {
+    long retryBudgetWindowMillis,
+    Map<String, String> regions) {
+
+  public DispatchPreferences {
+    regions = Map.copyOf(regions);
+  }
+
+  /** Creates the settings of a deployment whose regions are not known. */
+  public DispatchPreferences(
+      String dataCentre,
+      double crossDataCentreMillis,
+      double crossDataCentreMillisPerKilobyte,
+      double probesPerTargetAndSecond,
+      double retryBudgetRatio,
+      double retryBudgetFixed,
+      long retryBudgetWindowMillis) {
+    this(
+        dataCentre,
+        crossDataCentreMillis,
+        crossDataCentreMillisPerKilobyte,
+        probesPerTargetAndSecond,
+        retryBudgetRatio,
+        retryBudgetFixed,
+        retryBudgetWindowMillis,
+        Map.of());
+  }
 
   long retryBudgetWindowNanos() {
     return TimeUnit.MILLISECONDS.toNanos(retryBudgetWindowMillis);
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/DispatchTargetTable.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/DispatchTargetTable.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.chivecross.model.registry.RegisteredTarget;
 import org.chivecross.model.request.LoadReport;
@@ -19,9 +20,9 @@
  * attempts and failures seen by this entry.
  *
  * <p>Invariants: a row belongs to one incarnation while an attempt or probe refers to it, so a row
- * number held by a request never denotes another target; only rows that are registered and not
- * leaving are usable; an incarnation that announced its shutdown is never usable again. Not
- * thread-safe.
+ * number held by a request never denotes another target; only rows that are registered, not leaving
+ * and in no evacuated data centre are usable; an incarnation that announced its shutdown is never
+ * usable again. Not thread-safe.
  */
 final class DispatchTargetTable {
 
@@ -67,6 +68,7 @@
   private final Deque<Integer> retired = new ArrayDeque<>();
   private final Map<String, Integer> rowsById = new HashMap<>();
   private Map<String, int[]> rowsByService = Map.of();
+  private Set<String> evacuated = Set.of();
 
   /** Replaces the set of registered targets; rows of remaining incarnations keep their state. */
   void apply(Collection<RegisteredTarget> targets, long nowNanos) {
@@ -91,12 +93,36 @@
       int row = existingRow == null ? rowFor(target, nowNanos) : existingRow;
       registered[row] = target;
       leaving[row] |= target.leaving();
-      usable[row] = !leaving[row];
+      usable[row] = isAllowed(row, target);
+      warmUp(row, target.warmupMillis(), nowNanos);
       rowsById.put(target.id(), row);
     }
     indexByService();
   }
 
+  /** Replaces the set of data centres whose targets get nothing. */
+  void evacuate(Set<String> dataCentres) {
+    if (dataCentres.equals(evacuated)) {
+      return;
+    }
+    evacuated = Set.copyOf(dataCentres);
+    for (int row : rowsById.values()) {
+      RegisteredTarget target = registered[row];
+      usable[row] = target != null && isAllowed(row, target);
+    }
+    indexByService();
+  }
+
+  private boolean isAllowed(int row, RegisteredTarget target) {
+    return !leaving[row] && !evacuated.contains(target.dataCentre());
+  }
+
+  /** Records that a target is slow for some more time. */
+  void warmUp(int row, long remainingMillis, long nowNanos) {
+    long endNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(remainingMillis);
+    warmNanos[row] = Math.max(warmNanos[row], endNanos);
+  }
+
   /** Returns the usable rows of a service. */
   int[] usableRows(String service) {
     return rowsByService.getOrDefault(service, new int[0]);
@@ -326,7 +352,7 @@
     slots[row] = Math.max(1, target.slots());
     slowdownPercent[row] = LoadReport.NOMINAL_SLOWDOWN_PERCENT;
     meanSlowdown[row] = fleetMeanSlowdown;
-    warmNanos[row] = nowNanos + TimeUnit.MILLISECONDS.toNanos(target.warmupMillis());
+    warmNanos[row] = nowNanos;
     failures[row] = 0;
     return row;
   }
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.chivecross.model.registry.RegisteredTarget;
@@ -17,9 +18,9 @@
  * of two choices. The load of targets changes within milliseconds, so a request that finds no fresh
  * report of a good target sends probes of its own.
  *
- * <p>Invariants: a target that is leaving, not registered or has asked for a hold-off is neither
- * chosen nor probed; each attempt counted by {@link #started} ends exactly once. Not thread-safe:
- * all calls are made under one lock.
+ * <p>Invariants: a target that is leaving, not registered, in an evacuated data centre or has asked
+ * for a hold-off is neither chosen nor probed; each attempt counted by {@link #started} ends
+ * exactly once. Not thread-safe: all calls are made under one lock.
  */
 public final class Dispatcher {
 
@@ -36,6 +37,7 @@
   private final TargetRanking ranking;
   private final PlacementProbes probes;
   private final LimitedTargets limitedTargets;
+  private final HomeRegions homes;
   private final TargetPlacement placement;
   private final RequestForwarding forwarding;
   private final CrashDetection crashes;
@@ -70,9 +72,10 @@
             ranking,
             new ProbeTokenBucket(preferences.probesPerTargetAndSecond()));
     limitedTargets = new LimitedTargets(ports.limits(), targets, ranking);
+    homes = new HomeRegions(preferences, targets);
     placement =
         new TargetPlacement(
-            targets, ranking, responseTimes, probes, advice, delays, limitedTargets);
+            targets, homes, ranking, responseTimes, probes, advice, delays, limitedTargets);
     forwarding =
         new RequestForwarding(ports.forwarding(), targets, probes, () -> budgetShare, random);
     crashes = new CrashDetection(ports.suspects(), targets, probes, () -> budgetShare);
@@ -90,6 +93,11 @@
     hasTargets = true;
   }
 
+  /** Replaces the set of data centres to whose targets nothing is sent, not even probes. */
+  public void applyEvacuations(Set<String> dataCentres) {
+    targets.evacuate(dataCentres);
+  }
+
   /**
    * Sets this entry's share of the budgets that all entries share.
    *
@@ -157,8 +165,12 @@
     rate.count(nowNanos);
     String service = roundRobin.next(route, random.nextDouble());
     retryBudgets.ofService(service).recordRequest(nowNanos);
-    return new PlacementTicket(
-        route, service, nowNanos, deadlineNanos, bodyBytes, schedulePlacement);
+    PlacementTicket ticket =
+        new PlacementTicket(route, service, nowNanos, deadlineNanos, bodyBytes, schedulePlacement);
+    if (homes.mayLeaveHome(route)) {
+      ticket.forbidForwarding();
+    }
+    return ticket;
   }
 
   /** Takes a retry or hedged request from the budget; false when the budget is used up. */
@@ -198,13 +210,14 @@
   }
 
   /**
-   * Takes note of what a target announced in a response: its shutdown, a hold-off or a request
-   * limit. The load report is not evaluated.
+   * Takes note of what a target announced in a response: its shutdown, a hold-off, a request limit
+   * or a warm-up. The load report is not evaluated.
    */
   public void announced(int row, ResponseHead head, long nowNanos) {
     if (head.requestLimit().isPresent()) {
       limitedTargets.stated(row, head.requestLimit(), nowNanos);
     }
+    head.warmUpMillis().ifPresent(millis -> limitedTargets.warmingUp(row, millis, nowNanos));
     head.holdOffMillis()
         .ifPresent(millis -> targets.holdOff(row, nowNanos + millis * NANOS_PER_MILLI));
     if (head.leaving() && targets.markLeaving(row)) {
@@ -217,7 +230,7 @@
     limitedTargets.stated(row, requestsPerSecond, nowNanos);
   }
 
-  /** Returns the number of requests that were placed on targets with a request limit. */
+  /** Returns the number of requests placed on targets that are limited or warm up. */
   public long limitedCount() {
     return limitedTargets.sentCount();
   }
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/LimitedTargets.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/LimitedTargets.java
@@ -11,8 +11,9 @@
 import org.chivecross.model.registry.RegisteredTarget;
 
 /**
- * Targets that named a request limit for all entries together. They are not probed, and get a
- * request only if the token bucket of this entry's share allows it. Not thread-safe.
+ * Targets that take a limited number of requests from all entries together, since they named a
+ * limit or warm up. They are not probed, and get a request only if the token bucket of this entry's
+ * share allows it. Not thread-safe.
  *
  * <p>Invariant: a bucket is nearly empty when the entry learns of the limit or gets a share of it.
  */
@@ -72,6 +73,12 @@
     targets.target(row).ifPresent(target -> port.responded(target, requestsPerSecond, nowNanos));
   }
 
+  /** Handles a response that said that its target warms up for some time. */
+  void warmingUp(int row, long remainingMillis, long nowNanos) {
+    targets.warmUp(row, remainingMillis, nowNanos);
+    targets.target(row).ifPresent(target -> port.warmingUp(target, remainingMillis, nowNanos));
+  }
+
   /** Returns the rows of targets without a limit. */
   int[] withoutLimit(int[] rows, long nowNanos) {
     boolean[] limited = new boolean[rows.length];
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetPlacement.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetPlacement.java
@@ -35,6 +35,7 @@
   private static final double USABLE_TIME_FRACTION = 0.85;
 
   private final DispatchTargetTable targets;
+  private final HomeRegions homes;
   private final TargetRanking ranking;
   private final ResponseTimeEstimates responseTimes;
   private final PlacementProbes probes;
@@ -44,6 +45,7 @@
 
   TargetPlacement(
       DispatchTargetTable targets,
+      HomeRegions homes,
       TargetRanking ranking,
       ResponseTimeEstimates responseTimes,
       PlacementProbes probes,
@@ -52,6 +54,7 @@
       LimitedTargets limitedTargets) {
     this.limitedTargets = limitedTargets;
     this.targets = targets;
+    this.homes = homes;
     this.ranking = ranking;
     this.responseTimes = responseTimes;
     this.probes = probes;
@@ -65,7 +68,12 @@
    * @param budgetShare this entry's share of the probe budget, from 0 to 1
    */
   Placement place(PlacementTicket ticket, double budgetShare, long nowNanos) {
-    int[] available = targets.availableRows(ticket.service(), nowNanos);
+    int[] usable = targets.availableRows(ticket.service(), nowNanos);
+    int[] available = homes.allowed(ticket.route(), usable);
+    if (available.length == 0 && usable.length > 0) {
+      return refuse(
+          "no usable target of " + ticket.service() + " in a home region", advice.maxMillis());
+    }
     if (available.length == 0) {
       return placeWithoutTargets(ticket, nowNanos);
     }
@@ -132,7 +140,7 @@
     return new Placement.Pending(nowNanos + REPROBE_DELAY_NANOS);
   }
 
-  /** Places a request for which all targets have a request limit. */
+  /** Places a request for which all targets have a request limit or warm up. */
   private Placement placeOnLimited(PlacementTicket ticket, int[] rows, long nowNanos) {
     int row = limitedTargets.take(ticket, rows, nowNanos);
     if (row != DispatchTargetTable.NONE) {
@@ -144,7 +152,7 @@
       return new Placement.Pending(nextNanos);
     }
     return refuse(
-        "request limits of all targets of " + ticket.service() + " are used up",
+        "request limits and warm-up rates of all targets of " + ticket.service() + " are used up",
         advice.afterHoldOffMillis(
             Math.min(advice.maxMillis(), (nextNanos - nowNanos) / NANOS_PER_MILLI)));
   }
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/EvidenceGossip.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/EvidenceGossip.java
@@ -10,14 +10,17 @@
 import org.chivecross.model.fleet.TargetEvidence;
 import org.chivecross.model.fleet.TargetIncarnation;
 import org.chivecross.model.fleet.TargetLimit;
+import org.chivecross.model.fleet.TargetWarmUp;
+import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.ruleset.ServiceRule;
 
 /**
  * Exchanges with other entries what attempts show about targets and requests: that a target leaves,
  * how many requests it takes, or that it ended under a request. Not thread-safe.
  *
  * <p>Invariants: what is new is sent at once to the own data centre and to one entry in each other
- * one, which relays it there; request limits and blocked requests are repeated with heartbeats,
- * since messages may be lost.
+ * one, which relays it there; request limits, warm-ups and blocked requests are repeated with
+ * heartbeats, since messages may be lost.
  */
 public final class EvidenceGossip {
 
@@ -29,17 +32,20 @@
   private final TargetLimitTable limits = new TargetLimitTable();
   private final LimitDivision division;
   private final SuspectRequestTable suspects = new SuspectRequestTable();
+  private final WarmUpTable warmUps;
 
   EvidenceGossip(
       FleetPreferences preferences,
       FleetPort port,
       FleetMembership membership,
       PlatformView view,
+      WarmUpTable warmUps,
       FleetMessageFactory messages) {
     this.preferences = preferences;
     this.port = port;
     this.membership = membership;
     this.view = view;
+    this.warmUps = warmUps;
     this.messages = messages;
     division = new LimitDivision(preferences.ip());
   }
@@ -54,6 +60,53 @@
         membership.members(nowNanos), messages.isServing(), expectsOthers, nowNanos);
     limits.expire(nowNanos);
     suspects.expire(nowNanos);
+    warmUps.expire(nowNanos);
+  }
+
+  /**
+   * Records that a run of a target said that it warms up, and sends that on if it is new.
+   *
+   * @param remainingMillis time until it is warm, in ms; 0 or less if it is warm
+   * @return whether this was not known
+   */
+  public boolean warmingUp(TargetIncarnation target, long remainingMillis, long nowNanos) {
+    boolean isNew = warmUps.record(target, remainingMillis, nowNanos);
+    if (isNew) {
+      TargetWarmUp warmUp = new TargetWarmUp(target, warmUps.remainingMillis(target, nowNanos));
+      publish(TargetEvidence.warmUps(List.of(warmUp)), nowNanos);
+    }
+    return isNew;
+  }
+
+  /**
+   * Returns this entry's share of the requests that a target takes: the smaller one if it both has
+   * a limit and warms up; empty if it takes any number.
+   */
+  public Optional<LimitShare> share(RegisteredTarget target, long nowNanos) {
+    TargetIncarnation incarnation = TargetEvidenceTable.incarnationOf(target);
+    Optional<LimitShare> limited = limitShare(incarnation, nowNanos);
+    Optional<LimitShare> cold = warmUpShare(target, nowNanos);
+    boolean isColdSmaller =
+        cold.isPresent()
+            && (limited.isEmpty()
+                || cold.get().requestsPerSecond() < limited.get().requestsPerSecond());
+    return isColdSmaller ? cold : limited;
+  }
+
+  private Optional<LimitShare> warmUpShare(RegisteredTarget target, long nowNanos) {
+    if (warmUps.remainingMillis(TargetEvidenceTable.incarnationOf(target), nowNanos) == 0) {
+      return Optional.empty();
+    }
+    double perSecond =
+        view.serviceRule(target.service()).map(ServiceRule::warmUpRequestsPerSecond).orElse(0.0);
+    return perSecond > 0
+        ? Optional.of(division.warmUpShareOf(target.id(), perSecond, nowNanos))
+        : Optional.empty();
+  }
+
+  /** Returns the number of targets that warm up. */
+  public int warmUpCount() {
+    return warmUps.size();
   }
 
   /** Records that a run of a target announced its shutdown, and sends a new announcement on. */
@@ -150,14 +203,21 @@
    */
   void received(FleetMessage message, long nowNanos) {
     List<TargetIncarnation> newlyLeaving = view.merge(message.evidence(), nowNanos);
-    if (!newlyLeaving.isEmpty() || !message.evidence().removed().isEmpty()) {
-      port.viewChanged(false);
-    }
     List<TargetLimit> changedLimits = limits.merge(message.evidence().limits(), nowNanos);
     List<Long> changedSuspects = suspects.merge(message.evidence().suspects(), nowNanos);
+    List<TargetWarmUp> newWarmUps = warmUps.merge(message.evidence().warmUps(), nowNanos);
     TargetEvidence changed =
         new TargetEvidence(
-            newlyLeaving, List.of(), changedLimits, suspects.describe(changedSuspects, nowNanos));
+            newlyLeaving,
+            List.of(),
+            changedLimits,
+            suspects.describe(changedSuspects, nowNanos),
+            newWarmUps);
+    boolean changesTargets =
+        !newlyLeaving.isEmpty() || !message.evidence().removed().isEmpty() || !newWarmUps.isEmpty();
+    if (changesTargets) {
+      port.viewChanged(false);
+    }
     if (!message.dataCentre().equals(preferences.dataCentre()) && !changed.isEmpty()) {
       port.send(membership.localIps(nowNanos), messages.createEvidenceUpdate(changed));
     }
@@ -165,12 +225,14 @@
 
   /** Returns all evidence, for an entry that has just started. */
   TargetEvidence all(long nowNanos) {
-    return view.evidence().with(limits.newest(nowNanos), suspects.newest(nowNanos));
+    return view.evidence()
+        .with(limits.newest(nowNanos), suspects.newest(nowNanos), warmUps.current(nowNanos));
   }
 
   /** Returns the evidence that is repeated with heartbeats. */
   TargetEvidence repeated(long nowNanos) {
-    return TargetEvidence.NONE.with(limits.newest(nowNanos), suspects.newestBlocked(nowNanos));
+    return TargetEvidence.NONE.with(
+        limits.newest(nowNanos), suspects.newestBlocked(nowNanos), warmUps.current(nowNanos));
   }
 
   private void publish(TargetEvidence evidence, long nowNanos) {
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
@@ -50,7 +50,8 @@
   private final RandomGenerator random;
   private final StoreReadSchedule reads;
   private final FleetMembership membership;
-  private final PlatformView view = new PlatformView();
+  private final WarmUpTable warmUps = new WarmUpTable();
+  private final PlatformView view = new PlatformView(warmUps);
   private final FleetMessageFactory messages;
   private final LoadShare loadShare = new LoadShare();
   private final EvidenceGossip evidence;
@@ -70,7 +71,7 @@
     this.random = random;
     reads = new StoreReadSchedule(random);
     messages = new FleetMessageFactory(preferences, view);
-    evidence = new EvidenceGossip(preferences, port, membership, view, messages);
+    evidence = new EvidenceGossip(preferences, port, membership, view, warmUps, messages);
   }
 
   /** Expires members and targets, and sends heartbeats and store reads that are scheduled. */
@@ -255,8 +256,13 @@
   }
 
   /** Returns the registered targets and those retained after an outage of the store. */
-  public Collection<RegisteredTarget> targets() {
-    return view.targets();
+  public Collection<RegisteredTarget> targets(long nowNanos) {
+    return view.targets(nowNanos);
+  }
+
+  /** Returns the data centres that the operator evacuates: nothing may be sent to their targets. */
+  public Set<String> evacuated() {
+    return view.evacuated();
   }
 
   /** Returns whether this entry has a view of the store, read by itself or by another entry. */
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/LimitDivision.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/LimitDivision.java
@@ -10,25 +10,34 @@
 import org.chivecross.model.fleet.LimitShare;
 
 /**
- * Divides the request limits of targets among entries. A small limit goes to few entries, chosen by
- * a rendezvous hash of target and entry: if each of many entries could send even a single request
- * at once, they would exceed it together.
+ * Divides the request limits of targets, and the rates that they take while they warm up, among
+ * entries. A small limit goes to few entries, chosen by a rendezvous hash of target and entry: if
+ * each of many entries could send even a single request at once, they would exceed it together.
  *
- * <p>Invariant: the shares that entries with the same members compute add up to at most {@code 0.65
- * * limit} requests per second and {@code 2 + 0.4 * limit} requests at once. In any 4 s they are at
- * most half of what targets bear, {@code 1.5 * 4 * limit + 5}, so that entries may even be divided
- * into two groups that don't know each other. Not thread-safe.
+ * <p>Invariants: the shares that entries with the same members compute add up to at most {@code
+ * 0.65 * limit} requests per second and {@code 2 + 0.4 * limit} requests at once. In any 4 s they
+ * are at most half of what targets bear, {@code 1.5 * 4 * limit + 5}, so that entries may even be
+ * divided into two groups that don't know each other. Shares of a warm-up rate add up to {@code 0.5
+ * * rate} and {@code 2 + 0.25 * rate}: in any second at most half of {@code 1.5 * rate + 8}. Not
+ * thread-safe.
  */
 final class LimitDivision {
 
-  /** Fraction of a limit that is used. */
-  private static final double USED_FRACTION = 0.65;
-
   /** Entries that share the smallest limit; with two, the loss of one costs half of it. */
   private static final int MIN_SENDERS = 2;
 
-  /** Further entries for each request per second of the limit. */
-  private static final double SENDERS_PER_REQUEST = 0.4;
+  /**
+   * How much of a limit is used.
+   *
+   * @param fraction used fraction of the limit
+   * @param sendersPerRequest further entries for each request per second of the limit
+   */
+  private record Use(double fraction, double sendersPerRequest) {}
+
+  private static final Use LIMIT_USE = new Use(0.65, 0.4);
+
+  /** Targets bear a warm-up rate in windows of one second, a limit in those of four. */
+  private static final Use WARM_UP_USE = new Use(0.5, 0.25);
 
   /**
    * Limit that is assumed for a target that takes less, in requests per second. A target without
@@ -94,16 +103,29 @@
    * @param ageMillis time since the last response that named the limit, in ms
    */
   LimitShare shareOf(String targetId, double limit, long ageMillis, long nowNanos) {
+    return shareOf(targetId, Math.max(MIN_LIMIT, limit), LIMIT_USE, ageMillis, nowNanos);
+  }
+
+  /**
+   * Returns this entry's share of the rate that a target takes while it warms up.
+   *
+   * @param perSecond requests per second that it takes from all entries together; above 0
+   */
+  LimitShare warmUpShareOf(String targetId, double perSecond, long nowNanos) {
+    return shareOf(targetId, perSecond, WARM_UP_USE, 0, nowNanos);
+  }
+
+  private LimitShare shareOf(
+      String targetId, double limit, Use use, long ageMillis, long nowNanos) {
     if (!mayHaveShare(nowNanos)) {
       return LimitShare.none(ageMillis);
     }
-    double used = Math.max(MIN_LIMIT, limit);
-    double burst = MIN_SENDERS + SENDERS_PER_REQUEST * used;
+    double burst = MIN_SENDERS + use.sendersPerRequest() * limit;
     int senders = Math.min((int) burst, others.size() + 1);
     if (ranksByTarget.computeIfAbsent(targetId, id -> ownRank(RendezvousHash.of(id))) >= senders) {
       return LimitShare.none(ageMillis);
     }
-    return new LimitShare(USED_FRACTION * used / senders, burst / senders, ageMillis);
+    return new LimitShare(use.fraction() * limit / senders, burst / senders, ageMillis);
   }
 
   /** Returns whether this entry is the first of all in the order that belongs to a key. */
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/PlatformView.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/PlatformView.java
@@ -5,7 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import org.chivecross.model.fleet.RemovedTarget;
 import org.chivecross.model.fleet.StoreChange;
@@ -15,6 +17,7 @@
 import org.chivecross.model.fleet.ViewUpdate;
 import org.chivecross.model.registry.RegisteredTarget;
 import org.chivecross.model.ruleset.RuleSet;
+import org.chivecross.model.ruleset.ServiceRule;
 
 /**
  * This entry's copy of the platform's store: the rules and the registered targets, as of one
@@ -23,7 +26,8 @@
  * <p>Invariants: the versions of the rules and of the store never decrease. A registered target is
  * usable only if no evidence says that this run of it has left. An expired registration that is
  * retained exists in this entry only: it is in no digest and in no update, so its removal here
- * never removes a target from an entry that has received the renewed registration.
+ * never removes a target from an entry that has received the renewed registration. Targets of a
+ * data centre whose evacuation ends count as cold, since nothing says that they stayed warm.
  */
 final class PlatformView {
 
@@ -43,6 +47,8 @@
   private Optional<RuleSet> rules = Optional.empty();
   private long newestAdvertisedRulesVersion;
   private final TargetEvidenceTable evidence = new TargetEvidenceTable();
+  private final WarmUpTable warmUps;
+  private Set<String> evacuated = Set.of();
   private StoreVersion version = StoreVersion.NONE;
   private long asOfNanos = Long.MIN_VALUE;
   private long outageEndNanos = Long.MIN_VALUE / 2;
@@ -54,13 +60,22 @@
   private record ExpiredTarget(RegisteredTarget target, long retainedUntilNanos) {}
 
   /** Changes that a read or an update made to the view. */
-  record Changes(List<RegisteredTarget> registered, List<String> removed, boolean hasNewRules) {
+  record Changes(
+      List<RegisteredTarget> registered,
+      List<String> removed,
+      boolean hasNewRules,
+      boolean hasNewEvacuations) {
 
     boolean isEmpty() {
-      return registered.isEmpty() && removed.isEmpty() && !hasNewRules;
+      return registered.isEmpty() && removed.isEmpty() && !hasNewRules && !hasNewEvacuations;
     }
   }
 
+  /** Creates an empty view that records in {@code warmUps} what registrations say of warm-ups. */
+  PlatformView(WarmUpTable warmUps) {
+    this.warmUps = warmUps;
+  }
+
   /**
    * Applies a read of the store that is not older than the view.
    *
@@ -72,8 +87,31 @@
     if (change.isSnapshot()) {
       removed.addAll(idsMissingFrom(change.registered()));
     }
-    return mergeChanges(
-        change.registered(), removed, change.rules(), change.version(), sentNanos, nowNanos);
+    Changes changes =
+        mergeChanges(
+            change.registered(), removed, change.rules(), change.version(), sentNanos, nowNanos);
+    Set<String> next = new TreeSet<>(change.isSnapshot() ? Set.of() : evacuated);
+    next.addAll(change.evacuated());
+    change.restored().forEach(next::remove);
+    return withEvacuations(changes, next, nowNanos);
+  }
+
+  private Changes withEvacuations(Changes changes, Set<String> next, long nowNanos) {
+    if (next.equals(evacuated)) {
+      return changes;
+    }
+    Set<String> before = evacuated;
+    evacuated = Set.copyOf(next);
+    for (RegisteredTarget target : targets.values()) {
+      String dataCentre = target.dataCentre();
+      if (before.contains(dataCentre) && !evacuated.contains(dataCentre)) {
+        warmUps.record(
+            TargetEvidenceTable.incarnationOf(target),
+            serviceRule(target.service()).map(ServiceRule::warmUpMillis).orElse(0L),
+            nowNanos);
+      }
+    }
+    return new Changes(changes.registered(), changes.removed(), changes.hasNewRules(), true);
   }
 
   /** Applies an update from another entry. */
@@ -92,8 +130,15 @@
     if (!isComplete) {
       return mergeChanges(List.of(), List.of(), update.rules(), version, asOfNanos, nowNanos);
     }
-    return mergeChanges(
-        update.registered(), removed, update.rules(), update.version(), updateAsOfNanos, nowNanos);
+    Changes changes =
+        mergeChanges(
+            update.registered(),
+            removed,
+            update.rules(),
+            update.version(),
+            updateAsOfNanos,
+            nowNanos);
+    return withEvacuations(changes, update.evacuated().orElse(evacuated), nowNanos);
   }
 
   /** Returns whether a read of the store is older than the view. */
@@ -202,7 +247,7 @@
     version = StoreVersion.later(version, newVersion);
     asOfNanos = Math.max(asOfNanos, newAsOfNanos);
     isInitialised |= newAsOfNanos != Long.MIN_VALUE;
-    return new Changes(changed, dropped, hasNewRules);
+    return new Changes(changed, dropped, hasNewRules, false);
   }
 
   /** Adds a registration; returns whether it differs from the known one. */
@@ -221,7 +266,9 @@
     targets.put(target.id(), target);
     boolean isChanged = before == null || !isUnchanged(before, target);
     isDigestCurrent &= !isChanged;
-    return isChanged || wasRemoved != evidence.isRemoved(target);
+    boolean isNewlyCold =
+        warmUps.record(TargetEvidenceTable.incarnationOf(target), target.warmupMillis(), nowNanos);
+    return isChanged || isNewlyCold || wasRemoved != evidence.isRemoved(target);
   }
 
   /** Returns the complete view as an update for another entry. */
@@ -232,9 +279,10 @@
         digest(),
         rulesVersion(),
         true,
-        List.copyOf(targets.values()),
+        targets.values().stream().map(target -> warmUps.withRemaining(target, nowNanos)).toList(),
         List.of(),
-        includesRules ? rules : Optional.empty());
+        includesRules ? rules : Optional.empty(),
+        Optional.of(evacuated));
   }
 
   /** Returns changes as an update for another entry. */
@@ -247,7 +295,8 @@
         false,
         changes.registered(),
         changes.removed(),
-        includesRules ? rules : Optional.empty());
+        includesRules ? rules : Optional.empty(),
+        Optional.of(evacuated));
   }
 
   /** Returns whether the view holds the result of a store read, by this or another entry. */
@@ -257,26 +306,42 @@
 
   /**
    * Returns the targets that have not left: the registered ones and the expired ones still
-   * retained. Those that announced their shutdown are leaving.
+   * retained, with the remaining time of their warm-up. Those that announced their shutdown are
+   * leaving.
    */
-  Collection<RegisteredTarget> targets() {
+  Collection<RegisteredTarget> targets(long nowNanos) {
     List<RegisteredTarget> all = new ArrayList<>();
     for (RegisteredTarget target : targets.values()) {
       if (!evidence.isRemoved(target)) {
-        all.add(evidence.isLeaving(target) ? target.asLeaving() : target);
+        all.add(asKnown(target, nowNanos));
       }
     }
-    for (ExpiredTarget expired : expiredTargets.values()) {
-      RegisteredTarget target = expired.target();
-      all.add(evidence.isLeaving(target) ? target.asLeaving() : target);
-    }
+    expiredTargets.values().forEach(expired -> all.add(asKnown(expired.target(), nowNanos)));
     return all;
   }
 
+  private RegisteredTarget asKnown(RegisteredTarget target, long nowNanos) {
+    RegisteredTarget withWarmUp = warmUps.withRemaining(target, nowNanos);
+    return evidence.isLeaving(target) ? withWarmUp.asLeaving() : withWarmUp;
+  }
+
+  /** Returns the data centres to whose targets nothing may be sent. */
+  Set<String> evacuated() {
+    return evacuated;
+  }
+
   Optional<RuleSet> rules() {
     return rules;
   }
 
+  /** Returns the settings of a service; empty if the rules in force don't name it. */
+  Optional<ServiceRule> serviceRule(String service) {
+    return rules.stream()
+        .flatMap(set -> set.services().stream())
+        .filter(rule -> rule.name().equals(service))
+        .findFirst();
+  }
+
   long rulesVersion() {
     return rules.map(RuleSet::version).orElse(0L);
   }
--- a/chivecross-core/src/main/java/org/chivecross/model/fleet/ViewUpdate.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/fleet/ViewUpdate.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.chivecross.model.registry.RegisteredTarget;
 import org.chivecross.model.ruleset.RuleSet;
 
@@ -17,6 +18,8 @@
  * @param registered targets that are registered, or whose registration changed
  * @param removed ids of targets whose registration is gone
  * @param rules the rules, if the receiver may not have them
+ * @param evacuated all evacuated data centres at that version; empty if the sender does not know
+ *     about evacuations
  */
 public record ViewUpdate(
     StoreVersion version,
@@ -26,10 +29,34 @@
     boolean isSnapshot,
     List<RegisteredTarget> registered,
     List<String> removed,
-    Optional<RuleSet> rules) {
+    Optional<RuleSet> rules,
+    Optional<Set<String>> evacuated) {
 
   public ViewUpdate {
     registered = List.copyOf(registered);
     removed = List.copyOf(removed);
+    evacuated = evacuated.map(Set::copyOf);
+  }
+
+  /** Creates an update of a sender that does not know about evacuations. */
+  public ViewUpdate(
+      StoreVersion version,
+      long ageMillis,
+      long digest,
+      long rulesVersion,
+      boolean isSnapshot,
+      List<RegisteredTarget> registered,
+      List<String> removed,
+      Optional<RuleSet> rules) {
+    this(
+        version,
+        ageMillis,
+        digest,
+        rulesVersion,
+        isSnapshot,
+        registered,
+        removed,
+        rules,
+        Optional.empty());
   }
 }
--- a/chivecross-core/src/main/java/org/chivecross/model/registry/RegisteredTarget.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/registry/RegisteredTarget.java
@@ -30,6 +30,12 @@
         id, startedAtMillis, service, address, dataCentre, slots, true, warmupMillis, sequence);
   }
 
+  /** Returns this target with another remaining slow-start time, in ms. */
+  public RegisteredTarget withWarmupMillis(long millis) {
+    return new RegisteredTarget(
+        id, startedAtMillis, service, address, dataCentre, slots, leaving, millis, sequence);
+  }
+
   /** Returns whether {@code other} is the same run of the same target. */
   public boolean isSameIncarnation(RegisteredTarget other) {
     return id.equals(other.id)
--- a/chivecross-core/src/main/java/org/chivecross/model/request/ResponseHead.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/request/ResponseHead.java
@@ -16,6 +16,7 @@
  * @param bodyBytes announced size of the body
  * @param requestLimit requests per second that the target takes from all entries together; empty if
  *     it names no limit
+ * @param warmUpMillis time until the target is warm, in ms; empty if the response does not say
  */
 public record ResponseHead(
     int status,
@@ -24,7 +25,8 @@
     Optional<LoadReport> load,
     OptionalLong holdOffMillis,
     OptionalLong bodyBytes,
-    OptionalDouble requestLimit) {
+    OptionalDouble requestLimit,
+    OptionalLong warmUpMillis) {
 
   /** Creates the properties of a response whose target names no request limit. */
   public ResponseHead(
@@ -34,7 +36,15 @@
       Optional<LoadReport> load,
       OptionalLong holdOffMillis,
       OptionalLong bodyBytes) {
-    this(status, notRun, leaving, load, holdOffMillis, bodyBytes, OptionalDouble.empty());
+    this(
+        status,
+        notRun,
+        leaving,
+        load,
+        holdOffMillis,
+        bodyBytes,
+        OptionalDouble.empty(),
+        OptionalLong.empty());
   }
 
   /** Creates the properties of a response whose target asked for no hold-off. */
@@ -42,8 +52,31 @@
     this(status, notRun, leaving, load, OptionalLong.empty(), OptionalLong.empty());
   }
 
-  /** Returns whether the target announced its shutdown, a hold-off or a request limit. */
+  /** Creates the properties of a response that says nothing about a warm-up. */
+  public ResponseHead(
+      int status,
+      boolean notRun,
+      boolean leaving,
+      Optional<LoadReport> load,
+      OptionalLong holdOffMillis,
+      OptionalLong bodyBytes,
+      OptionalDouble requestLimit) {
+    this(
+        status,
+        notRun,
+        leaving,
+        load,
+        holdOffMillis,
+        bodyBytes,
+        requestLimit,
+        OptionalLong.empty());
+  }
+
+  /** Returns whether the target announced its shutdown, a hold-off, a limit or a warm-up. */
   public boolean hasAnnouncement() {
-    return leaving || holdOffMillis.isPresent() || requestLimit.isPresent();
+    return leaving
+        || holdOffMillis.isPresent()
+        || requestLimit.isPresent()
+        || warmUpMillis.isPresent();
   }
 }
--- a/chivecross-core/src/main/java/org/chivecross/model/ruleset/RouteRule.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/ruleset/RouteRule.java
@@ -15,6 +15,7 @@
  * @param latencyObjectiveMillis time within which the caller should get the answer, in ms
  * @param maxAttempts maximum number of targets that one request is sent to; at least 1
  * @param priority priority for load shedding; 0 is the most urgent
+ * @param homeRegions regions whose targets may run the requests; empty if any may
  */
 public record RouteRule(
     String name,
@@ -25,10 +26,36 @@
     long timeoutMillis,
     long latencyObjectiveMillis,
     int maxAttempts,
-    int priority) {
+    int priority,
+    List<String> homeRegions) {
 
   public RouteRule {
     services = List.copyOf(services);
+    homeRegions = List.copyOf(homeRegions);
+  }
+
+  /** Creates a rule whose requests may run in any region. */
+  public RouteRule(
+      String name,
+      String host,
+      String prefix,
+      List<WeightedService> services,
+      RequestClass requestClass,
+      long timeoutMillis,
+      long latencyObjectiveMillis,
+      int maxAttempts,
+      int priority) {
+    this(
+        name,
+        host,
+        prefix,
+        services,
+        requestClass,
+        timeoutMillis,
+        latencyObjectiveMillis,
+        maxAttempts,
+        priority,
+        List.of());
   }
 
   /** Returns whether a request may run more than once. */
--- a/chivecross-core/src/test/java/org/chivecross/logic/dispatch/LimitedTargetTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/LimitedTargetTest.java
@@ -36,6 +36,7 @@
   private final List<Integer> probes = new ArrayList<>();
   private final Map<String, LimitShare> shares = new HashMap<>();
   private final Map<String, OptionalDouble> stated = new HashMap<>();
+  private final Map<String, Long> warmUps = new HashMap<>();
   private final Dispatcher dispatcher =
       new Dispatcher(
           new DispatchPreferences("a", 20, 10, 1_000, 0.5, 100, 10_000),
@@ -61,6 +62,11 @@
         RegisteredTarget target, OptionalDouble requestsPerSecond, long nowNanos) {
       stated.put(target.id(), requestsPerSecond);
     }
+
+    @Override
+    public void warmingUp(RegisteredTarget target, long remainingMillis, long nowNanos) {
+      warmUps.put(target.id(), remainingMillis);
+    }
   }
 
   private void applyTargets(int count) {
--- a/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetNodeTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetNodeTest.java
@@ -19,7 +19,7 @@
   private final GossipSimulation simulation = new GossipSimulation(3, 4, 6, false);
 
   private static boolean isLeaving(FleetNode node, String id) {
-    return node.targets().stream()
+    return node.targets(0).stream()
         .filter(target -> target.id().equals(id))
         .allMatch(RegisteredTarget::leaving);
   }
@@ -29,7 +29,9 @@
     simulation.runMillis(5_000);
     assertEquals(12, simulation.count(node -> node.others(simulation.now).size() == 11));
     assertEquals(
-        12, simulation.count(node -> node.targets().size() == 6 && node.rules().isPresent()));
+        12,
+        simulation.count(
+            node -> node.targets(simulation.now).size() == 6 && node.rules().isPresent()));
   }
 
   @Test
@@ -88,11 +90,11 @@
     RegisteredTarget stopped = simulation.remove("t2");
     simulation.storeDown = false;
     simulation.runMillis(1_500);
-    assertEquals(12, simulation.count(node -> node.targets().size() == 6));
+    assertEquals(12, simulation.count(node -> node.targets(simulation.now).size() == 6));
     simulation.put(expired);
     simulation.runMillis(3_500);
-    assertEquals(12, simulation.count(node -> node.targets().size() == 5));
-    assertEquals(0, simulation.count(node -> node.targets().contains(stopped)));
+    assertEquals(12, simulation.count(node -> node.targets(simulation.now).size() == 5));
+    assertEquals(0, simulation.count(node -> node.targets(simulation.now).contains(stopped)));
   }
 
   /**
@@ -109,12 +111,12 @@
     simulation.entry("10.2.0.3").refusedByStore = false;
     simulation.storeDown = false;
     simulation.runMillis(1_300);
-    assertEquals(12, simulation.count(node -> node.targets().size() == 6));
+    assertEquals(12, simulation.count(node -> node.targets(simulation.now).size() == 6));
     simulation.put(expired);
     simulation.entry("10.2.0.3").refusedByStore = true;
     simulation.entry("10.1.0.1").refusedByStore = false;
     simulation.runMillis(5_000);
-    assertEquals(12, simulation.count(node -> node.targets().size() == 6));
+    assertEquals(12, simulation.count(node -> node.targets(simulation.now).size() == 6));
   }
 
   @Test
--- a/chivecross-core/src/test/java/org/chivecross/logic/fleet/GossipSimulation.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fleet/GossipSimulation.java
@@ -33,6 +33,8 @@
   final Map<String, RegisteredTarget> registrations = new TreeMap<>();
   private final Map<String, Long> changedAt = new TreeMap<>();
   private final Map<String, Long> sequences = new TreeMap<>();
+  private final Map<String, Long> evacuatedAt = new TreeMap<>();
+  private final Map<String, Long> restoredAt = new TreeMap<>();
   private final SplittableRandom random;
   double lossRate;
   RuleSet rules = rules(1);
@@ -188,6 +190,18 @@
     return java.util.Objects.requireNonNull(registrations.remove(id));
   }
 
+  /** Lets the operator ask that nothing be sent to the targets of a data centre. */
+  void evacuate(String dataCentre) {
+    evacuatedAt.put(dataCentre, ++revision);
+    restoredAt.remove(dataCentre);
+  }
+
+  /** Takes an evacuated data centre back. */
+  void takeBack(String dataCentre) {
+    restoredAt.put(dataCentre, ++revision);
+    evacuatedAt.remove(dataCentre);
+  }
+
   void changeRules(long version) {
     rules = rules(version);
     revision++;
@@ -224,7 +238,20 @@
 
   private StoreChange storeSnapshot() {
     return new StoreChange(
-        true, version(), List.copyOf(registrations.values()), List.of(), Optional.of(rules));
+        true,
+        version(),
+        List.copyOf(registrations.values()),
+        List.of(),
+        Optional.of(rules),
+        List.copyOf(evacuatedAt.keySet()),
+        List.of());
+  }
+
+  private static List<String> keysAfter(Map<String, Long> changes, long knownRevision) {
+    return changes.entrySet().stream()
+        .filter(change -> change.getValue() > knownRevision)
+        .map(Map.Entry::getKey)
+        .toList();
   }
 
   private StoreChange changesAfter(long knownRevision) {
@@ -241,7 +268,14 @@
         });
     Optional<RuleSet> changed =
         rulesRevision > knownRevision ? Optional.of(rules) : Optional.empty();
-    return new StoreChange(false, version(), registered, removed, changed);
+    return new StoreChange(
+        false,
+        version(),
+        registered,
+        removed,
+        changed,
+        keysAfter(evacuatedAt, knownRevision),
+        keysAfter(restoredAt, knownRevision));
   }
 
   static RuleSet rules(long version) {
--- a/chivecross-core/src/test/java/org/chivecross/logic/fleet/RequestLimitTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fleet/RequestLimitTest.java
@@ -3,11 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
@@ -28,44 +24,15 @@
   private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(4);
   private static final TargetIncarnation TARGET = new TargetIncarnation("t0", 1);
 
-  private final Deque<Long> window = new ArrayDeque<>();
-  private final Map<FleetNode, double[]> buckets = new HashMap<>();
-  private int most;
-  private int sent;
+  private final ShareUse use =
+      new ShareUse(WINDOW_NANOS, (node, now) -> node.evidence().limitShare(TARGET, now));
 
   private static double allowed(double limit) {
     return 1.5 * limit * 4 + 5;
   }
 
-  /** Lets all entries send for some time and records the most requests in any window. */
   private void send(GossipSimulation simulation, long millis) {
-    for (long i = 0; i < millis; i += 5) {
-      simulation.runMillis(5);
-      for (GossipSimulation.Entry entry : simulation.entries.values()) {
-        if (entry.running) {
-          sendFrom(entry.node, simulation.now);
-        }
-      }
-    }
-  }
-
-  private void sendFrom(FleetNode node, long now) {
-    Optional<LimitShare> share = node.evidence().limitShare(TARGET, now);
-    if (share.isEmpty()) {
-      return;
-    }
-    double[] tokens = buckets.computeIfAbsent(node, n -> new double[1]);
-    tokens[0] =
-        Math.min(share.get().burst(), tokens[0] + share.get().requestsPerSecond() * 5 / 1_000);
-    while (tokens[0] >= 1) {
-      tokens[0]--;
-      sent++;
-      window.add(now);
-    }
-    while (!window.isEmpty() && now - window.peek() > WINDOW_NANOS) {
-      window.remove();
-    }
-    most = Math.max(most, window.size());
+    use.send(simulation, millis);
   }
 
   private static GossipSimulation fleet(int entries) {
@@ -94,9 +61,9 @@
     simulation.runMillis(1_000);
     long seconds = limit < 1 ? 40 : 8;
     send(simulation, 1_000 * seconds);
-    assertTrue(most <= allowed(limit), most + " in a window");
+    assertTrue(use.most <= allowed(limit), use.most + " in a window");
     int begunTokens = 2;
-    assertTrue(sent >= 0.5 * limit * seconds - begunTokens, sent + " in " + seconds + " s");
+    assertTrue(use.sent >= 0.5 * limit * seconds - begunTokens, use.sent + " in " + seconds + " s");
   }
 
   @Test
@@ -106,7 +73,7 @@
     nameLimit(simulation, OptionalDouble.of(20));
     simulation.runMillis(40_000);
     send(simulation, 12_000);
-    assertEquals(0, sent, "the others may still send, behind a partition");
+    assertEquals(0, use.sent, "the others may still send, behind a partition");
   }
 
   @ParameterizedTest
@@ -133,7 +100,7 @@
     send(simulation, 36_000);
     simulation.entries.values().forEach(entry -> entry.partition = 0);
     send(simulation, 10_000);
-    assertTrue(most <= allowed(limit), most + " in a window");
+    assertTrue(use.most <= allowed(limit), use.most + " in a window");
   }
 
   @ParameterizedTest
@@ -152,7 +119,7 @@
     send(simulation, 1_000);
     simulation.entries.values().forEach(entry -> entry.node.setReady(true, simulation.now));
     send(simulation, 20_000);
-    assertTrue(most <= allowed(limit), most + " in a window");
+    assertTrue(use.most <= allowed(limit), use.most + " in a window");
     assertEquals(
         20,
         simulation.count(node -> node.evidence().limitShare(TARGET, simulation.now).isPresent()),
@@ -169,7 +136,7 @@
       send(simulation, 400);
     }
     send(simulation, 10_000);
-    assertTrue(most <= allowed(limit), most + " in a window");
+    assertTrue(use.most <= allowed(limit), use.most + " in a window");
   }
 
   /** Entries without a share get no response of the target themselves. */
--- a/chivecross-core/src/test/java/org/chivecross/logic/fleet/StoreEraTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fleet/StoreEraTest.java
@@ -17,7 +17,7 @@
   private final GossipSimulation simulation = new GossipSimulation(3, 4, 6, false);
 
   private static boolean isUsable(FleetNode node, String id) {
-    return node.targets().stream().anyMatch(t -> t.id().equals(id) && !t.leaving());
+    return node.targets(0).stream().anyMatch(t -> t.id().equals(id) && !t.leaving());
   }
 
   private long usableAt(String id) {
--- /dev/null
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/DirectoryAddresses.java
@@ -0,0 +1,64 @@
+package org.chivecross.cli.entry.fleet;
+
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.chivecross.logic.dispatch.Dispatcher;
+import org.chivecross.logic.fleet.FleetDirectory;
+import org.chivecross.logic.fleet.FleetNode;
+import org.chivecross.model.fleet.FleetMember;
+
+/** Addresses in the directory answers of an entry. Thread-safe: reads the node under its lock. */
+final class DirectoryAddresses {
+
+  /** Maximum number of addresses in a directory answer. */
+  private static final int MAX_ADDRESSES = 64;
+
+  private final Object lock;
+  private final FleetEntrySettings settings;
+  private final long incarnation;
+  private final FleetNode node;
+  private final Dispatcher dispatcher;
+  private final BooleanSupplier ready;
+
+  /**
+   * Creates the directory answers of an entry.
+   *
+   * @param lock guards the node and the dispatcher
+   * @param ready whether the entry accepts callers
+   */
+  DirectoryAddresses(
+      Object lock,
+      FleetEntrySettings settings,
+      long incarnation,
+      FleetNode node,
+      Dispatcher dispatcher,
+      BooleanSupplier ready) {
+    this.lock = lock;
+    this.settings = settings;
+    this.incarnation = incarnation;
+    this.node = node;
+    this.dispatcher = dispatcher;
+    this.ready = ready;
+  }
+
+  /** Returns the addresses for a caller in a data centre, as {@code IP:PORT}. */
+  List<String> forCaller(String dataCentre) {
+    synchronized (lock) {
+      FleetMember self =
+          new FleetMember(
+              settings.ip(),
+              incarnation,
+              settings.dataCentre(),
+              ready.getAsBoolean(),
+              dispatcher.forwarding().isIsolated(),
+              0,
+              0);
+      int port = settings.callers().getPort();
+      return FleetDirectory.selectEntries(
+              self, node.others(System.nanoTime()), dataCentre, MAX_ADDRESSES)
+          .stream()
+          .map(ip -> ip + ":" + port)
+          .toList();
+    }
+  }
+}
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -19,7 +20,6 @@
 import org.chivecross.cli.log.EventLog;
 import org.chivecross.logic.dispatch.DispatchPorts;
 import org.chivecross.logic.dispatch.Dispatcher;
-import org.chivecross.logic.fleet.FleetDirectory;
 import org.chivecross.logic.fleet.FleetNode;
 import org.chivecross.logic.fleet.FleetPort;
 import org.chivecross.logic.fleet.FleetPreferences;
@@ -28,7 +28,6 @@
 import org.chivecross.model.failure.Failure;
 import org.chivecross.model.failure.Result;
 import org.chivecross.model.failure.Step;
-import org.chivecross.model.fleet.FleetMember;
 import org.chivecross.model.fleet.FleetMessage;
 import org.chivecross.model.fleet.TargetIncarnation;
 import org.chivecross.model.registry.RegisteredTarget;
@@ -50,9 +49,6 @@
 
   private static final long CLOSE_IDLE_PERIOD_MILLIS = 500;
 
-  /** Maximum number of addresses in a directory answer. */
-  private static final int MAX_DIRECTORY_ADDRESSES = 64;
-
   /** Minimum time for which a leaving entry serves callers that still use its address. */
   private static final long MIN_DRAIN_MILLIS = 4_500;
 
@@ -80,6 +76,7 @@
   private final CountDownLatch stopped = new CountDownLatch(1);
   private Map<String, ServiceRule> services = Map.of();
   private List<String> serviceNames = List.of();
+  private Set<String> evacuated = Set.of();
   private boolean isLeaving;
   private int storeFailures;
 
@@ -152,7 +149,9 @@
     }
     dataPath.start(settings.callers());
     dataPath.serveForwarded(settings.peers());
-    dataPath.serveLocally(settings.directory(), adapter.directory(this::directoryAddresses));
+    DirectoryAddresses addresses =
+        new DirectoryAddresses(lock, settings, incarnation, node, dispatcher, this::isReady);
+    dataPath.serveLocally(settings.directory(), adapter.directory(addresses::forCaller));
     dataPath.serveLocally(settings.readiness(), adapter.readiness(this::isReady));
     dataPath.serveLocally(settings.metrics(), FleetMetrics.routes(metrics));
     scheduler.every(CLOSE_IDLE_PERIOD_MILLIS, () -> dataPath.closeIdle(System.nanoTime()));
@@ -307,11 +306,20 @@
           rules.get().routes().size(),
           node.viewAgeMillis(now));
     }
-    dispatcher.applyTargets(node.targets(), now);
+    Collection<RegisteredTarget> registered = node.targets(now);
+    dispatcher.applyTargets(registered, now);
+    if (!node.evacuated().equals(evacuated)) {
+      evacuated = node.evacuated();
+      Logger.info(
+          "evacuated data centres: {}; nothing is sent to their targets, view {} ms old",
+          evacuated,
+          node.viewAgeMillis(now));
+    }
+    dispatcher.applyEvacuations(evacuated);
     Logger.info(
         "targets: {} usable of {} at {}",
         dispatcher.usableTargets(),
-        node.targets().size(),
+        registered.size(),
         node.version());
     node.setReady(isReady(), now);
   }
@@ -322,27 +330,6 @@
     }
   }
 
-  private List<String> directoryAddresses(String dataCentre) {
-    synchronized (lock) {
-      long now = System.nanoTime();
-      FleetMember self =
-          new FleetMember(
-              settings.ip(),
-              incarnation,
-              settings.dataCentre(),
-              isReady(),
-              dispatcher.forwarding().isIsolated(),
-              0,
-              0);
-      int port = settings.callers().getPort();
-      return FleetDirectory.selectEntries(
-              self, node.others(now), dataCentre, MAX_DIRECTORY_ADDRESSES)
-          .stream()
-          .map(ip -> ip + ":" + port)
-          .toList();
-    }
-  }
-
   private Optional<Route> route(String method, String host, String path) {
     synchronized (lock) {
       Optional<RouteRule> rule = dispatcher.route(host, path);
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
@@ -66,6 +66,16 @@
         "chivecross_usable_targets",
         "Targets that may get requests",
         guarded(lock, dispatcher::usableTargets));
+    metrics.gauge(
+        "chivecross_entries",
+        "Entries known to be alive, this one included",
+        guarded(lock, () -> node.others(System.nanoTime()).size() + 1L));
+    addTargetGauges(metrics, lock, node, dispatcher);
+  }
+
+  /** Registers what is known of targets and requests that get special treatment. */
+  private static void addTargetGauges(
+      EntryMetrics metrics, Object lock, FleetNode node, Dispatcher dispatcher) {
     metrics.gauge(
         "chivecross_isolated",
         "1 while this entry reaches no target and forwards its requests, otherwise 0",
@@ -78,9 +88,17 @@
         "chivecross_limited_targets",
         "Targets that named a request limit for all entries together",
         guarded(lock, () -> node.evidence().limitCount()));
+    metrics.gauge(
+        "chivecross_cold_targets",
+        "Targets that warm up",
+        guarded(lock, () -> node.evidence().warmUpCount()));
+    metrics.gauge(
+        "chivecross_evacuated_data_centres",
+        "Data centres to whose targets nothing is sent",
+        guarded(lock, () -> node.evacuated().size()));
     metrics.counter(
         "chivecross_requests_on_limited_targets",
-        "Requests placed on targets with a request limit",
+        "Requests placed on targets that have a request limit or warm up",
         guarded(lock, dispatcher::limitedCount));
     metrics.gauge(
         "chivecross_blocked_fingerprints",
@@ -90,10 +108,6 @@
         "chivecross_requests_blocked",
         "Times that such a request was refused",
         guarded(lock, () -> dispatcher.crashes().blockedCount()));
-    metrics.gauge(
-        "chivecross_entries",
-        "Entries known to be alive, this one included",
-        guarded(lock, () -> node.others(System.nanoTime()).size() + 1L));
   }
 
   private static LocalResponse page(EntryMetrics metrics, LocalRequest request) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/RequestLimitMonitor.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/RequestLimitMonitor.java
@@ -10,8 +10,8 @@
 import org.tinylog.Logger;
 
 /**
- * Shares the request limits of targets with the other entries and logs their changes. Thread-safe:
- * all calls are made under the lock that guards the gossip node.
+ * Shares the request limits and warm-ups of targets with the other entries and logs their changes.
+ * Thread-safe: all calls are made under the lock that guards the gossip node.
  */
 final class RequestLimitMonitor implements RequestLimitPort {
 
@@ -23,7 +23,7 @@
 
   @Override
   public Optional<LimitShare> shareOf(RegisteredTarget target, long nowNanos) {
-    return evidence.limitShare(incarnationOf(target), nowNanos);
+    return evidence.share(target, nowNanos);
   }
 
   @Override
@@ -44,6 +44,18 @@
         evidence.limitShare(incarnation, nowNanos).map(LimitShare::requestsPerSecond).orElse(0.0));
   }
 
+  @Override
+  public void warmingUp(RegisteredTarget target, long remainingMillis, long nowNanos) {
+    if (evidence.warmingUp(incarnationOf(target), remainingMillis, nowNanos)) {
+      Logger.info(
+          "target {} at {} warms up for {} ms; share of this entry {}",
+          target.id(),
+          target.address(),
+          remainingMillis,
+          evidence.share(target, nowNanos).map(LimitShare::requestsPerSecond).orElse(0.0));
+    }
+  }
+
   private static TargetIncarnation incarnationOf(RegisteredTarget target) {
     return new TargetIncarnation(target.id(), target.startedAtMillis());
   }
--- a/chivecross-wire/src/main/java/org/chivecross/wire/fleet/FleetCodec.java
+++ b/chivecross-wire/src/main/java/org/chivecross/wire/fleet/FleetCodec.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.chivecross.model.failure.Result;
 import org.chivecross.model.failure.Step;
 import org.chivecross.model.fleet.FleetMember;
@@ -14,9 +15,11 @@
 import org.chivecross.model.fleet.TargetEvidence;
 import org.chivecross.model.fleet.TargetIncarnation;
 import org.chivecross.model.fleet.TargetLimit;
+import org.chivecross.model.fleet.TargetWarmUp;
 import org.chivecross.model.fleet.ViewUpdate;
 import org.chivecross.model.registry.RegisteredTarget;
 import org.chivecross.model.ruleset.RuleSet;
+import org.chivecross.wire.generated.fleet.EvacuationsNote;
 import org.chivecross.wire.generated.fleet.FleetDatagram;
 import org.chivecross.wire.generated.fleet.IncarnationNote;
 import org.chivecross.wire.generated.fleet.LimitNote;
@@ -25,6 +28,7 @@
 import org.chivecross.wire.generated.fleet.SuspectNote;
 import org.chivecross.wire.generated.fleet.TargetNote;
 import org.chivecross.wire.generated.fleet.ViewNote;
+import org.chivecross.wire.generated.fleet.WarmUpNote;
 
 /** Encodes gossip messages to datagrams and decodes them. Stateless. */
 final class FleetCodec {
@@ -66,6 +70,12 @@
     }
     message.evidence().limits().forEach(limit -> datagram.addLimits(toNote(limit)));
     message.evidence().suspects().forEach(suspect -> datagram.addSuspects(toNote(suspect)));
+    for (TargetWarmUp warmUp : message.evidence().warmUps()) {
+      datagram.addWarmUps(
+          WarmUpNote.newBuilder()
+              .setIncarnation(toNote(warmUp.incarnation()))
+              .setRemainingMillis(toInt(warmUp.remainingMillis())));
+    }
     return datagram.build().toByteArray();
   }
 
@@ -121,7 +131,13 @@
             .map(note -> new RemovedTarget(toIncarnation(note.getIncarnation()), note.getEra()))
             .toList(),
         datagram.getLimitsList().stream().map(FleetCodec::toLimit).toList(),
-        datagram.getSuspectsList().stream().map(FleetCodec::toSuspect).toList());
+        datagram.getSuspectsList().stream().map(FleetCodec::toSuspect).toList(),
+        datagram.getWarmUpsList().stream()
+            .map(
+                note ->
+                    new TargetWarmUp(
+                        toIncarnation(note.getIncarnation()), note.getRemainingMillis()))
+            .toList());
   }
 
   private static SuspectNote toNote(SuspectRequest suspect) {
@@ -194,6 +210,10 @@
               .setSequence(target.sequence()));
     }
     view.rules().ifPresent(rules -> note.setRules(RulesCodec.pack(rules)));
+    view.evacuated()
+        .ifPresent(
+            dataCentres ->
+                note.setEvacuations(EvacuationsNote.newBuilder().addAllDataCentres(dataCentres)));
     return note.build();
   }
 
@@ -210,7 +230,10 @@
         note.getWhole(),
         note.getRegisteredList().stream().map(FleetCodec::toTarget).toList(),
         note.getRemovedList(),
-        rules);
+        rules,
+        note.hasEvacuations()
+            ? Optional.of(Set.copyOf(note.getEvacuations().getDataCentresList()))
+            : Optional.empty());
   }
 
   private static RegisteredTarget toTarget(TargetNote note) {
--- a/chivecross-wire/src/main/java/org/chivecross/wire/fleet/RulesCodec.java
+++ b/chivecross-wire/src/main/java/org/chivecross/wire/fleet/RulesCodec.java
@@ -43,7 +43,9 @@
           ServiceNote.newBuilder()
               .setName(service.name())
               .setHealthPath(service.healthPath())
-              .setMaxConnections(service.maxConnections()));
+              .setMaxConnections(service.maxConnections())
+              .setWarmUpMillis(service.warmUpMillis())
+              .setWarmUpRequestsPerSecond(service.warmUpRequestsPerSecond()));
     }
     return deflate(note.build().toByteArray());
   }
@@ -62,7 +64,12 @@
     List<ServiceRule> services = new ArrayList<>();
     for (ServiceNote service : note.getServicesList()) {
       services.add(
-          new ServiceRule(service.getName(), service.getHealthPath(), service.getMaxConnections()));
+          new ServiceRule(
+              service.getName(),
+              service.getHealthPath(),
+              service.getMaxConnections(),
+              service.getWarmUpMillis(),
+              service.getWarmUpRequestsPerSecond()));
     }
     CallerLimits limits =
         new CallerLimits(
@@ -83,7 +90,8 @@
             .setTimeoutMillis(route.timeoutMillis())
             .setLatencyObjectiveMillis(route.latencyObjectiveMillis())
             .setMaxAttempts(route.maxAttempts())
-            .setPriority(route.priority());
+            .setPriority(route.priority())
+            .addAllHomeRegions(route.homeRegions());
     for (WeightedService share : route.services()) {
       note.addServices(
           ShareNote.newBuilder().setService(share.service()).setWeight(share.weight()));
@@ -107,7 +115,8 @@
         note.getTimeoutMillis(),
         note.getLatencyObjectiveMillis(),
         note.getMaxAttempts(),
-        note.getPriority());
+        note.getPriority(),
+        List.copyOf(note.getHomeRegionsList()));
   }
 
   private static ByteString deflate(byte[] plain) {
--- a/chivecross-wire/src/test/java/org/chivecross/wire/fleet/FleetCodecTest.java
+++ b/chivecross-wire/src/test/java/org/chivecross/wire/fleet/FleetCodecTest.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.chivecross.model.failure.Result;
 import org.chivecross.model.fileset.RequestClass;
@@ -23,6 +24,7 @@
 import org.chivecross.model.fleet.TargetEvidence;
 import org.chivecross.model.fleet.TargetIncarnation;
 import org.chivecross.model.fleet.TargetLimit;
+import org.chivecross.model.fleet.TargetWarmUp;
 import org.chivecross.model.fleet.ViewUpdate;
 import org.chivecross.model.registry.RegisteredTarget;
 import org.chivecross.model.ruleset.CallerLimits;
@@ -70,7 +72,8 @@
             false,
             List.of(target),
             List.of("i-2"),
-            Optional.of(rules(routes)));
+            Optional.of(rules(routes)),
+            Optional.of(Set.of("c", "d")));
     return new FleetMessage(
         -7,
         "a",
@@ -92,7 +95,8 @@
             List.of(
                 new SuspectRequest(
                     -5, List.of(new TargetIncarnation("i-8", 9)), 77, OptionalLong.empty()),
-                new SuspectRequest(6, List.of(), 5, OptionalLong.of(0)))));
+                new SuspectRequest(6, List.of(), 5, OptionalLong.of(0))),
+            List.of(new TargetWarmUp(new TargetIncarnation("i-9", 10), 2_500))));
   }
 
   @Test
