Name no entry in the directory that stopped more than six seconds ago

Cause: members of other data centres expired 6 s after their last message, and only at the next tick, up to a second later; the directory may name a stopped entry for 6 s at most.

Change: they expire after 5.5 s, and expired ones are left out when the members are read.

--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetMembership.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetMembership.java
@@ -25,8 +25,11 @@
   /** Time without messages after which a member expires: three heartbeats were missed. */
   static final long EXPIRY_MILLIS = 3_500;
 
-  /** The same for other data centres; a heartbeat passes three hops, each once a second. */
-  static final long REMOTE_EXPIRY_MILLIS = 6_000;
+  /**
+   * The same for other data centres; a heartbeat passes three hops, each once a second. Directory
+   * answers must not contain an entry that was killed 6 s ago.
+   */
+  static final long REMOTE_EXPIRY_MILLIS = 5_500;
 
   private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
@@ -125,11 +128,14 @@
     return memberDataCentre.equals(dataCentre) ? EXPIRY_MILLIS : REMOTE_EXPIRY_MILLIS;
   }
 
-  /** Returns the members, ordered by IP address. */
+  /** Returns the members that have not expired, ordered by IP address. */
   List<FleetMember> members(long nowNanos) {
     List<FleetMember> members = new ArrayList<>();
     for (MemberRecord member : recordsByIp.values()) {
       long age = Math.max(0, (nowNanos - member.lastSeenNanos()) / NANOS_PER_MILLI);
+      if (age > expiryMillis(member.dataCentre())) {
+        continue;
+      }
       members.add(
           new FleetMember(
               member.ip(),
--- a/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetSizeTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetSizeTest.java
@@ -18,7 +18,7 @@
   void fewEntriesReadTheStoreAtTheFirstStart() {
     GossipSimulation simulation = new GossipSimulation(4, ENTRIES / 4, TARGETS, true);
     simulation.runMillis(4_000);
-    assertEquals(ENTRIES, simulation.count(node -> node.targets().size() == TARGETS));
+    assertEquals(ENTRIES, simulation.count(node -> node.targets(simulation.now).size() == TARGETS));
     assertTrue(simulation.snapshotReads <= 16, simulation.snapshotReads + " snapshot reads");
   }
 
@@ -27,7 +27,7 @@
   void allEntriesHaveTheTargetsSoonAfterARestart() {
     GossipSimulation simulation = new GossipSimulation(4, ENTRIES / 4, TARGETS, false);
     simulation.runMillis(400);
-    assertEquals(ENTRIES, simulation.count(node -> node.targets().size() == TARGETS));
+    assertEquals(ENTRIES, simulation.count(node -> node.targets(simulation.now).size() == TARGETS));
     assertTrue(
         simulation.snapshotReads <= ENTRIES / 2, simulation.snapshotReads + " snapshot reads");
   }
@@ -44,6 +44,28 @@
     assertTrue(perEntryAndSecond <= 12, perEntryAndSecond + " messages");
   }
 
+  /** Callers that get the address of a stopped entry lose a second for each attempt. */
+  @Test
+  void directoryNamesNoEntryThatStoppedSixSecondsAgo() {
+    GossipSimulation simulation = new GossipSimulation(4, ENTRIES / 4, TARGETS, true);
+    simulation.runMillis(8_000);
+    simulation.entries.values().forEach(entry -> entry.node.setReady(true, simulation.now));
+    simulation.runMillis(4_000);
+    for (int i = 1; i <= ENTRIES / 4; i++) {
+      simulation.stop("10.2.0." + i);
+    }
+    simulation.runMillis(6_000);
+    assertEquals(
+        0,
+        simulation.count(
+            node ->
+                node.others(simulation.now).stream()
+                    .anyMatch(member -> member.dataCentre().equals("dc2"))));
+    assertEquals(
+        3 * ENTRIES / 4,
+        simulation.count(node -> node.others(simulation.now).size() == 3 * ENTRIES / 4 - 1));
+  }
+
   /** All relay entries of a data centre stop at the same time. */
   @Test
   void otherEntriesTakeOverWhenRelayEntriesStop() {
