Let heartbeats carry pressure on services and lack of processor time

Fields that parts of docs/design/hard-load.md share, added before these are built side by side. Nothing sets or reads them yet; datagrams of the previous form are read and written as before (FleetCodecTest).

--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetMembership.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetMembership.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.chivecross.model.fleet.FleetMember;
 import org.chivecross.model.fleet.FleetMessage;
+import org.chivecross.model.fleet.ServiceLoad;
 
 /**
  * Gossip membership of the fleet as one entry sees it: the other entries that were seen recently.
@@ -41,7 +42,9 @@
       boolean ready,
       boolean isolated,
       long lastSeenNanos,
-      int requestsPerSecond) {}
+      int requestsPerSecond,
+      boolean strained,
+      List<ServiceLoad> serviceLoads) {}
 
   private final String dataCentre;
   private final Map<String, MemberRecord> recordsByIp = new TreeMap<>();
@@ -66,7 +69,9 @@
             message.ready(),
             message.isolated(),
             nowNanos,
-            message.requestsPerSecond()));
+            message.requestsPerSecond(),
+            message.strained(),
+            message.serviceLoads()));
   }
 
   private void put(MemberRecord member) {
@@ -102,7 +107,9 @@
                 member.ready(),
                 member.isolated(),
                 lastSeenNanos,
-                member.requestsPerSecond()));
+                member.requestsPerSecond(),
+                member.strained(),
+                member.serviceLoads()));
       }
     }
   }
@@ -144,7 +151,9 @@
               member.ready(),
               member.isolated(),
               age,
-              member.requestsPerSecond()));
+              member.requestsPerSecond(),
+              member.strained(),
+              member.serviceLoads()));
     }
     return members;
   }
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetMessageFactory.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetMessageFactory.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.chivecross.model.fleet.FleetMember;
 import org.chivecross.model.fleet.FleetMessage;
+import org.chivecross.model.fleet.ServiceLoad;
 import org.chivecross.model.fleet.TargetEvidence;
 import org.chivecross.model.fleet.ViewUpdate;
 
@@ -19,6 +20,8 @@
   private boolean ready;
   private boolean isolated;
   private int requestsPerSecond;
+  private boolean strained;
+  private List<ServiceLoad> serviceLoads = List.of();
 
   /** Creates a factory for an entry that doesn't accept callers yet. */
   FleetMessageFactory(FleetPreferences preferences, PlatformView view) {
@@ -43,6 +46,16 @@
     return isChange;
   }
 
+  /** Sets whether the entry lacks processor time for its requests. */
+  void setStrained(boolean value) {
+    strained = value;
+  }
+
+  /** Sets the pressure on services that the entry advertises. */
+  void setServiceLoads(List<ServiceLoad> loads) {
+    serviceLoads = List.copyOf(loads);
+  }
+
   /** Returns whether the entry accepts callers and reaches targets. */
   boolean isServing() {
     return ready && !isolated;
@@ -94,6 +107,8 @@
         requestsPerSecond,
         members,
         viewUpdate,
-        evidence);
+        evidence,
+        strained,
+        serviceLoads);
   }
 }
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
@@ -12,6 +12,7 @@
 import java.util.random.RandomGenerator;
 import org.chivecross.model.fleet.FleetMember;
 import org.chivecross.model.fleet.FleetMessage;
+import org.chivecross.model.fleet.ServiceLoad;
 import org.chivecross.model.fleet.StoreChange;
 import org.chivecross.model.fleet.StoreVersion;
 import org.chivecross.model.fleet.TargetEvidence;
@@ -152,6 +153,16 @@
     messages.setRequestsPerSecond(value);
   }
 
+  /** Sets whether this entry advertises that it lacks processor time for its requests. */
+  public void setStrained(boolean value) {
+    messages.setStrained(value);
+  }
+
+  /** Sets the pressure on services that this entry advertises with its next heartbeats. */
+  public void setServiceLoads(List<ServiceLoad> loads) {
+    messages.setServiceLoads(loads);
+  }
+
   /**
    * Returns this entry's share of the budgets of the whole fleet, from 0 to 1: its share of the
    * requests. The shares of all entries add up to at most 1, also during a network partition.
--- a/chivecross-core/src/main/java/org/chivecross/model/fleet/FleetMessage.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/fleet/FleetMessage.java
@@ -17,6 +17,8 @@
  * @param members other entries that the sender has in its membership
  * @param viewUpdate gossip update on the platform's store
  * @param evidence evidence about targets that the receiver may lack
+ * @param strained whether the sender lacks processor time for its requests
+ * @param serviceLoads pressure on services as the sender sees it
  */
 public record FleetMessage(
     long incarnation,
@@ -29,9 +31,41 @@
     int requestsPerSecond,
     List<FleetMember> members,
     Optional<ViewUpdate> viewUpdate,
-    TargetEvidence evidence) {
+    TargetEvidence evidence,
+    boolean strained,
+    List<ServiceLoad> serviceLoads) {
 
   public FleetMessage {
     members = List.copyOf(members);
+    serviceLoads = List.copyOf(serviceLoads);
+  }
+
+  /** Creates a message of an entry that advertises no load. */
+  public FleetMessage(
+      long incarnation,
+      String dataCentre,
+      boolean ready,
+      boolean isolated,
+      boolean asksMembers,
+      boolean asksView,
+      long knownRulesVersion,
+      int requestsPerSecond,
+      List<FleetMember> members,
+      Optional<ViewUpdate> viewUpdate,
+      TargetEvidence evidence) {
+    this(
+        incarnation,
+        dataCentre,
+        ready,
+        isolated,
+        asksMembers,
+        asksView,
+        knownRulesVersion,
+        requestsPerSecond,
+        members,
+        viewUpdate,
+        evidence,
+        false,
+        List.of());
   }
 }
--- a/chivecross-wire/src/main/java/org/chivecross/wire/fleet/FleetCodec.java
+++ b/chivecross-wire/src/main/java/org/chivecross/wire/fleet/FleetCodec.java
@@ -10,6 +10,7 @@
 import org.chivecross.model.fleet.FleetMember;
 import org.chivecross.model.fleet.FleetMessage;
 import org.chivecross.model.fleet.RemovedTarget;
+import org.chivecross.model.fleet.ServiceLoad;
 import org.chivecross.model.fleet.StoreVersion;
 import org.chivecross.model.fleet.SuspectRequest;
 import org.chivecross.model.fleet.TargetEvidence;
@@ -25,6 +26,7 @@
 import org.chivecross.wire.generated.fleet.LimitNote;
 import org.chivecross.wire.generated.fleet.MemberNote;
 import org.chivecross.wire.generated.fleet.RemovalNote;
+import org.chivecross.wire.generated.fleet.ServiceLoadNote;
 import org.chivecross.wire.generated.fleet.SuspectNote;
 import org.chivecross.wire.generated.fleet.TargetNote;
 import org.chivecross.wire.generated.fleet.ViewNote;
@@ -48,17 +50,11 @@
             .setAsksMembers(message.asksMembers())
             .setAsksView(message.asksView())
             .setKnownRulesVersion(message.knownRulesVersion())
-            .setRequestsPerSecond(message.requestsPerSecond());
+            .setRequestsPerSecond(message.requestsPerSecond())
+            .setStrained(message.strained());
+    message.serviceLoads().forEach(load -> datagram.addServiceLoads(toNote(load)));
     for (FleetMember member : message.members()) {
-      datagram.addMembers(
-          MemberNote.newBuilder()
-              .setIp(member.ip())
-              .setIncarnation(member.incarnation())
-              .setDataCentre(member.dataCentre())
-              .setReady(member.ready())
-              .setIsolated(member.isolated())
-              .setAgeMillis((int) member.ageMillis())
-              .setRequestsPerSecond(member.requestsPerSecond()));
+      datagram.addMembers(toNote(member));
     }
     message.viewUpdate().ifPresent(update -> datagram.setView(toNote(update)));
     message.evidence().leaving().forEach(left -> datagram.addLeaving(toNote(left)));
@@ -100,12 +96,40 @@
               datagram.getRequestsPerSecond(),
               datagram.getMembersList().stream().map(FleetCodec::toMember).toList(),
               view,
-              toEvidence(datagram)));
+              toEvidence(datagram),
+              datagram.getStrained(),
+              datagram.getServiceLoadsList().stream().map(FleetCodec::toLoad).toList()));
     } catch (InvalidProtocolBufferException e) {
       return Result.failed(Step.PEER_MESSAGE, peer, String.valueOf(e.getMessage()));
     }
   }
 
+  private static MemberNote toNote(FleetMember member) {
+    MemberNote.Builder note =
+        MemberNote.newBuilder()
+            .setIp(member.ip())
+            .setIncarnation(member.incarnation())
+            .setDataCentre(member.dataCentre())
+            .setReady(member.ready())
+            .setIsolated(member.isolated())
+            .setAgeMillis((int) member.ageMillis())
+            .setRequestsPerSecond(member.requestsPerSecond())
+            .setStrained(member.strained());
+    member.serviceLoads().forEach(load -> note.addServiceLoads(toNote(load)));
+    return note.build();
+  }
+
+  private static ServiceLoadNote toNote(ServiceLoad load) {
+    return ServiceLoadNote.newBuilder()
+        .setServiceHash(load.serviceHash())
+        .setPressure((float) load.pressure())
+        .build();
+  }
+
+  private static ServiceLoad toLoad(ServiceLoadNote note) {
+    return new ServiceLoad(note.getServiceHash(), note.getPressure());
+  }
+
   private static FleetMember toMember(MemberNote note) {
     return new FleetMember(
         note.getIp(),
@@ -114,7 +138,9 @@
         note.getReady(),
         note.getIsolated(),
         note.getAgeMillis(),
-        note.getRequestsPerSecond());
+        note.getRequestsPerSecond(),
+        note.getStrained(),
+        note.getServiceLoadsList().stream().map(FleetCodec::toLoad).toList());
   }
 
   private static IncarnationNote toNote(TargetIncarnation incarnation) {
--- a/chivecross-wire/src/test/java/org/chivecross/wire/fleet/FleetCodecTest.java
+++ b/chivecross-wire/src/test/java/org/chivecross/wire/fleet/FleetCodecTest.java
@@ -19,6 +19,7 @@
 import org.chivecross.model.fleet.FleetMember;
 import org.chivecross.model.fleet.FleetMessage;
 import org.chivecross.model.fleet.RemovedTarget;
+import org.chivecross.model.fleet.ServiceLoad;
 import org.chivecross.model.fleet.StoreVersion;
 import org.chivecross.model.fleet.SuspectRequest;
 import org.chivecross.model.fleet.TargetEvidence;
@@ -83,7 +84,9 @@
         true,
         11,
         23,
-        List.of(new FleetMember("10.0.0.9", 99, "b", false, true, 250, 17)),
+        List.of(
+            new FleetMember(
+                "10.0.0.9", 99, "b", false, true, 250, 17, true, List.of(new ServiceLoad(7, 0.5)))),
         Optional.of(update),
         new TargetEvidence(
             List.of(new TargetIncarnation("i-3", 1790000000456L)),
@@ -96,7 +99,9 @@
                 new SuspectRequest(
                     -5, List.of(new TargetIncarnation("i-8", 9)), 77, OptionalLong.empty()),
                 new SuspectRequest(6, List.of(), 5, OptionalLong.of(0))),
-            List.of(new TargetWarmUp(new TargetIncarnation("i-9", 10), 2_500))));
+            List.of(new TargetWarmUp(new TargetIncarnation("i-9", 10), 2_500))),
+        true,
+        List.of(new ServiceLoad(-3, 1.25)));
   }
 
   @Test
