Name each entry of a large data centre in a fair share of directory answers

Cause: an answer has at most 64 addresses, and the first 64 entries by address got all callers. Callers of a data centre with fewer than two entries got those of all regions.

Change: with more than 64 candidates an entry names the 64 that follow it on a ring by the hash of the addresses, so that an arrival or a loss changes one address of an answer. Before those of all regions, entries of the caller's region are named, where the settings know regions. Strained entries are left out unless more than half of their data centre are strained. With at most 64 candidates and no regions the answers are as before.

Checked: LargeDirectoryTest with 65, 91, 230 and 1,000 entries, FleetDirectoryTest unchanged, IsolatedEntryTest and the other tests of logic.fleet.

Conclusion: each entry of a data centre stands in exactly 64 answers of the entries there.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/DirectoryAddresses.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/DirectoryAddresses.java
@@ -5,6 +5,7 @@
 import org.chivecross.logic.dispatch.Dispatcher;
 import org.chivecross.logic.fleet.FleetDirectory;
 import org.chivecross.logic.fleet.FleetNode;
+import org.chivecross.model.fleet.CallerLocation;
 import org.chivecross.model.fleet.FleetMember;
 
 /** Addresses in the directory answers of an entry. Thread-safe: reads the node under its lock. */
@@ -41,8 +42,8 @@
     this.ready = ready;
   }
 
-  /** Returns the addresses for a caller in a data centre, as {@code IP:PORT}. */
-  List<String> forCaller(String dataCentre) {
+  /** Returns the addresses for a caller, as {@code IP:PORT}. */
+  List<String> forCaller(CallerLocation caller) {
     synchronized (lock) {
       FleetMember self =
           new FleetMember(
@@ -55,7 +56,11 @@
               0);
       int port = settings.callers().getPort();
       return FleetDirectory.selectEntries(
-              self, node.others(System.nanoTime()), dataCentre, MAX_ADDRESSES)
+              self,
+              node.others(System.nanoTime()),
+              caller,
+              settings.dispatch().regions(),
+              MAX_ADDRESSES)
           .stream()
           .map(ip -> ip + ":" + port)
           .toList();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/PlatformAdapter.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/PlatformAdapter.java
@@ -5,6 +5,7 @@
 import java.util.function.Function;
 import org.chivecross.cli.entry.http.LocalRoutes;
 import org.chivecross.cli.entry.http.RequestDialect;
+import org.chivecross.model.fleet.CallerLocation;
 
 /**
  * Protocols of one platform: request headers, store, directory and readiness check. Implementations
@@ -21,9 +22,9 @@
   /**
    * Returns the routes on which callers request the addresses of entries.
    *
-   * @param addresses returns the addresses for a caller in the given data centre
+   * @param addresses returns the addresses for a caller at the given location
    */
-  LocalRoutes directory(Function<String, List<String>> addresses);
+  LocalRoutes directory(Function<CallerLocation, List<String>> addresses);
 
   /** Returns the routes of the readiness check that the platform calls. */
   LocalRoutes readiness(BooleanSupplier ready);
