Explain placements in the dispatcher, at the entry and in chivecross-admin

Cause: an operator couldn't see why a request goes to a target, waits or is refused without sending one and reading logs.

Change: PlacementExplainer and PlacementForecast compute an explanation from the dispatcher's state; GET /explain on the metrics address and chivecross-admin where show it. Limited targets are looked at without refilling their buckets, and the turn of a weighted split is not taken.

A first form forecast a wait of exactly the queue timeout where the placement refuses; both now compute the next token by the same code. Not yet run: PlacementQueryTest and the entry over sockets.

--- a/chivecross-admin/src/main/java/org/chivecross/cli/admin/AdminOptions.java
+++ b/chivecross-admin/src/main/java/org/chivecross/cli/admin/AdminOptions.java
@@ -15,7 +15,8 @@
       metaVar = "COMMAND [NAME]",
       usage =
           "config, targets, members, services, tenants, decisions, key KEY, histograms [NAME], diff,"
-              + " wait --version EPOCH.REVISION, or explain REQUEST-ID LOG-FILE...")
+              + " wait --version EPOCH.REVISION, explain REQUEST-ID LOG-FILE..., or where --entry HOST:PORT"
+              + " --host HOST --path PATH")
   private List<String> command = new ArrayList<>();
 
   @AllowedForm(
@@ -46,6 +47,38 @@
   @Option(name = "--timeout", metaVar = "TIME", usage = "maximum time that the wait command waits")
   private String timeout = "20s";
 
+  @AllowedForm(
+      pattern = "([^,:\\s/]+:[0-9]{1,5})?",
+      allowed = "HOST:PORT of the metrics address of one entry")
+  @Option(
+      name = "--entry",
+      metaVar = "HOST:PORT",
+      usage = "metrics address of the entry that the where command asks")
+  private String entry = "";
+
+  @Option(
+      name = "--host",
+      metaVar = "HOST",
+      usage = "host of the request that the where command explains")
+  private String host = "";
+
+  @Option(
+      name = "--path",
+      metaVar = "PATH",
+      usage = "path of the request that the where command explains")
+  private String path = "";
+
+  @AllowedForm(pattern = "[0-9]{1,15}", allowed = "a number of bytes from 0")
+  @Option(name = "--bytes", metaVar = "N", usage = "size of the body of that request, in bytes")
+  private String bytes = "0";
+
+  @AllowedForm(pattern = "([0-9]{1,15})?", allowed = "a number of milliseconds from 0")
+  @Option(
+      name = "--deadline-ms",
+      metaVar = "N",
+      usage = "time until the deadline of that request, in ms; the timeout of its route if absent")
+  private String deadlineMillis = "";
+
   @Option(name = "--json", usage = "print JSON instead of tables")
   private boolean json;
 
@@ -57,6 +90,7 @@
         token,
         VersionText.parse(configVersion),
         TimeText.millis(timeout),
+        new ExplainedRequest(entry, host, path, bytes, deadlineMillis),
         json);
   }
 }
--- a/chivecross-admin/src/main/java/org/chivecross/cli/admin/AdminPreferences.java
+++ b/chivecross-admin/src/main/java/org/chivecross/cli/admin/AdminPreferences.java
@@ -11,6 +11,7 @@
  * @param token bearer token, or ""
  * @param version version that the wait command waits for
  * @param timeoutMillis maximum time that the wait command waits, in ms
+ * @param explained request that the where command explains
  * @param json whether JSON is printed instead of tables
  */
 record AdminPreferences(
@@ -19,6 +20,7 @@
     String token,
     ConfigVersion version,
     long timeoutMillis,
+    ExplainedRequest explained,
     boolean json) {
   AdminPreferences {
     command = List.copyOf(command);
--- a/chivecross-admin/src/main/java/org/chivecross/cli/admin/AdminRun.java
+++ b/chivecross-admin/src/main/java/org/chivecross/cli/admin/AdminRun.java
@@ -60,6 +60,8 @@
       case "wait" -> new VersionWait(preferences, source, reader, clock, out, err).run();
       case "histograms" -> histograms();
       case "explain" -> explain();
+      case "where" ->
+          new PlacementQuery(preferences.explained(), source, out, err).run(preferences.json());
       default -> badCommand(command);
     };
   }
@@ -188,7 +190,7 @@
             + command
             + "\", allowed: config, "
             + String.join(", ", LIST_COMMANDS)
-            + ", key, histograms, diff, wait, explain");
+            + ", key, histograms, diff, wait, explain, where");
   }
 
   private int badSetting(String message) {
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/DispatchTargetTable.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/DispatchTargetTable.java
@@ -117,6 +117,10 @@
     return !leaving[row] && !evacuated.contains(target.dataCentre());
   }
 
+  boolean isEvacuated(int row) {
+    return target(row).filter(t -> evacuated.contains(t.dataCentre())).isPresent();
+  }
+
   /** Records that a target is slow for some more time. */
   void warmUp(int row, long remainingMillis, long nowNanos) {
     long endNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(remainingMillis);
@@ -128,6 +132,15 @@
     return rowsByService.getOrDefault(service, new int[0]);
   }
 
+  /** Returns the rows of all registered targets of a service, usable or not. */
+  int[] registeredRows(String service) {
+    return rowsById.values().stream()
+        .filter(row -> target(row).filter(t -> t.service().equals(service)).isPresent())
+        .mapToInt(Integer::intValue)
+        .sorted()
+        .toArray();
+  }
+
   /** Returns the usable rows of all services. */
   int[] usableRows() {
     return rowsByService.values().stream().flatMapToInt(Arrays::stream).toArray();
@@ -157,7 +170,7 @@
     heldOffUntilNanos[row] = Math.max(heldOffUntilNanos[row], untilNanos);
   }
 
-  private boolean isHeldOff(int row, long nowNanos) {
+  boolean isHeldOff(int row, long nowNanos) {
     return nowNanos < heldOffUntilNanos[row];
   }
 
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/LimitedTargets.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/LimitedTargets.java
@@ -45,9 +45,14 @@
       refilledNanos = nowNanos;
     }
 
-    void refill(LimitShare share, long nowNanos) {
+    /** Returns the tokens after a refill, which is not made. */
+    double refilled(LimitShare share, long nowNanos) {
       double seconds = Math.min(MAX_REFILL_SECONDS, (nowNanos - refilledNanos) / NANOS_PER_SECOND);
-      tokens = Math.min(share.burst(), tokens + share.requestsPerSecond() * seconds);
+      return Math.min(share.burst(), tokens + share.requestsPerSecond() * seconds);
+    }
+
+    void refill(LimitShare share, long nowNanos) {
+      tokens = refilled(share, nowNanos);
       refilledNanos = nowNanos;
     }
   }
@@ -58,6 +63,33 @@
   private final Map<TargetIncarnation, Bucket> buckets = new HashMap<>();
   private long sentCount;
 
+  /**
+   * State of a limited target.
+   *
+   * @param share this entry's share of the limit
+   * @param tokens requests that this entry may send now
+   */
+  record Peek(LimitShare share, double tokens) {
+
+    boolean hasToken() {
+      return tokens >= 1;
+    }
+
+    /** Returns when a token is available; {@code Long.MAX_VALUE} without a share. */
+    long nextTokenNanos(long nowNanos) {
+      if (share.requestsPerSecond() <= 0) {
+        return Long.MAX_VALUE;
+      }
+      double missing = Math.max(0, 1 - tokens);
+      return nowNanos + (long) (missing / share.requestsPerSecond() * NANOS_PER_SECOND) + 1;
+    }
+
+    /** Returns whether no entry had a response of the target lately. */
+    boolean isUnsampled() {
+      return share.ageMillis() > MAX_RESPONSE_AGE_MILLIS;
+    }
+  }
+
   LimitedTargets(RequestLimitPort port, DispatchTargetTable targets, TargetRanking ranking) {
     this.port = port;
     this.targets = targets;
@@ -146,12 +178,11 @@
     long next = Long.MAX_VALUE;
     for (int row : rows) {
       Optional<LimitShare> share = share(row, nowNanos);
-      if (share.isEmpty() || share.get().requestsPerSecond() <= 0 || ticket.isTried(row)) {
+      if (share.isEmpty() || ticket.isTried(row)) {
         continue;
       }
-      double missing = Math.max(0, 1 - tokens(row, share.get(), nowNanos));
-      long waitNanos = (long) (missing / share.get().requestsPerSecond() * NANOS_PER_SECOND);
-      next = Math.min(next, nowNanos + waitNanos + 1);
+      Peek peek = new Peek(share.get(), tokens(row, share.get(), nowNanos));
+      next = Math.min(next, peek.nextTokenNanos(nowNanos));
     }
     return next;
   }
@@ -162,10 +193,20 @@
   }
 
   /** Without probes, a target that doesn't respond would get requests until it is removed. */
-  private boolean mayTry(PlacementTicket ticket, int row, long nowNanos) {
+  boolean mayTry(PlacementTicket ticket, int row, long nowNanos) {
     return !ticket.isTried(row) && targets.failures(row, nowNanos) < MAX_FAILURES;
   }
 
+  /** Returns the state of a limited target without changing it; empty if it has no limit. */
+  Optional<Peek> peek(int row, long nowNanos) {
+    return share(row, nowNanos).map(share -> new Peek(share, peekTokens(row, share, nowNanos)));
+  }
+
+  private double peekTokens(int row, LimitShare share, long nowNanos) {
+    Bucket bucket = buckets.get(incarnation(row));
+    return bucket == null ? 0 : bucket.refilled(share, nowNanos);
+  }
+
   private boolean hasToken(int row, long nowNanos) {
     Optional<LimitShare> share = share(row, nowNanos);
     return share.isPresent() && tokens(row, share.get(), nowNanos) >= 1;
--- /dev/null
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PlacementExplainer.java
@@ -0,0 +1,175 @@
+package org.chivecross.logic.dispatch;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.chivecross.logic.dispatch.PlacementExplanation.Candidate;
+import org.chivecross.logic.dispatch.PlacementExplanation.Outcome;
+import org.chivecross.logic.dispatch.PlacementExplanation.Reason;
+import org.chivecross.model.registry.RegisteredTarget;
+
+/**
+ * Explains the placement of a request from the dispatcher's state. Sends no probes, takes no tokens
+ * and changes no state. Not thread-safe.
+ */
+final class PlacementExplainer {
+
+  private final DispatchTargetTable targets;
+  private final HomeRegions homes;
+  private final TargetRanking ranking;
+  private final ResponseTimeEstimates responseTimes;
+  private final LimitedTargets limitedTargets;
+  private final AdmissionExplainer admission;
+  private final PlacementForecast forecast;
+
+  PlacementExplainer(
+      DispatchTargetTable targets,
+      HomeRegions homes,
+      TargetRanking ranking,
+      ResponseTimeEstimates responseTimes,
+      LimitedTargets limitedTargets,
+      AdmissionExplainer admission) {
+    this.targets = targets;
+    this.homes = homes;
+    this.ranking = ranking;
+    this.responseTimes = responseTimes;
+    this.limitedTargets = limitedTargets;
+    this.admission = admission;
+    forecast = new PlacementForecast(targets, homes, ranking, responseTimes, limitedTargets);
+  }
+
+  /** Returns the explanation of a request that no route matches. */
+  static PlacementExplanation withoutRoute(String detail) {
+    return new PlacementExplanation(
+        Outcome.NO_ROUTE,
+        detail,
+        "",
+        "",
+        new AdmissionExplainer.Admission("none", "none"),
+        0,
+        0,
+        "",
+        List.of());
+  }
+
+  /**
+   * Explains the placement of a request that arrives now.
+   *
+   * @param ticket ticket of the request; no target was tried for it
+   * @param isolated whether this entry reaches no target and may forward the request
+   */
+  PlacementExplanation explain(PlacementTicket ticket, boolean isolated, long nowNanos) {
+    PlacementForecast.Forecast found =
+        isolated
+            ? new PlacementForecast.Forecast(
+                Outcome.FORWARD,
+                DispatchTargetTable.NONE,
+                "this entry reaches no target; another entry places the request")
+            : forecast.of(ticket, nowNanos);
+    List<Candidate> candidates = new ArrayList<>();
+    for (int row : order(ticket, nowNanos)) {
+      candidates.add(candidate(ticket, row, row == found.row(), nowNanos));
+    }
+    return new PlacementExplanation(
+        found.outcome(),
+        found.detail(),
+        ticket.route().name(),
+        ticket.service(),
+        admission.explain(ticket, nowNanos),
+        TimeUnit.NANOSECONDS.toMillis(ticket.deadlineNanos() - nowNanos),
+        Math.round(responseTimes.nominalMillis(ticket.route())),
+        targets.target(found.row()).map(RegisteredTarget::id).orElse(""),
+        candidates);
+  }
+
+  /** Returns all registered targets: those that may be chosen, the limited ones, the others. */
+  private int[] order(PlacementTicket ticket, long nowNanos) {
+    int[] all = targets.registeredRows(ticket.service());
+    int[] allowed =
+        homes.allowed(ticket.route(), targets.availableRows(ticket.service(), nowNanos));
+    int[] free =
+        Arrays.stream(allowed)
+            .filter(row -> limitedTargets.peek(row, nowNanos).isEmpty())
+            .toArray();
+    Set<Integer> order = new LinkedHashSet<>();
+    for (int[] rows : List.of(free, allowed, all)) {
+      for (int row : ranking.inOrder(ticket, rows, nowNanos)) {
+        order.add(row);
+      }
+    }
+    return order.stream().mapToInt(Integer::intValue).toArray();
+  }
+
+  private Candidate candidate(PlacementTicket ticket, int row, boolean chosen, long nowNanos) {
+    RegisteredTarget target = targets.target(row).orElseThrow();
+    DispatchEvent.TargetLoad load = targets.load(row, nowNanos);
+    int[] rows = targets.availableRows(ticket.service(), nowNanos);
+    return new Candidate(
+        target.id(),
+        target.address(),
+        target.dataCentre(),
+        load.running(),
+        load.waiting(),
+        targets.slots(row),
+        load.slowdownPercent(),
+        load.reportAgeMillis(),
+        Math.round(ranking.expectedMillis(ticket, row, nowNanos)),
+        Math.round(
+            ranking.rankingMillis(ticket, row, targets.minFailures(rows, nowNanos), nowNanos)),
+        reason(ticket, row, rows, nowNanos),
+        chosen);
+  }
+
+  private Reason reason(PlacementTicket ticket, int row, int[] rows, long nowNanos) {
+    if (targets.isLeaving(row)) {
+      return Reason.LEAVING;
+    }
+    if (targets.isEvacuated(row)) {
+      return Reason.EVACUATED;
+    }
+    if (targets.isHeldOff(row, nowNanos)) {
+      return Reason.HOLD_OFF;
+    }
+    if (homes.allowed(ticket.route(), new int[] {row}).length == 0) {
+      return Reason.OUTSIDE_HOME_REGIONS;
+    }
+    Optional<LimitedTargets.Peek> limit = limitedTargets.peek(row, nowNanos);
+    if (limit.isPresent()) {
+      return limitReason(ticket, row, limit.get(), nowNanos);
+    }
+    if (ranking.isGoodEnough(ticket, row, rows, nowNanos)) {
+      boolean isReported = targets.hasReportWithin(row, Long.MAX_VALUE, nowNanos);
+      return isReported ? Reason.GOOD_ENOUGH : Reason.NO_REPORT;
+    }
+    return weakness(ticket, row, nowNanos);
+  }
+
+  private Reason limitReason(
+      PlacementTicket ticket, int row, LimitedTargets.Peek limit, long nowNanos) {
+    if (!limitedTargets.mayTry(ticket, row, nowNanos)) {
+      return Reason.FAILED_LATELY;
+    }
+    if (targets.isWarm(row, nowNanos)) {
+      return limit.hasToken() ? Reason.LIMIT_SHARE : Reason.LIMIT_WITHOUT_SHARE;
+    }
+    return limit.hasToken() ? Reason.WARM_UP_SHARE : Reason.WARM_UP_WITHOUT_SHARE;
+  }
+
+  /** Returns the first cause for which a target without a limit is not good enough. */
+  private Reason weakness(PlacementTicket ticket, int row, long nowNanos) {
+    double expectedMillis = ranking.expectedMillis(ticket, row, nowNanos);
+    double acceptedMillis = ranking.goodEnoughMillis(ticket);
+    if (targets.running(row) + targets.waiting(row) >= targets.slots(row)) {
+      return Reason.FULL;
+    }
+    if (expectedMillis > acceptedMillis) {
+      return Reason.SLOW;
+    }
+    boolean isTooFar = expectedMillis + ranking.crossDataCentreMillis(ticket, row) > acceptedMillis;
+    return isTooFar ? Reason.OTHER_DATA_CENTRE : Reason.FAILED_LATELY;
+  }
+}
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/ServiceRoundRobin.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/ServiceRoundRobin.java
@@ -46,6 +46,20 @@
     return services.get(best).service();
   }
 
+  /** Returns the service that {@link #next} would return, without taking the turn. */
+  String peek(RouteRule route) {
+    List<WeightedService> services = route.services();
+    double[] credits =
+        creditsByRoute.getOrDefault(route.host() + route.prefix(), new double[services.size()]);
+    int best = 0;
+    for (int i = 1; i < services.size(); i++) {
+      if (credits[i] + services.get(i).weight() > credits[best] + services.get(best).weight()) {
+        best = i;
+      }
+    }
+    return services.get(best).service();
+  }
+
   private static double[] startCredits(List<WeightedService> services, double start) {
     double[] credits = new double[services.size()];
     double sum = 0;
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetPlacement.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetPlacement.java
@@ -13,7 +13,7 @@
   private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
   /** Age up to which a report is used without a new probe; much shorter than a slow phase. */
-  private static final long FRESH_REPORT_NANOS = 25 * NANOS_PER_MILLI;
+  static final long FRESH_REPORT_NANOS = 25 * NANOS_PER_MILLI;
 
   /** Timeout of a probe; a healthy target answers at once. */
   static final long PROBE_TIMEOUT_NANOS = 60 * NANOS_PER_MILLI;
@@ -29,10 +29,10 @@
   /**
    * Queue timeout of a request without a suitable target, as a fraction of the latency objective.
    */
-  private static final double QUEUE_TIMEOUT_FRACTION = 0.25;
+  static final double QUEUE_TIMEOUT_FRACTION = 0.25;
 
   /** Fraction of the remaining time that the expected response time may take. */
-  private static final double USABLE_TIME_FRACTION = 0.85;
+  static final double USABLE_TIME_FRACTION = 0.85;
 
   private final DispatchTargetTable targets;
   private final HomeRegions homes;
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetRanking.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetRanking.java
@@ -1,5 +1,7 @@
 package org.chivecross.logic.dispatch;
 
+import java.util.Arrays;
+import java.util.Comparator;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -76,7 +78,7 @@
    * Returns the penalty of a target in another data centre, in ms. Large bodies stay in the data
    * centre unless its targets would miss the latency objective.
    */
-  private double crossDataCentreMillis(PlacementTicket ticket, int row) {
+  double crossDataCentreMillis(PlacementTicket ticket, int row) {
     long bytes = ticket.bodyBytes() + responseTimes.bodyBytes(ticket.route());
     return expectedTimes.crossDataCentreMillis(row, bytes, ticket.route().latencyObjectiveMillis());
   }
@@ -84,8 +86,23 @@
   /** Returns whether a target is chosen without probing more targets. */
   boolean isGoodEnough(PlacementTicket ticket, int row, int[] rows, long nowNanos) {
     double minFailures = targets.minFailures(rows, nowNanos);
-    double nominalMillis = responseTimes.nominalMillis(ticket.route());
-    return rankingMillis(ticket, row, minFailures, nowNanos) <= nominalMillis * GOOD_ENOUGH_FACTOR;
+    return rankingMillis(ticket, row, minFailures, nowNanos) <= goodEnoughMillis(ticket);
+  }
+
+  /** Returns the time up to which a target is chosen without probing more targets, in ms. */
+  double goodEnoughMillis(PlacementTicket ticket) {
+    return responseTimes.nominalMillis(ticket.route()) * GOOD_ENOUGH_FACTOR;
+  }
+
+  /** Returns rows in the order of ranking, the best one first, whatever the age of the reports. */
+  int[] inOrder(PlacementTicket ticket, int[] rows, long nowNanos) {
+    double minFailures = targets.minFailures(rows, nowNanos);
+    return Arrays.stream(rows)
+        .boxed()
+        .sorted(
+            Comparator.comparingDouble(row -> rankingMillis(ticket, row, minFailures, nowNanos)))
+        .mapToInt(Integer::intValue)
+        .toArray();
   }
 
   /**
@@ -147,7 +164,7 @@
   }
 
   /** Returns the expected response time of a target plus its penalties, in ms. */
-  private double rankingMillis(PlacementTicket ticket, int row, double minFailures, long nowNanos) {
+  double rankingMillis(PlacementTicket ticket, int row, double minFailures, long nowNanos) {
     if (row == DispatchTargetTable.NONE) {
       return Double.MAX_VALUE;
     }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -153,7 +153,7 @@
         new DirectoryAddresses(lock, settings, incarnation, node, dispatcher, this::isReady);
     dataPath.serveLocally(settings.directory(), adapter.directory(addresses::forCaller));
     dataPath.serveLocally(settings.readiness(), adapter.readiness(this::isReady));
-    dataPath.serveLocally(settings.metrics(), FleetMetrics.routes(metrics));
+    dataPath.serveLocally(settings.metrics(), FleetMetrics.routes(metrics, lock, dispatcher));
     scheduler.every(CLOSE_IDLE_PERIOD_MILLIS, () -> dataPath.closeIdle(System.nanoTime()));
     scheduler.execute(this::tick);
     Logger.info(
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
@@ -22,10 +22,21 @@
 
   private FleetMetrics() {}
 
-  /** Returns the routes that serve the metrics. */
-  static LocalRoutes routes(EntryMetrics metrics) {
+  /**
+   * Returns the routes that serve the metrics and explanations of placements; the dispatcher is
+   * read while {@code lock} is held.
+   */
+  static LocalRoutes routes(EntryMetrics metrics, Object lock, Dispatcher dispatcher) {
+    ExplainPage explanations = new ExplainPage(lock, dispatcher);
+    metrics.counter(
+        "chivecross_explanations", "Explanations of placements", explanations::answeredCount);
     return new LocalRoutes(
-        "/", Map.of("/metrics", (request, responder) -> responder.accept(page(metrics, request))));
+        "/",
+        Map.of(
+            "/metrics",
+            (request, responder) -> responder.accept(page(metrics, request)),
+            "/explain",
+            explanations));
   }
 
   /**
