Prefer a stable subset of targets where requests are few

Cause: with over a hundred entries and targets and a few requests a second for each entry, connections to targets are closed before they are used again, and many entries try to take the same free slot.

TargetSubsets sorts primitive values and gives orders of which every prefix is balanced. Collisions, opened connections and requests on preferred targets are counted.

--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -33,6 +33,8 @@
   private final ResponseTimeEstimates responseTimes = new ResponseTimeEstimates();
   private final ServiceRoundRobin roundRobin = new ServiceRoundRobin();
   private final RequestRate rate = new RequestRate();
+  private final CollisionCounter collisions = new CollisionCounter();
+  private final PreferredTargets preferred;
   private final ExpectedResponseTime expectedTimes;
   private final TargetRanking ranking;
   private final PlacementProbes probes;
@@ -63,7 +65,9 @@
     retryBudgets = new RetryBudgets(preferences);
     RetryAdvice advice = new RetryAdvice(random);
     expectedTimes = new ExpectedResponseTime(targets, preferences);
-    ranking = new TargetRanking(targets, expectedTimes, responseTimes, preferences, random);
+    preferred = new PreferredTargets(targets, preferences.dataCentre());
+    ranking =
+        new TargetRanking(targets, expectedTimes, responseTimes, preferences, preferred, random);
     delays = new RetryDelays(targets, ranking, advice);
     probes =
         new PlacementProbes(
@@ -98,6 +102,16 @@
     targets.evacuate(dataCentres);
   }
 
+  /** Returns the preferred targets, which depend on the other entries. */
+  public PreferredTargets preferred() {
+    return preferred;
+  }
+
+  /** Returns the number of requests refused or reset by targets that had just reported a slot. */
+  public long collisionCount() {
+    return collisions.count();
+  }
+
   /**
    * Sets this entry's share of the budgets that all entries share.
    *
@@ -165,6 +179,7 @@
     rate.count(nowNanos);
     String service = roundRobin.next(route, random.nextDouble());
     retryBudgets.ofService(service).recordRequest(nowNanos);
+    preferred.requestArrived(service, nowNanos);
     PlacementTicket ticket =
         new PlacementTicket(route, service, nowNanos, deadlineNanos, bodyBytes, schedulePlacement);
     if (homes.mayLeaveHome(route)) {
@@ -241,6 +256,7 @@
       forwarding.started(row);
     } else {
       targets.attemptStarted(row);
+      preferred.attemptStarted(row);
     }
   }
 
@@ -275,10 +291,17 @@
   public void connectionFailed(int row, long nowNanos) {
     failed(row, nowNanos);
     if (!RequestForwarding.isEntry(row)) {
+      collisions.refused(row, nowNanos);
       forwarding.targetFailed(row, nowNanos);
     }
   }
 
+  /** Records an attempt that its target turned away without running it. */
+  public void turnedAway(int row, long nowNanos) {
+    collisions.refused(row, nowNanos);
+    failed(row, nowNanos);
+  }
+
   /** Records an attempt that had no response when the time of its request was over. */
   public void timedOut(int row, long nowNanos) {
     if (RequestForwarding.isEntry(row)) {
@@ -326,6 +349,7 @@
   /** Stores a load report that came with an answer of a target. */
   public void loadReported(int row, LoadReport report, long nowNanos) {
     targets.report(row, report, nowNanos);
+    collisions.reported(row, report, nowNanos);
   }
 
   /** Handles the end of a probe. */
@@ -348,7 +372,7 @@
    */
   public void probeEnded(int row, boolean healthy, Optional<ResponseHead> head, long nowNanos) {
     head.ifPresent(answer -> announced(row, answer, nowNanos));
-    head.flatMap(ResponseHead::load).ifPresent(load -> targets.report(row, load, nowNanos));
+    head.flatMap(ResponseHead::load).ifPresent(load -> loadReported(row, load, nowNanos));
     if (!healthy) {
       targets.failed(row, 1, nowNanos);
     }
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetRanking.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetRanking.java
@@ -38,6 +38,18 @@
   /** Fraction of probes without that penalty, so that all entries use all targets, new ones too. */
   private static final double EXPLORING_FRACTION = 0.1;
 
+  /**
+   * Penalty of a target that is not preferred, while others are; large enough that preferred
+   * targets without failures and bad reports come first.
+   */
+  private static final double NOT_PREFERRED_PENALTY = 1 + UNCONNECTED_PENALTY;
+
+  /** Probes of a placement after which preferred targets and the data centre no longer count. */
+  private static final int MAX_PREFERRED_PROBES = 3;
+
+  /** Age up to which a report of a slow or full target makes a new probe useless. */
+  private static final long USELESS_PROBE_NANOS = 30 * NANOS_PER_MILLI;
+
   /** Penalty of each remembered failure in the probe order. */
   private static final double FAILURE_PENALTY = 2.0;
 
@@ -45,6 +57,7 @@
   private final ExpectedResponseTime expectedTimes;
   private final ResponseTimeEstimates responseTimes;
   private final DispatchPreferences preferences;
+  private final PreferredTargets preferred;
   private final RandomGenerator random;
 
   TargetRanking(
@@ -52,11 +65,13 @@
       ExpectedResponseTime expectedTimes,
       ResponseTimeEstimates responseTimes,
       DispatchPreferences preferences,
+      PreferredTargets preferred,
       RandomGenerator random) {
     this.targets = targets;
     this.expectedTimes = expectedTimes;
     this.responseTimes = responseTimes;
     this.preferences = preferences;
+    this.preferred = preferred;
     this.random = random;
   }
 
@@ -118,26 +133,26 @@
 
   /**
    * Returns the target to probe next: at random, preferring those in the same data centre, those
-   * with a kept connection and those without failures.
+   * with a kept connection and those without failures; and before these the preferred targets of
+   * the service, if there are any.
    */
   int nextToProbe(PlacementTicket ticket, int[] rows, long nowNanos) {
+    if (preferred.isInForce(ticket.service())) {
+      return nextPreferredToProbe(ticket, rows, nowNanos);
+    }
+    double unconnectedPenalty = random.nextDouble() < EXPLORING_FRACTION ? 0 : UNCONNECTED_PENALTY;
     int next = DispatchTargetTable.NONE;
     double least = Double.MAX_VALUE;
-    double nominalMillis = responseTimes.nominalMillis(ticket.route());
-    double unconnectedPenalty = random.nextDouble() < EXPLORING_FRACTION ? 0 : UNCONNECTED_PENALTY;
     for (int row : rows) {
       if (ticket.isTried(row) || ticket.isProbed(row)) {
         continue;
       }
-      boolean hadBadReport =
-          targets.hasReportWithin(row, BAD_REPORT_NANOS, nowNanos)
-              && expectedMillis(ticket, row, nowNanos) > nominalMillis * GOOD_ENOUGH_FACTOR;
       double order =
           random.nextDouble()
-              + crossDataCentreMillis(ticket, row) / preferences.crossDataCentreMillis()
+              + crossDataCentreOrder(ticket, row)
               + (targets.isConnected(row, nowNanos) ? 0 : unconnectedPenalty)
               + FAILURE_PENALTY * targets.failures(row, nowNanos)
-              + (hadBadReport ? BAD_REPORT_PENALTY : 0);
+              + (hadBadReport(ticket, row, BAD_REPORT_NANOS, nowNanos) ? BAD_REPORT_PENALTY : 0);
       if (order < least) {
         least = order;
         next = row;
@@ -146,6 +161,64 @@
     return next;
   }
 
+  /**
+   * Returns the target to probe next of a service with preferred targets. After some probes in vain
+   * all targets are equal, so that the request finds free ones in other data centres.
+   */
+  private int nextPreferredToProbe(PlacementTicket ticket, int[] rows, long nowNanos) {
+    int added = newTargetToProbe(ticket, rows, nowNanos);
+    if (added != DispatchTargetTable.NONE) {
+      return added;
+    }
+    boolean mayPrefer = ticket.probeCount() < MAX_PREFERRED_PROBES;
+    int next = DispatchTargetTable.NONE;
+    double least = Double.MAX_VALUE;
+    for (int row : rows) {
+      if (ticket.isTried(row)
+          || ticket.isProbed(row)
+          || hadBadReport(ticket, row, USELESS_PROBE_NANOS, nowNanos)) {
+        continue;
+      }
+      double order =
+          random.nextDouble()
+              + (targets.isConnected(row, nowNanos) ? 0 : UNCONNECTED_PENALTY)
+              + FAILURE_PENALTY * targets.failures(row, nowNanos);
+      boolean hadBadReport = hadBadReport(ticket, row, BAD_REPORT_NANOS, nowNanos);
+      if (hadBadReport) {
+        order += BAD_REPORT_PENALTY;
+      }
+      if (mayPrefer) {
+        order += crossDataCentreOrder(ticket, row);
+        boolean isPreferred = !hadBadReport && preferred.isPreferred(ticket.service(), row);
+        order += isPreferred ? 0 : NOT_PREFERRED_PENALTY;
+      }
+      if (order < least) {
+        least = order;
+        next = row;
+      }
+    }
+    return next;
+  }
+
+  private int newTargetToProbe(PlacementTicket ticket, int[] rows, long nowNanos) {
+    if (ticket.probeCount() > 0) {
+      return DispatchTargetTable.NONE;
+    }
+    int added = preferred.newTargetToProbe(ticket.service(), rows, random, nowNanos);
+    boolean isTried = added != DispatchTargetTable.NONE && ticket.isTried(added);
+    return isTried ? DispatchTargetTable.NONE : added;
+  }
+
+  private double crossDataCentreOrder(PlacementTicket ticket, int row) {
+    return crossDataCentreMillis(ticket, row) / preferences.crossDataCentreMillis();
+  }
+
+  private boolean hadBadReport(PlacementTicket ticket, int row, long maxAgeNanos, long nowNanos) {
+    double nominalMillis = responseTimes.nominalMillis(ticket.route());
+    return targets.hasReportWithin(row, maxAgeNanos, nowNanos)
+        && expectedMillis(ticket, row, nowNanos) > nominalMillis * GOOD_ENOUGH_FACTOR;
+  }
+
   /** Returns the expected response time of a target plus its penalties, in ms. */
   private double rankingMillis(PlacementTicket ticket, int row, double minFailures, long nowNanos) {
     if (row == DispatchTargetTable.NONE) {
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
@@ -147,7 +147,7 @@
     if (head.notRun()) {
       attempts.markNotRun(attempt);
       attempts.close(attempt);
-      dispatcher.failed(target, nowNanos);
+      dispatcher.turnedAway(target, nowNanos);
       return attemptFailed(current, "turned away by the target", target, nowNanos);
     }
     dispatcher.crashes().completed(ends.fingerprint(), nowNanos);
--- a/chivecross-core/src/main/java/org/chivecross/logic/subset/TargetSubsets.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/subset/TargetSubsets.java
@@ -1,7 +1,7 @@
 package org.chivecross.logic.subset;
 
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -24,9 +24,6 @@
   /** Factor by which the limit of a target exceeds the mean number of subsets. */
   private static final double LIMIT_MARGIN = 1.15;
 
-  /** An entry and a target with their weight. */
-  private record Pair(int entry, int target, long weight) {}
-
   private TargetSubsets() {}
 
   /**
@@ -54,27 +51,78 @@
     if (targets.isEmpty()) {
       return subsets;
     }
-    int limit = maxSubsetsPerTarget(entries.size(), targets.size(), size);
-    int[] subsetCounts = new int[targets.size()];
-    for (Pair pair : pairs(entries, targets)) {
-      Set<String> subset = subsets.getOrDefault(entries.get(pair.entry()), Set.of());
-      if (subset.size() < size && subsetCounts[pair.target()] < limit) {
-        subsetCounts[pair.target()]++;
-        subset.add(targets.get(pair.target()));
-      }
+    long[] entryKeys = entries.stream().mapToLong(Long::longValue).toArray();
+    long[] targetKeys = targets.stream().mapToLong(RendezvousHash::of).toArray();
+    Assignment assignment = new Assignment(entryKeys, targetKeys);
+    assignment.extend(size);
+    for (int i = 0; i < entryKeys.length; i++) {
+      Set<String> subset = subsets.getOrDefault(entryKeys[i], Set.of());
+      assignment.lists.get(i).forEach(target -> subset.add(targets.get(target)));
     }
     return subsets;
   }
 
-  private static List<Pair> pairs(List<Long> entries, List<String> targets) {
-    long[] keys = targets.stream().mapToLong(RendezvousHash::of).toArray();
-    List<Pair> pairs = new ArrayList<>(entries.size() * keys.length);
-    for (int i = 0; i < entries.size(); i++) {
-      for (int j = 0; j < keys.length; j++) {
-        pairs.add(new Pair(i, j, RendezvousHash.weight(keys[j], entries.get(i))));
+  /**
+   * Returns the targets of each entry, in an order of which every prefix is balanced: entries that
+   * need different numbers of targets use prefixes of different lengths. The cost is that of
+   * sorting one {@code long} for each pair.
+   *
+   * @param entries hashes of the entries
+   * @param targets hashes of the targets
+   * @param maxSize length of the longest prefix
+   * @return for each entry the indexes of its targets
+   */
+  public static List<int[]> ordered(long[] entries, long[] targets, int maxSize) {
+    Assignment assignment = new Assignment(entries, targets);
+    for (int size = 1; size <= Math.min(maxSize, targets.length); size++) {
+      assignment.extend(size);
+    }
+    return assignment.lists.stream()
+        .map(list -> list.stream().mapToInt(Integer::intValue).toArray())
+        .toList();
+  }
+
+  /** Pairs that are not assigned yet, and the targets of each entry so far. */
+  private static final class Assignment {
+    private final int targetCount;
+    private final long indexMask;
+    private long[] pairs;
+    private final int[] subsetCounts;
+    private final List<List<Integer>> lists = new ArrayList<>();
+
+    Assignment(long[] entries, long[] targets) {
+      targetCount = targets.length;
+      pairs = new long[entries.length * targetCount];
+      // The index of the pair takes the place of the lowest bits of its weight; sorting primitive
+      // values is several times faster than sorting objects.
+      indexMask = Math.max(1, Long.highestOneBit(Math.max(1, pairs.length)) * 2) - 1;
+      for (int i = 0; i < pairs.length; i++) {
+        long weight = RendezvousHash.weight(targets[i % targetCount], entries[i / targetCount]);
+        pairs[i] = weight & ~indexMask | i;
+      }
+      Arrays.sort(pairs);
+      subsetCounts = new int[targetCount];
+      for (int i = 0; i < entries.length; i++) {
+        lists.add(new ArrayList<>());
+      }
+    }
+
+    /** Assigns pairs until each entry has {@code size} targets or none is below its limit. */
+    void extend(int size) {
+      int limit = maxSubsetsPerTarget(lists.size(), targetCount, size);
+      int left = 0;
+      for (long pair : pairs) {
+        int index = (int) (pair & indexMask);
+        int target = index % targetCount;
+        List<Integer> list = lists.get(index / targetCount);
+        if (list.size() < size && subsetCounts[target] < limit) {
+          subsetCounts[target]++;
+          list.add(target);
+        } else {
+          pairs[left++] = pair;
+        }
       }
+      pairs = Arrays.copyOf(pairs, left);
     }
-    pairs.sort(Comparator.comparingLong(Pair::weight));
-    return pairs;
   }
 }
--- a/chivecross-core/src/test/java/org/chivecross/logic/dispatch/DispatchSimulation.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/DispatchSimulation.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 import org.chivecross.model.fileset.RequestClass;
+import org.chivecross.model.fleet.FleetMember;
 import org.chivecross.model.registry.RegisteredTarget;
 import org.chivecross.model.request.LoadReport;
 import org.chivecross.model.request.ResponseHead;
@@ -71,6 +72,11 @@
   int shed;
   int probes;
   long maxRetryAfterMillis;
+  int collisions;
+
+  /** Time that requests and load reports travel. */
+  long oneWayMillis;
+
   int connects;
   long responseBytes;
   long remoteBytes;
@@ -137,6 +143,38 @@
     }
   }
 
+  /** Lets the entries know each other, so that they may prefer targets. */
+  void shareEntries() {
+    List<FleetMember> members = new ArrayList<>();
+    for (int i = 0; i < entries.size(); i++) {
+      String zone = dataCentres.getOrDefault(entries.get(i), "");
+      members.add(new FleetMember("10.1.0." + i, i, zone, true, false, 0, 0));
+    }
+    for (int i = 0; i < entries.size(); i++) {
+      entries.get(i).preferred().applyEntries("10.1.0." + i, members);
+    }
+  }
+
+  /** Registers another target at all entries after some time; returns its index. */
+  int addTargetLater(String dataCentre, int slots, long afterMillis) {
+    addTargets(dataCentre, 1, slots);
+    List<RegisteredTarget> all = targets.stream().map(t -> t.registered).toList();
+    schedule(afterMillis * MILLI, now -> entries.forEach(entry -> entry.applyTargets(all, now)));
+    return targets.size() - 1;
+  }
+
+  /** Sends requests at a rate that swings around {@code perSecond} like a sine. */
+  void wave(int entry, double perSecond, double swing, double period, double shift, long seconds) {
+    double at = 0;
+    while (at < seconds) {
+      at += -Math.log(1 - random.nextDouble()) / (perSecond * (1 + swing));
+      double rate = 1 + swing * Math.sin(2 * Math.PI * (at - shift) / period);
+      if (random.nextDouble() * (1 + swing) < rate) {
+        schedule((long) (at * 1e9), now -> request(entry, now));
+      }
+    }
+  }
+
   /** Sets the budget shares by load; only the first {@code loaded} entries receive requests. */
   void shareBudgetsByLoad(int perSecond, int loaded) {
     double total = (double) perSecond * loaded + entries.size();
@@ -228,8 +266,28 @@
     FakeTarget target = find(dispatcher, row);
     connect(dispatcher, target, now);
     target.requests++;
+    DispatchEvent.TargetLoad load = dispatcher.targetLoad(row, now);
+    boolean sawFreeSlot =
+        load.reportAgeMillis() >= 0
+            && load.reportAgeMillis() <= 25
+            && load.running() + load.waiting() < target.registered.slots();
     dispatcher.started(row);
     boolean wasAtNominalSpeed = dispatcher.isAtNominalSpeed(row, now);
+    LongConsumer arrival =
+        at -> {
+          collisions += sawFreeSlot && target.running >= target.registered.slots() ? 1 : 0;
+          run(dispatcher, ticket, row, wasAtNominalSpeed, at);
+        };
+    if (oneWayMillis == 0) {
+      arrival.accept(now);
+    } else {
+      schedule(now + oneWayMillis * MILLI, arrival);
+    }
+  }
+
+  private void run(
+      Dispatcher dispatcher, PlacementTicket ticket, int row, boolean nominalSpeed, long now) {
+    FakeTarget target = find(dispatcher, row);
     long begin = now;
     if (target.running >= target.registered.slots()) {
       target.waiting++;
@@ -243,7 +301,7 @@
         at -> {
           target.running--;
           target.waiting -= queued ? 1 : 0;
-          dispatcher.served(ticket, row, at - now, wasAtNominalSpeed, at);
+          dispatcher.served(ticket, row, at - now, nominalSpeed, at);
           dispatcher.responseSized(ticket, responseBytes);
           if (!isLocal(dispatcher, target)) {
             remoteBytes += responseBytes;
@@ -275,7 +333,13 @@
               new LoadReport(
                   running, target.waiting, target.registered.slots(), 100 * slowdown(target, at));
           ResponseHead head = new ResponseHead(200, false, false, Optional.of(report));
-          dispatcher.probeEnded(row, true, Optional.of(head), at);
+          if (oneWayMillis == 0) {
+            dispatcher.probeEnded(row, true, Optional.of(head), at);
+          } else {
+            schedule(
+                at + oneWayMillis * MILLI,
+                later -> dispatcher.probeEnded(row, true, Optional.of(head), later));
+          }
         });
   }
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -73,6 +73,7 @@
   private final DataPath dataPath;
   private final TargetProber prober;
   private final EntryMetrics metrics;
+  private final PreferredTargetsLogger preferredLogger = new PreferredTargetsLogger();
   private final CountDownLatch stopped = new CountDownLatch(1);
   private Map<String, ServiceRule> services = Map.of();
   private List<String> serviceNames = List.of();
@@ -232,6 +233,8 @@
         node.setRequestsPerSecond((int) Math.round(dispatcher.requestsPerSecond(now)));
         node.tick(now);
         dispatcher.setBudgetShare(node.budgetShare(now), node.budgetEntries());
+        dispatcher.preferred().applyEntries(settings.ip(), node.others(now));
+        preferredLogger.log(dispatcher.preferred().sizes());
         next = node.nextTickNanos(now);
       }
     } finally {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
@@ -71,6 +71,28 @@
         "Entries known to be alive, this one included",
         guarded(lock, () -> node.others(System.nanoTime()).size() + 1L));
     addTargetGauges(metrics, lock, node, dispatcher);
+    addPreferenceMetrics(metrics, lock, dataPath, dispatcher);
+  }
+
+  /** Registers the use of preferred targets and what it is to reduce. */
+  private static void addPreferenceMetrics(
+      EntryMetrics metrics, Object lock, DataPath dataPath, Dispatcher dispatcher) {
+    metrics.counter(
+        "chivecross_upstream_connections_opened",
+        "New connections to targets, for requests and probes, and to entries that take requests over",
+        dataPath::openedUpstreamCount);
+    metrics.counter(
+        "chivecross_placement_collisions",
+        "Requests refused or reset by targets that had reported a free slot just before",
+        guarded(lock, dispatcher::collisionCount));
+    metrics.counter(
+        "chivecross_requests_on_preferred_targets",
+        "Requests sent to preferred targets",
+        guarded(lock, () -> dispatcher.preferred().requestCount()));
+    metrics.gauge(
+        "chivecross_services_with_preferred_targets",
+        "Services of which this entry prefers some targets",
+        guarded(lock, () -> dispatcher.preferred().sizes().size()));
   }
 
   /** Registers what is known of targets and requests that get special treatment. */
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
@@ -179,6 +179,11 @@
     return inFlight.count();
   }
 
+  /** Returns the number of connections to targets opened so far. */
+  public long openedUpstreamCount() {
+    return client.openedCount();
+  }
+
   /** Runs the timers that are due. Called by one thread. */
   public void tick(long nowNanos) {
     inFlight.tick(nowNanos);
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 import org.chivecross.model.failure.Failure;
 import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.ConnectionKind;
@@ -36,6 +37,7 @@
   private final UpstreamAddresses addresses;
   private final DataPathSettings settings;
   private final TCPNIOConnectorHandler connector;
+  private final LongAdder opened = new LongAdder();
   private final UpstreamRegistry upstreams = new UpstreamRegistry();
   private final Map<InetSocketAddress, UpstreamPool> pools = new ConcurrentHashMap<>();
 
@@ -73,6 +75,11 @@
         (SocketAddress) address.get(), new ConnectCompletion(pool, address.get(), handler));
   }
 
+  /** Returns the number of connections opened so far. */
+  long openedCount() {
+    return opened.sum();
+  }
+
   /** Returns the name that a target uses for itself, if it has one. */
   Optional<String> identity(int target) {
     return addresses.identity(target);
@@ -131,6 +138,7 @@
       UpstreamConnection upstream =
           new UpstreamConnection((NIOConnection) connection, pool, System.nanoTime());
       upstreams.add(upstream);
+      opened.increment();
       handler.acquired(upstream);
     }
 
