--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -3,7 +3,6 @@
 import java.util.Collection;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -82,12 +81,20 @@
     placement =
         new TargetPlacement(
             targets, homes, ranking, responseTimes, probes, advice, delays, limitedTargets);
-    explainer =
-        new PlacementExplainer(
-            targets, homes, ranking, responseTimes, limitedTargets, AdmissionExplainer.NONE);
     forwarding =
         new RequestForwarding(ports.forwarding(), targets, probes, () -> budgetShare, random);
     crashes = new CrashDetection(ports.suspects(), targets, probes, () -> budgetShare);
+    explainer =
+        new PlacementExplainer(
+            () -> routes,
+            roundRobin,
+            forwarding,
+            targets,
+            homes,
+            ranking,
+            responseTimes,
+            limitedTargets,
+            AdmissionExplainer.NONE);
   }
 
   /** Replaces the rule set. */
@@ -229,30 +236,9 @@
     return placement.place(ticket, budgetShare, nowNanos);
   }
 
-  /**
-   * Explains where a request that arrives now would be sent, without changing any state.
-   *
-   * @param deadlineMillis time until its deadline, in ms; the timeout of its route if empty
-   */
-  public PlacementExplanation explain(
-      String host, String path, long bodyBytes, OptionalLong deadlineMillis, long nowNanos) {
-    Optional<RouteRule> found = route(host, path);
-    if (found.isEmpty()) {
-      return PlacementExplainer.withoutRoute(
-          hasRules() ? "no route matches host and path" : "this entry has no rules yet");
-    }
-    RouteRule route = found.get();
-    long millis = Math.min(deadlineMillis.orElse(Long.MAX_VALUE), route.timeoutMillis());
-    PlacementTicket ticket =
-        new PlacementTicket(
-            route,
-            roundRobin.peek(route),
-            nowNanos,
-            nowNanos + millis * NANOS_PER_MILLI,
-            bodyBytes,
-            () -> {});
-    boolean isForwarded = forwarding.isIsolated() && !homes.mayLeaveHome(route);
-    return explainer.explain(ticket, isForwarded, nowNanos);
+  /** Returns the explanations of placements. */
+  public PlacementExplainer explainer() {
+    return explainer;
   }
 
   /**
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PlacementExplainer.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PlacementExplainer.java
@@ -5,34 +5,51 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.chivecross.logic.dispatch.PlacementExplanation.Candidate;
 import org.chivecross.logic.dispatch.PlacementExplanation.Outcome;
 import org.chivecross.logic.dispatch.PlacementExplanation.Reason;
 import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.ruleset.RouteRule;
 
 /**
  * Explains the placement of a request from the dispatcher's state. Sends no probes, takes no tokens
  * and changes no state. Not thread-safe.
  */
-final class PlacementExplainer {
+public final class PlacementExplainer {
 
   private final DispatchTargetTable targets;
   private final HomeRegions homes;
   private final TargetRanking ranking;
   private final ResponseTimeEstimates responseTimes;
   private final LimitedTargets limitedTargets;
+  private final Supplier<Optional<RouteTable>> routes;
+  private final ServiceRoundRobin roundRobin;
+  private final RequestForwarding forwarding;
   private final AdmissionExplainer admission;
   private final PlacementForecast forecast;
 
+  /**
+   * Creates the explanations of one dispatcher.
+   *
+   * @param routes returns the routes in force; empty before the first rules
+   */
   PlacementExplainer(
+      Supplier<Optional<RouteTable>> routes,
+      ServiceRoundRobin roundRobin,
+      RequestForwarding forwarding,
       DispatchTargetTable targets,
       HomeRegions homes,
       TargetRanking ranking,
       ResponseTimeEstimates responseTimes,
       LimitedTargets limitedTargets,
       AdmissionExplainer admission) {
+    this.routes = routes;
+    this.roundRobin = roundRobin;
+    this.forwarding = forwarding;
     this.targets = targets;
     this.homes = homes;
     this.ranking = ranking;
@@ -42,6 +59,33 @@
     forecast = new PlacementForecast(targets, homes, ranking, responseTimes, limitedTargets);
   }
 
+  /**
+   * Explains where a request that arrives now would be sent, without changing any state.
+   *
+   * @param deadlineMillis time until its deadline, in ms; the timeout of its route if empty
+   */
+  public PlacementExplanation explain(
+      String host, String path, long bodyBytes, OptionalLong deadlineMillis, long nowNanos) {
+    Optional<RouteTable> table = routes.get();
+    Optional<RouteRule> found = table.flatMap(rules -> rules.find(host, path));
+    if (found.isEmpty()) {
+      return withoutRoute(
+          table.isPresent() ? "no route matches host and path" : "this entry has no rules yet");
+    }
+    RouteRule route = found.get();
+    long millis = Math.min(deadlineMillis.orElse(Long.MAX_VALUE), route.timeoutMillis());
+    PlacementTicket ticket =
+        new PlacementTicket(
+            route,
+            roundRobin.peek(route),
+            nowNanos,
+            nowNanos + TimeUnit.MILLISECONDS.toNanos(millis),
+            bodyBytes,
+            () -> {});
+    boolean isForwarded = forwarding.isIsolated() && !homes.mayLeaveHome(route);
+    return explain(ticket, isForwarded, nowNanos);
+  }
+
   /** Returns the explanation of a request that no route matches. */
   static PlacementExplanation withoutRoute(String detail) {
     return new PlacementExplanation(
--- a/chivecross-core/src/test/java/org/chivecross/logic/dispatch/PlacementExplanationTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/PlacementExplanationTest.java
@@ -97,7 +97,7 @@
     }
 
     PlacementExplanation explain() {
-      return dispatcher.explain("h", "/x", 0, OptionalLong.empty(), now);
+      return dispatcher.explainer().explain("h", "/x", 0, OptionalLong.empty(), now);
     }
 
     /** Changes limits, hold-offs or evacuations at times. */
@@ -244,7 +244,7 @@
             "t10", Reason.FAILED_LATELY));
     assertEquals("none", run.explain().admission().decision());
     PlacementExplanation unknown =
-        run.dispatcher.explain("other", "/x", 0, OptionalLong.empty(), run.now);
+        run.dispatcher.explainer().explain("other", "/x", 0, OptionalLong.empty(), run.now);
     assertEquals(Outcome.NO_ROUTE, unknown.outcome());
   }
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/ExplainPage.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/ExplainPage.java
@@ -75,7 +75,7 @@
             : OptionalLong.empty();
     PlacementExplanation explanation;
     synchronized (lock) {
-      explanation = dispatcher.explain(host, path, bytes, deadline, System.nanoTime());
+      explanation = dispatcher.explainer().explain(host, path, bytes, deadline, System.nanoTime());
     }
     answered.incrementAndGet();
     return LocalResponse.json(write(explanation));
