Watch the settings file outside the platform's adapter

Watching a file has nothing to do with the platform.

Change: SettingsWatch moves to cli.entry.fleet and takes the type of the settings as a parameter.

--- a/platform/src/main/java/org/chivecross/platform/SettingsWatch.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/SettingsWatch.java
@@ -1,4 +1,4 @@
-package org.chivecross.platform;
+package org.chivecross.cli.entry.fleet;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -12,21 +12,29 @@
 /**
  * Reloads the settings file on request and whenever its modification time changes. If the file is
  * unreadable or invalid, the last valid settings stay in force. Safe for use by many threads.
+ *
+ * @param <T> validated content of the file
  */
-final class SettingsWatch {
+public final class SettingsWatch<T> {
 
   /** Polling interval of the modification time; changes without a reload signal are rare. */
   private static final long POLL_PERIOD_MILLIS = 2_000;
 
   private final Path file;
-  private final Supplier<Result<SettingsReader.Settings>> reader;
-  private final Consumer<SettingsReader.Settings> apply;
+  private final Supplier<Result<T>> reader;
+  private final Consumer<T> apply;
   private FileTime lastModificationTime;
 
-  SettingsWatch(
+  /**
+   * Creates a watch that is not started.
+   *
+   * @param reader reads the file
+   * @param apply applies settings that are valid
+   */
+  public SettingsWatch(
       Path file,
-      Supplier<Result<SettingsReader.Settings>> reader,
-      Consumer<SettingsReader.Settings> apply) {
+      Supplier<Result<T>> reader,
+      Consumer<T> apply) {
     this.file = file;
     this.reader = reader;
     this.apply = apply;
@@ -34,19 +42,19 @@
   }
 
   /** Starts a daemon thread that checks the file periodically. */
-  void start() {
+  public void start() {
     Thread thread = new Thread(this::watch, "settings-watch");
     thread.setDaemon(true);
     thread.start();
   }
 
   /** Reads the settings file now and applies it if it is valid. */
-  synchronized void reload() {
+  public synchronized void reload() {
     lastModificationTime = readModificationTime();
-    Result<SettingsReader.Settings> read = reader.get();
-    if (read instanceof Result.Success<SettingsReader.Settings> success) {
+    Result<T> read = reader.get();
+    if (read instanceof Result.Success<T> success) {
       apply.accept(success.value());
-    } else if (read instanceof Result.Failed<SettingsReader.Settings> failed) {
+    } else if (read instanceof Result.Failed<T> failed) {
       Logger.warn("settings not reloaded, the last ones stay: {}", failed.failures().get(0));
     }
   }
