--- a/chivecross-admin/src/main/java/org/chivecross/cli/admin/AdminOptions.java
+++ b/chivecross-admin/src/main/java/org/chivecross/cli/admin/AdminOptions.java
@@ -15,8 +15,8 @@
       metaVar = "COMMAND [NAME]",
       usage =
           "config, targets, members, services, tenants, decisions, key KEY, histograms [NAME], diff,"
-              + " wait --version EPOCH.REVISION, explain REQUEST-ID LOG-FILE..., or where --entry HOST:PORT"
-              + " --host HOST --path PATH")
+              + " wait --version EPOCH.REVISION, explain REQUEST-ID LOG-FILE..., or"
+              + " where --entry HOST:PORT --host HOST --path PATH")
   private List<String> command = new ArrayList<>();
 
   @AllowedForm(
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PlacementExplainer.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PlacementExplainer.java
@@ -70,9 +70,11 @@
                 DispatchTargetTable.NONE,
                 "this entry reaches no target; another entry places the request")
             : forecast.of(ticket, nowNanos);
+    int[] available = targets.availableRows(ticket.service(), nowNanos);
+    double minFailures = targets.minFailures(available, nowNanos);
     List<Candidate> candidates = new ArrayList<>();
-    for (int row : order(ticket, nowNanos)) {
-      candidates.add(candidate(ticket, row, row == found.row(), nowNanos));
+    for (int row : order(ticket, available, nowNanos)) {
+      candidates.add(candidate(ticket, row, row == found.row(), minFailures, nowNanos));
     }
     return new PlacementExplanation(
         found.outcome(),
@@ -87,10 +89,9 @@
   }
 
   /** Returns all registered targets: those that may be chosen, the limited ones, the others. */
-  private int[] order(PlacementTicket ticket, long nowNanos) {
+  private int[] order(PlacementTicket ticket, int[] available, long nowNanos) {
     int[] all = targets.registeredRows(ticket.service());
-    int[] allowed =
-        homes.allowed(ticket.route(), targets.availableRows(ticket.service(), nowNanos));
+    int[] allowed = homes.allowed(ticket.route(), available);
     int[] free =
         Arrays.stream(allowed)
             .filter(row -> limitedTargets.peek(row, nowNanos).isEmpty())
@@ -104,10 +105,11 @@
     return order.stream().mapToInt(Integer::intValue).toArray();
   }
 
-  private Candidate candidate(PlacementTicket ticket, int row, boolean chosen, long nowNanos) {
+  private Candidate candidate(
+      PlacementTicket ticket, int row, boolean chosen, double minFailures, long nowNanos) {
     RegisteredTarget target = targets.target(row).orElseThrow();
     DispatchEvent.TargetLoad load = targets.load(row, nowNanos);
-    int[] rows = targets.availableRows(ticket.service(), nowNanos);
+    double rankingMillis = ranking.rankingMillis(ticket, row, minFailures, nowNanos);
     return new Candidate(
         target.id(),
         target.address(),
@@ -118,13 +120,12 @@
         load.slowdownPercent(),
         load.reportAgeMillis(),
         Math.round(ranking.expectedMillis(ticket, row, nowNanos)),
-        Math.round(
-            ranking.rankingMillis(ticket, row, targets.minFailures(rows, nowNanos), nowNanos)),
-        reason(ticket, row, rows, nowNanos),
+        Math.round(rankingMillis),
+        reason(ticket, row, rankingMillis, nowNanos),
         chosen);
   }
 
-  private Reason reason(PlacementTicket ticket, int row, int[] rows, long nowNanos) {
+  private Reason reason(PlacementTicket ticket, int row, double rankingMillis, long nowNanos) {
     if (targets.isLeaving(row)) {
       return Reason.LEAVING;
     }
@@ -141,7 +142,7 @@
     if (limit.isPresent()) {
       return limitReason(ticket, row, limit.get(), nowNanos);
     }
-    if (ranking.isGoodEnough(ticket, row, rows, nowNanos)) {
+    if (rankingMillis <= ranking.goodEnoughMillis(ticket)) {
       boolean isReported = targets.hasReportWithin(row, Long.MAX_VALUE, nowNanos);
       return isReported ? Reason.GOOD_ENOUGH : Reason.NO_REPORT;
     }
