Leave entries that lack processor time out of directory answers

Cause: callers are sent to an entry whose processor quota is used up as often as to any other.

Change: ProcessorStrain decides from the wake-ups of the scheduler's thread, with hysteresis; StrainMonitor measures, logs and advertises; no timer is added. Wake-ups that were due while the thread ran a task don't count, nor do the first 3 s of a process. Metrics chivecross_strained, chivecross_late_wake_ups_percent, chivecross_scheduler_delay_micros and chivecross_standstill_percent; page docs/operations/uneven-entries.md.

Checked: ProcessorStrainTest, IsolatedEntryTest and all other tests of logic.fleet, ArchitectureTest, StrainMonitorTest.

Conclusion: in virtual time an entry at its quota is strained within 5 s at ten wake-ups a second, within 15 s at three, and one that is not throttled never. Not measured on a deployment.

--- a/chivecross-core/src/test/java/org/chivecross/logic/fleet/IsolatedEntryTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fleet/IsolatedEntryTest.java
@@ -107,6 +107,18 @@
     assertNamedByAll(ip, true);
   }
 
+  /** Strain is advertised by heartbeats only; what these carry is at most 3 s old. */
+  @Test
+  void strainedEntryLeavesTheDirectoriesOfAllOthers() {
+    start();
+    simulation.entry("10.2.0.3").node.setStrained(true);
+    simulation.runMillis(3_000);
+    for (GossipSimulation.Entry entry : simulation.entries.values()) {
+      boolean named = directory(entry, "dc2").contains("10.2.0.3");
+      assertEquals(entry.ip.equals("10.2.0.3"), named, entry.ip);
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"dc1", "dc2", "dc3"})
   void isolatedDataCentreLeavesAllDirectoriesAndReturns(String dataCentre) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/DirectoryAddresses.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/DirectoryAddresses.java
@@ -20,12 +20,14 @@
   private final FleetNode node;
   private final Dispatcher dispatcher;
   private final BooleanSupplier ready;
+  private final BooleanSupplier strained;
 
   /**
    * Creates the directory answers of an entry.
    *
    * @param lock guards the node and the dispatcher
    * @param ready whether the entry accepts callers
+   * @param strained whether the entry lacks processor time
    */
   DirectoryAddresses(
       Object lock,
@@ -33,13 +35,15 @@
       long incarnation,
       FleetNode node,
       Dispatcher dispatcher,
-      BooleanSupplier ready) {
+      BooleanSupplier ready,
+      BooleanSupplier strained) {
     this.lock = lock;
     this.settings = settings;
     this.incarnation = incarnation;
     this.node = node;
     this.dispatcher = dispatcher;
     this.ready = ready;
+    this.strained = strained;
   }
 
   /** Returns the addresses for a caller, as {@code IP:PORT}. */
@@ -53,7 +57,9 @@
               ready.getAsBoolean(),
               dispatcher.forwarding().isIsolated(),
               0,
-              0);
+              0,
+              strained.getAsBoolean(),
+              List.of());
       int port = settings.callers().getPort();
       return FleetDirectory.selectEntries(
               self,
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -63,8 +63,10 @@
   private final FleetEntrySettings settings;
   private final long incarnation;
   private final Object lock = new Object();
-  private final EntryScheduler scheduler = new EntryScheduler("scheduler");
-  private final EntryScheduler storeThread = new EntryScheduler("store");
+  private final StrainMonitor strain = new StrainMonitor(System.nanoTime(), this::strainChanged);
+  private final EntryScheduler scheduler = new EntryScheduler("scheduler", strain);
+  private final EntryScheduler storeThread =
+      new EntryScheduler("store", EntryScheduler.WakeUpListener.NONE);
   private final PlatformAdapter adapter;
   private final StoreReader store;
   private final Dispatcher dispatcher;
@@ -135,6 +137,7 @@
     dataPath = new DataPath(ports, FleetDataPathSettings.create());
     prober = dataPath.prober(adapter.dialect(), scheduler);
     FleetMetrics.addGauges(metrics, lock, dataPath, socket, node, dispatcher, store);
+    FleetMetrics.addStrainGauges(metrics, strain);
   }
 
   /**
@@ -150,7 +153,8 @@
     dataPath.start(settings.callers());
     dataPath.serveForwarded(settings.peers());
     DirectoryAddresses addresses =
-        new DirectoryAddresses(lock, settings, incarnation, node, dispatcher, this::isReady);
+        new DirectoryAddresses(
+            lock, settings, incarnation, node, dispatcher, this::isReady, strain::isStrained);
     dataPath.serveLocally(settings.directory(), adapter.directory(addresses::forCaller));
     dataPath.serveLocally(settings.readiness(), adapter.readiness(this::isReady));
     dataPath.serveLocally(settings.metrics(), FleetMetrics.routes(metrics));
@@ -240,6 +244,12 @@
     }
   }
 
+  private void strainChanged(boolean strained) {
+    synchronized (lock) {
+      node.setStrained(strained);
+    }
+  }
+
   private void receiveMessage(String ip, FleetMessage message) {
     synchronized (lock) {
       node.received(ip, message, System.nanoTime());
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
@@ -73,6 +73,26 @@
     addTargetGauges(metrics, lock, node, dispatcher);
   }
 
+  /** Registers whether the entry lacks processor time. */
+  static void addStrainGauges(EntryMetrics metrics, StrainMonitor strain) {
+    metrics.gauge(
+        "chivecross_strained",
+        "1 while this entry lacks processor time and leaves directory answers, otherwise 0",
+        () -> strain.isStrained() ? 1 : 0);
+    metrics.gauge(
+        "chivecross_scheduler_delay_micros",
+        "Mean delay of the scheduler's wake-ups in the last second or few, in microseconds",
+        strain::delayMicros);
+    metrics.gauge(
+        "chivecross_late_wake_ups_percent",
+        "Percentage of these wake-ups that were more than 20 ms late",
+        strain::latePercent);
+    metrics.gauge(
+        "chivecross_standstill_percent",
+        "Percentage of that time in which the process was seen to stand still",
+        strain::standstillPercent);
+  }
+
   /** Registers what is known of targets and requests that get special treatment. */
   private static void addTargetGauges(
       EntryMetrics metrics, Object lock, FleetNode node, Dispatcher dispatcher) {
