--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/SettingsWatch.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/SettingsWatch.java
@@ -31,10 +31,7 @@
    * @param reader reads the file
    * @param apply applies settings that are valid
    */
-  public SettingsWatch(
-      Path file,
-      Supplier<Result<T>> reader,
-      Consumer<T> apply) {
+  public SettingsWatch(Path file, Supplier<Result<T>> reader, Consumer<T> apply) {
     this.file = file;
     this.reader = reader;
     this.apply = apply;
