Order requests under overload by time left, priority and work

Change: logic.admission holds pressure levels of services and decides for each request whether it is placed, yields or is refused; OrderedPlacement acts on it. The levels are advertised in heartbeats.

--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/DispatchTargetTable.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/DispatchTargetTable.java
@@ -279,6 +279,11 @@
     return rows.length == 0 ? 0 : least;
   }
 
+  /** Returns the number of free slots of a target, by its last report and the requests since. */
+  int freeSlots(int row) {
+    return Math.max(0, slots(row) - running(row) - waiting(row));
+  }
+
   /** Returns whether any of the targets has a free slot, by its last report. */
   boolean hasFreeSlot(int[] rows) {
     for (int row : rows) {
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.chivecross.logic.admission.Admission;
 import org.chivecross.model.registry.RegisteredTarget;
 import org.chivecross.model.request.LoadReport;
 import org.chivecross.model.request.ProbeResult;
@@ -42,6 +43,8 @@
   private final RequestForwarding forwarding;
   private final CrashDetection crashes;
   private final RetryBudgets retryBudgets;
+  private final Admission admission;
+  private final OrderedPlacement ordered;
   private Optional<RouteTable> routes = Optional.empty();
   private boolean hasTargets;
   private double budgetShare = 1;
@@ -59,12 +62,13 @@
   /** Creates a dispatcher without routes and targets. */
   public Dispatcher(DispatchPreferences preferences, DispatchPorts ports, RandomGenerator random) {
     leavingListener = ports.leaving();
+    admission = ports.admission();
     this.random = random;
     retryBudgets = new RetryBudgets(preferences);
     RetryAdvice advice = new RetryAdvice(random);
     expectedTimes = new ExpectedResponseTime(targets, preferences);
     ranking = new TargetRanking(targets, expectedTimes, responseTimes, preferences, random);
-    delays = new RetryDelays(targets, ranking, advice);
+    delays = new RetryDelays(targets, ranking, advice, admission);
     probes =
         new PlacementProbes(
             ports.probes(),
@@ -73,9 +77,18 @@
             new ProbeTokenBucket(preferences.probesPerTargetAndSecond()));
     limitedTargets = new LimitedTargets(ports.limits(), targets, ranking);
     homes = new HomeRegions(preferences, targets);
+    ordered = new OrderedPlacement(admission, targets, ranking, probes, delays, limitedTargets);
     placement =
         new TargetPlacement(
-            targets, homes, ranking, responseTimes, probes, advice, delays, limitedTargets);
+            targets,
+            homes,
+            ranking,
+            responseTimes,
+            probes,
+            advice,
+            delays,
+            limitedTargets,
+            ordered);
     forwarding =
         new RequestForwarding(ports.forwarding(), targets, probes, () -> budgetShare, random);
     crashes = new CrashDetection(ports.suspects(), targets, probes, () -> budgetShare);
@@ -85,6 +98,7 @@
   public void applyRules(RuleSet rules) {
     routes = Optional.of(new RouteTable(rules));
     roundRobin.reset();
+    admission.applyRules(rules);
   }
 
   /** Replaces the set of registered targets. */
@@ -165,6 +179,7 @@
     rate.count(nowNanos);
     String service = roundRobin.next(route, random.nextDouble());
     retryBudgets.ofService(service).recordRequest(nowNanos);
+    admission.arrived(service, responseTimes.nominalMillis(route));
     PlacementTicket ticket =
         new PlacementTicket(route, service, nowNanos, deadlineNanos, bodyBytes, schedulePlacement);
     if (homes.mayLeaveHome(route)) {
@@ -185,6 +200,7 @@
 
   /** Returns the retry delay for a request that a target refused, in ms. */
   public long retryAfterMillis(PlacementTicket ticket, long nowNanos) {
+    admission.ended(ticket.route(), ticket.service(), false, nowNanos);
     return delays.afterRefusalMillis(ticket, nowNanos);
   }
 
@@ -206,7 +222,11 @@
       retryBudgets.ofService(ticket.service()).forgetRequest(nowNanos);
       return new Placement.Chosen(entry);
     }
-    return placement.place(ticket, budgetShare, nowNanos);
+    Placement placed = placement.place(ticket, budgetShare, nowNanos);
+    if (placed instanceof Placement.Refused) {
+      admission.ended(ticket.route(), ticket.service(), false, nowNanos);
+    }
+    return placed;
   }
 
   /**
@@ -266,6 +286,7 @@
       long nowNanos) {
     targets.attemptEnded(row);
     targets.served(row, nowNanos);
+    admission.ended(ticket.route(), ticket.service(), true, nowNanos);
     if (wasAtNominalSpeed) {
       responseTimes.recordAnswer(ticket.route(), elapsedNanos);
     }
@@ -348,7 +369,7 @@
    */
   public void probeEnded(int row, boolean healthy, Optional<ResponseHead> head, long nowNanos) {
     head.ifPresent(answer -> announced(row, answer, nowNanos));
-    head.flatMap(ResponseHead::load).ifPresent(load -> targets.report(row, load, nowNanos));
+    head.flatMap(ResponseHead::load).ifPresent(load -> probeReported(row, load, nowNanos));
     if (!healthy) {
       targets.failed(row, 1, nowNanos);
     }
@@ -361,6 +382,16 @@
     probes.ended(row);
   }
 
+  private void probeReported(int row, LoadReport report, long nowNanos) {
+    targets.report(row, report, nowNanos);
+    targets.target(row).ifPresent(target -> admission.reported(target.service(), report, nowNanos));
+  }
+
+  /** Returns the numbers of requests that yielded or were refused under pressure. */
+  public OrderCounts orderCounts() {
+    return ordered.counts();
+  }
+
   /** Returns the timeout of a probe, in ms. */
   public static long probeTimeoutMillis() {
     return TargetPlacement.PROBE_TIMEOUT_NANOS / NANOS_PER_MILLI;
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PlacementTicket.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PlacementTicket.java
@@ -27,6 +27,8 @@
   private long placingSinceNanos;
   private int probeRounds;
   private int probeCount;
+  private long nextProbeNanos = Long.MIN_VALUE;
+  private boolean hasYielded;
 
   /**
    * Creates the ticket of a request that arrived.
@@ -144,6 +146,7 @@
   void placeAgain(long nowNanos) {
     placingSinceNanos = nowNanos;
     probeCount = 0;
+    nextProbeNanos = Long.MIN_VALUE;
     restartProbeRounds();
   }
 
@@ -153,6 +156,23 @@
     probed.clear();
   }
 
+  /** Returns when a request that waits under pressure may send its next probe. */
+  long nextProbeNanos() {
+    return nextProbeNanos;
+  }
+
+  /** Lets a request that waits under pressure send its next probe at a time. */
+  void probeNotBefore(long nanos) {
+    nextProbeNanos = nanos;
+  }
+
+  /** Records that the request yielded; returns whether it had not done so before. */
+  boolean markYielded() {
+    boolean isFirst = !hasYielded;
+    hasYielded = true;
+    return isFirst;
+  }
+
   void probeRoundStarted() {
     probeRounds++;
   }
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetPlacement.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetPlacement.java
@@ -1,6 +1,7 @@
 package org.chivecross.logic.dispatch;
 
 import java.util.concurrent.TimeUnit;
+import org.chivecross.logic.admission.AdmissionDecision;
 import org.chivecross.model.failure.Failure;
 import org.chivecross.model.failure.Step;
 
@@ -13,7 +14,7 @@
   private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
   /** Age up to which a report is used without a new probe; much shorter than a slow phase. */
-  private static final long FRESH_REPORT_NANOS = 25 * NANOS_PER_MILLI;
+  static final long FRESH_REPORT_NANOS = 25 * NANOS_PER_MILLI;
 
   /** Timeout of a probe; a healthy target answers at once. */
   static final long PROBE_TIMEOUT_NANOS = 60 * NANOS_PER_MILLI;
@@ -29,10 +30,10 @@
   /**
    * Queue timeout of a request without a suitable target, as a fraction of the latency objective.
    */
-  private static final double QUEUE_TIMEOUT_FRACTION = 0.25;
+  static final double QUEUE_TIMEOUT_FRACTION = 0.25;
 
   /** Fraction of the remaining time that the expected response time may take. */
-  private static final double USABLE_TIME_FRACTION = 0.85;
+  static final double USABLE_TIME_FRACTION = 0.85;
 
   private final DispatchTargetTable targets;
   private final HomeRegions homes;
@@ -42,6 +43,7 @@
   private final RetryAdvice advice;
   private final RetryDelays delays;
   private final LimitedTargets limitedTargets;
+  private final OrderedPlacement ordered;
 
   TargetPlacement(
       DispatchTargetTable targets,
@@ -51,8 +53,10 @@
       PlacementProbes probes,
       RetryAdvice advice,
       RetryDelays delays,
-      LimitedTargets limitedTargets) {
+      LimitedTargets limitedTargets,
+      OrderedPlacement ordered) {
     this.limitedTargets = limitedTargets;
+    this.ordered = ordered;
     this.targets = targets;
     this.homes = homes;
     this.ranking = ranking;
@@ -92,6 +96,10 @@
     if (rows.length == 0) {
       return placeOnLimited(ticket, available, nowNanos);
     }
+    AdmissionDecision decision = ordered.decide(ticket, nominalMillis, nowNanos);
+    if (!(decision instanceof AdmissionDecision.Unordered)) {
+      return ordered.place(ticket, decision, available, rows, budgetShare, nowNanos);
+    }
     int best = ranking.best(ticket, rows, FRESH_REPORT_NANOS, nowNanos);
     if (ranking.isGoodEnough(ticket, best, rows, nowNanos)) {
       return choose(ticket, best);
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetRanking.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetRanking.java
@@ -72,6 +72,11 @@
     return expectedTimes.millis(row, nominalMillis, nowNanos);
   }
 
+  /** Returns the response time of a free target at nominal speed, in ms. */
+  double nominalMillis(PlacementTicket ticket) {
+    return responseTimes.nominalMillis(ticket.route());
+  }
+
   /**
    * Returns the penalty of a target in another data centre, in ms. Large bodies stay in the data
    * centre unless its targets would miss the latency objective.
--- a/chivecross-core/src/test/java/org/chivecross/logic/dispatch/DispatchSimulation.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/DispatchSimulation.java
@@ -10,6 +10,9 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
+import java.util.function.Supplier;
+import org.chivecross.logic.admission.Admission;
+import org.chivecross.logic.admission.RequestOrder;
 import org.chivecross.model.fileset.RequestClass;
 import org.chivecross.model.registry.RegisteredTarget;
 import org.chivecross.model.request.LoadReport;
@@ -38,23 +41,12 @@
 
   private static final int SLOW_FACTOR = 5;
 
+  /** Time of a target that a probe costs; the next request there takes longer by it. */
+  private static final double PROBE_WORK_MILLIS = 6;
+
   /** Scheduled action; the number orders events of the same time. */
   private record Event(long nanos, long number, LongConsumer action) {}
 
-  /** Target that serves one request at a time in each slot. */
-  static final class FakeTarget {
-    final RegisteredTarget registered;
-    int running;
-    int waiting;
-    boolean ignoresProbes;
-    double shedFraction;
-    int requests;
-
-    FakeTarget(RegisteredTarget registered) {
-      this.registered = registered;
-    }
-  }
-
   final SplittableRandom random;
   final List<FakeTarget> targets = new ArrayList<>();
   final List<Dispatcher> entries = new ArrayList<>();
@@ -63,6 +55,10 @@
   private final double slowFraction;
   private final long workMillis;
   private long nextEventNumber;
+  Supplier<Admission> admission = RequestOrder::withOwnLevels;
+  double nearlyFullFactor = 1.7;
+  int repeats = 1;
+  final List<RouteLoad> routeLoads = new ArrayList<>();
   private boolean hasBudgetShares;
   int sent;
   int inTime;
@@ -99,7 +95,16 @@
       DispatchPreferences preferences =
           new DispatchPreferences(dataCentre, 20, 10, probesPerSecond, 0.2, 75, 10_000);
       Dispatcher entry =
-          new Dispatcher(preferences, row -> probe(index, row), target -> {}, random.split());
+          new Dispatcher(
+              preferences,
+              new DispatchPorts(
+                  row -> probe(index, row),
+                  target -> {},
+                  ForwardingPort.NONE,
+                  RequestLimitPort.NONE,
+                  SuspectRequestPort.NONE,
+                  admission.get()),
+              random.split());
       entry.applyRules(rules());
       entry.applyTargets(targets.stream().map(t -> t.registered).toList(), 0);
       entries.add(entry);
@@ -120,10 +125,12 @@
         1);
   }
 
-  private static RuleSet rules() {
+  private RuleSet rules() {
+    List<RouteRule> rules = new ArrayList<>(List.of(route()));
+    routeLoads.forEach(load -> rules.add(load.rule));
     return new RuleSet(
         1,
-        List.of(route()),
+        rules,
         List.of(new ServiceRule("s", "/health", 300)),
         new CallerLimits(1 << 14, 1 << 20, 1_000, 1_000));
   }
@@ -137,6 +144,97 @@
     }
   }
 
+  /** Sends requests of a route to entries at random from a time on; callers repeat refused ones. */
+  void load(RouteLoad load, int first, int last, double perSecond, double fromSecond, double to) {
+    double at = fromSecond;
+    while (true) {
+      at += -Math.log(1 - random.nextDouble()) / perSecond;
+      if (at >= to) {
+        return;
+      }
+      long nanos = (long) (at * 1e9);
+      load.sent++;
+      sent++;
+      schedule(
+          nanos,
+          now -> call(new RouteLoad.Call(load, now, repeats), random.nextInt(first, last), now));
+    }
+  }
+
+  private void call(RouteLoad.Call call, int entry, long now) {
+    Dispatcher dispatcher = entries.get(entry);
+    PlacementTicket[] ticket = new PlacementTicket[1];
+    boolean[] done = new boolean[1];
+    Runnable again = () -> schedule(nowNanos, at -> place(call, entry, ticket[0], done, at));
+    ticket[0] = dispatcher.open(call.load.rule, call.deadlineNanos(), 0, again, now);
+    place(call, entry, ticket[0], done, now);
+  }
+
+  private void place(
+      RouteLoad.Call call, int entry, PlacementTicket ticket, boolean[] done, long now) {
+    if (done[0]) {
+      return;
+    }
+    Placement placement = entries.get(entry).place(ticket, now);
+    if (placement instanceof Placement.Pending pending) {
+      schedule(pending.placeAgainAtNanos(), at -> place(call, entry, ticket, done, at));
+      return;
+    }
+    done[0] = true;
+    if (placement instanceof Placement.Chosen chosen) {
+      serve(call, entry, ticket, chosen.target(), now);
+    } else if (placement instanceof Placement.Refused refusal) {
+      refusedCall(call, refusal.retryAfterMillis(), now);
+    }
+  }
+
+  private void refusedCall(RouteLoad.Call call, long retryAfterMillis, long now) {
+    if (call.repeats-- == 0) {
+      refused++;
+      return;
+    }
+    long delay = Math.min(retryAfterMillis * MILLI, (call.deadlineNanos() - now) / 3);
+    schedule(now + delay, at -> call(call, random.nextInt(entries.size()), at));
+  }
+
+  private void serve(RouteLoad.Call call, int entry, PlacementTicket ticket, int row, long now) {
+    Dispatcher dispatcher = entries.get(entry);
+    FakeTarget target = find(dispatcher, row);
+    dispatcher.started(row);
+    if (target.queue.size() >= target.queueBound) {
+      shed++;
+      dispatcher.failed(row, now);
+      if (!dispatcher.tryTakeRetry(ticket, now)) {
+        refusedCall(call, dispatcher.retryAfterMillis(ticket, now), now);
+        return;
+      }
+      dispatcher.placeAgain(ticket, now);
+      boolean[] done = new boolean[1];
+      schedule(now, at -> place(call, entry, ticket, done, at));
+      return;
+    }
+    target.requests++;
+    boolean nominal = dispatcher.isAtNominalSpeed(row, now);
+    int factor = random.nextDouble() < 0.03 ? 7 : 1;
+    target.queue.add(
+        begin -> {
+          double nearlyFull =
+              target.running > 0.8 * target.registered.slots() ? nearlyFullFactor : 1;
+          double work = call.load.workMillis(begin) * factor * slowdown(target, begin) * nearlyFull;
+          double owed = target.owedMillis;
+          target.owedMillis = 0;
+          schedule(
+              begin + (long) ((work + owed) * MILLI),
+              at -> {
+                target.running--;
+                target.startQueued(at);
+                dispatcher.served(ticket, row, at - now, nominal, at);
+                call.answered(at);
+              });
+        });
+    target.startQueued(now);
+  }
+
   /** Sets the budget shares by load; only the first {@code loaded} entries receive requests. */
   void shareBudgetsByLoad(int perSecond, int loaded) {
     double total = (double) perSecond * loaded + entries.size();
@@ -261,6 +359,7 @@
     Dispatcher dispatcher = entries.get(entry);
     FakeTarget target = find(dispatcher, row);
     connect(dispatcher, target, nowNanos);
+    target.owedMillis += PROBE_WORK_MILLIS;
     long answer = nowNanos + PROBE_MILLIS * MILLI;
     if (target.ignoresProbes) {
       long timeout = nowNanos + Dispatcher.probeTimeoutMillis() * MILLI;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -68,6 +68,7 @@
   private final PlatformAdapter adapter;
   private final StoreReader store;
   private final Dispatcher dispatcher;
+  private final OverloadMonitor overload;
   private final FleetNode node;
   private final FleetSocket socket;
   private final DataPath dataPath;
@@ -101,6 +102,7 @@
             incarnation,
             settings.seeds(),
             settings.firstStart());
+    overload = new OverloadMonitor(incarnation);
     SplittableRandom dispatchRandom = random.split();
     node = new FleetNode(preferences, new NodePort(), random.split());
     dispatcher =
@@ -111,7 +113,8 @@
                 this::leavingAnnounced,
                 new IsolationMonitor(lock, scheduler, node),
                 new RequestLimitMonitor(node.evidence()),
-                new SuspectRequestMonitor(node.evidence())),
+                new SuspectRequestMonitor(node.evidence()),
+                overload.order()),
             dispatchRandom);
     PrometheusRegistry registry = new PrometheusRegistry();
     metrics = new EntryMetrics(registry, this::serviceName);
@@ -135,6 +138,7 @@
     dataPath = new DataPath(ports, FleetDataPathSettings.create());
     prober = dataPath.prober(adapter.dialect(), scheduler);
     FleetMetrics.addGauges(metrics, lock, dataPath, socket, node, dispatcher, store);
+    FleetMetrics.addOrderMetrics(metrics, lock, overload.levels(), dispatcher);
   }
 
   /**
@@ -230,6 +234,7 @@
       synchronized (lock) {
         long now = System.nanoTime();
         node.setRequestsPerSecond((int) Math.round(dispatcher.requestsPerSecond(now)));
+        overload.exchange(node, now);
         node.tick(now);
         dispatcher.setBudgetShare(node.budgetShare(now), node.budgetEntries());
         next = node.nextTickNanos(now);
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
@@ -10,6 +10,7 @@
 import org.chivecross.cli.entry.http.LocalResponse;
 import org.chivecross.cli.entry.http.LocalRoutes;
 import org.chivecross.cli.entry.metrics.EntryMetrics;
+import org.chivecross.logic.admission.OverloadLevels;
 import org.chivecross.logic.dispatch.Dispatcher;
 import org.chivecross.logic.fleet.FleetNode;
 import org.chivecross.model.ruleset.RuleSet;
@@ -110,6 +111,36 @@
         guarded(lock, () -> dispatcher.crashes().blockedCount()));
   }
 
+  /** Registers what is known of overload and of the order of requests under it. */
+  static void addOrderMetrics(
+      EntryMetrics metrics, Object lock, OverloadLevels levels, Dispatcher dispatcher) {
+    metrics.gauges(
+        "chivecross_service_pressure",
+        "Slots in use and queued requests of the targets of a service, relative to their slots",
+        "service",
+        () -> {
+          synchronized (lock) {
+            return levels.pressures(System.nanoTime());
+          }
+        });
+    metrics.counter(
+        "chivecross_service_loads_rejected",
+        "Invalid pressures advertised by other entries, counted each time that they are read",
+        guarded(lock, levels::invalidCount));
+    metrics.counter(
+        "chivecross_requests_yielded",
+        "Requests that left a target to others while their service was under pressure",
+        guarded(lock, () -> dispatcher.orderCounts().yielded()));
+    metrics.counter(
+        "chivecross_requests_refused_for_deadline",
+        "Requests refused under pressure since no target would have met their deadline",
+        guarded(lock, () -> dispatcher.orderCounts().refusedForDeadline()));
+    metrics.counter(
+        "chivecross_requests_refused_for_urgency",
+        "Requests refused under pressure since more urgent routes were served less often",
+        guarded(lock, () -> dispatcher.orderCounts().refusedForUrgency()));
+  }
+
   private static LocalResponse page(EntryMetrics metrics, LocalRequest request) {
     try {
       ByteArrayOutputStream out = new ByteArrayOutputStream();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/metrics/EntryMetrics.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/metrics/EntryMetrics.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.IntFunction;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.chivecross.cli.entry.http.ExchangeObserver;
 import org.chivecross.cli.entry.http.ExchangeSummary;
 import org.chivecross.logic.routing.Route;
@@ -78,6 +79,21 @@
         .register(registry);
   }
 
+  /** Registers a gauge with one value for each value of a label, read on each scrape. */
+  public void gauges(
+      String name, String help, String label, Supplier<Map<String, Double>> valuesByLabel) {
+    GaugeWithCallback.builder()
+        .name(name)
+        .help(help)
+        .labelNames(label)
+        .callback(
+            callback ->
+                valuesByLabel
+                    .get()
+                    .forEach((labelValue, value) -> callback.call(value, labelValue)))
+        .register(registry);
+  }
+
   /** Registers a counter whose value is read on each scrape. */
   public void counter(String name, String help, LongSupplier value) {
     CounterWithCallback.builder()
