--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/DispatchTargetTable.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/DispatchTargetTable.java
@@ -285,11 +285,12 @@
 
   /** Returns the smallest number of remembered failures among targets. */
   double minFailures(int[] rows, long nowNanos) {
-    double least = Double.MAX_VALUE;
-    for (int row : rows) {
-      least = Math.min(least, failures(row, nowNanos));
-    }
-    return rows.length == 0 ? 0 : least;
+    return Arrays.stream(rows).mapToDouble(row -> failures(row, nowNanos)).min().orElse(0);
+  }
+
+  /** Returns the number of free slots of a target, by its last report and the requests since. */
+  int freeSlots(int row) {
+    return Math.max(0, slots(row) - running(row) - waiting(row));
   }
 
   /** Returns whether any of the targets has a free slot, by its last report. */
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.chivecross.logic.admission.Admission;
 import org.chivecross.model.registry.RegisteredTarget;
 import org.chivecross.model.request.LoadReport;
 import org.chivecross.model.request.ProbeResult;
@@ -27,7 +28,6 @@
   private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
   private final RandomGenerator random;
-  private final LeavingListener leavingListener;
   private final RetryDelays delays;
   private final DispatchTargetTable targets = new DispatchTargetTable();
   private final ResponseTimeEstimates responseTimes = new ResponseTimeEstimates();
@@ -45,6 +45,9 @@
   private final RequestForwarding forwarding;
   private final CrashDetection crashes;
   private final RetryBudgets retryBudgets;
+  private final Admission admission;
+  private final OrderedPlacement ordered;
+  private final TargetResponses responses;
   private Optional<RouteTable> routes = Optional.empty();
   private boolean hasTargets;
   private double budgetShare = 1;
@@ -61,7 +64,7 @@
 
   /** Creates a dispatcher without routes and targets. */
   public Dispatcher(DispatchPreferences preferences, DispatchPorts ports, RandomGenerator random) {
-    leavingListener = ports.leaving();
+    admission = ports.admission();
     this.random = random;
     retryBudgets = new RetryBudgets(preferences);
     RetryAdvice advice = new RetryAdvice(random);
@@ -69,7 +72,7 @@
     preferred = new PreferredTargets(targets, preferences.dataCentre());
     ranking =
         new TargetRanking(targets, expectedTimes, responseTimes, preferences, preferred, random);
-    delays = new RetryDelays(targets, ranking, advice);
+    delays = new RetryDelays(targets, ranking, advice, admission);
     probes =
         new PlacementProbes(
             ports.probes(),
@@ -78,12 +81,31 @@
             new ProbeTokenBucket(preferences.probesPerTargetAndSecond()));
     limitedTargets = new LimitedTargets(ports.limits(), targets, ranking);
     homes = new HomeRegions(preferences, targets);
+    ordered = new OrderedPlacement(admission, targets, ranking, probes, delays, limitedTargets);
     placement =
         new TargetPlacement(
-            targets, homes, ranking, responseTimes, probes, advice, delays, limitedTargets);
+            targets,
+            homes,
+            ranking,
+            responseTimes,
+            probes,
+            advice,
+            delays,
+            limitedTargets,
+            ordered);
     forwarding =
         new RequestForwarding(ports.forwarding(), targets, probes, () -> budgetShare, random);
     crashes = new CrashDetection(ports.suspects(), targets, probes, () -> budgetShare);
+    responses =
+        new TargetResponses(
+            targets,
+            limitedTargets,
+            collisions,
+            admission,
+            forwarding,
+            crashes,
+            probes,
+            ports.leaving());
     explainer =
         new PlacementExplainer(
             () -> routes,
@@ -101,6 +123,7 @@
   public void applyRules(RuleSet rules) {
     routes = Optional.of(new RouteTable(rules));
     roundRobin.reset();
+    admission.applyRules(rules);
   }
 
   /** Replaces the set of registered targets. */
@@ -192,6 +215,7 @@
     String service = roundRobin.next(route, random.nextDouble());
     retryBudgets.ofService(service).recordRequest(nowNanos);
     preferred.requestArrived(service, nowNanos);
+    admission.arrived(service, responseTimes.nominalMillis(route));
     PlacementTicket ticket =
         new PlacementTicket(route, service, nowNanos, deadlineNanos, bodyBytes, schedulePlacement);
     if (homes.mayLeaveHome(route)) {
@@ -212,6 +236,7 @@
 
   /** Returns the retry delay for a request that a target refused, in ms. */
   public long retryAfterMillis(PlacementTicket ticket, long nowNanos) {
+    admission.ended(ticket.route(), ticket.service(), false, nowNanos);
     return delays.afterRefusalMillis(ticket, nowNanos);
   }
 
@@ -233,7 +258,11 @@
       retryBudgets.ofService(ticket.service()).forgetRequest(nowNanos);
       return new Placement.Chosen(entry);
     }
-    return placement.place(ticket, budgetShare, nowNanos);
+    Placement placed = placement.place(ticket, budgetShare, nowNanos);
+    if (placed instanceof Placement.Refused) {
+      admission.ended(ticket.route(), ticket.service(), false, nowNanos);
+    }
+    return placed;
   }
 
   /** Returns the explanations of placements. */
@@ -246,15 +275,7 @@
    * or a warm-up. The load report is not evaluated.
    */
   public void announced(int row, ResponseHead head, long nowNanos) {
-    if (head.requestLimit().isPresent()) {
-      limitedTargets.stated(row, head.requestLimit(), nowNanos);
-    }
-    head.warmUpMillis().ifPresent(millis -> limitedTargets.warmingUp(row, millis, nowNanos));
-    head.holdOffMillis()
-        .ifPresent(millis -> targets.holdOff(row, nowNanos + millis * NANOS_PER_MILLI));
-    if (head.leaving() && targets.markLeaving(row)) {
-      targets.target(row).ifPresent(leavingListener::announced);
-    }
+    responses.announced(row, head, nowNanos);
   }
 
   /** Handles the request limit that a target named in the response to a served request, or none. */
@@ -299,6 +320,7 @@
       long nowNanos) {
     targets.attemptEnded(row);
     targets.served(row, nowNanos);
+    admission.ended(ticket.route(), ticket.service(), true, nowNanos);
     if (wasAtNominalSpeed) {
       responseTimes.recordAnswer(ticket.route(), elapsedNanos);
     }
@@ -365,20 +387,12 @@
 
   /** Stores a load report that came with an answer of a target. */
   public void loadReported(int row, LoadReport report, long nowNanos) {
-    targets.report(row, report, nowNanos);
-    collisions.reported(row, report, nowNanos);
+    responses.loadReported(row, report, nowNanos);
   }
 
   /** Handles the end of a probe. */
   public void probeEnded(int row, ProbeResult result, long nowNanos) {
-    if (result instanceof ProbeResult.Responded responded) {
-      probeEnded(row, responded.healthy(), Optional.of(responded.head()), nowNanos);
-      return;
-    }
-    if (result instanceof ProbeResult.Failed failed && failed.refused()) {
-      crashes.connectionRefused(row, nowNanos);
-    }
-    probeEnded(row, false, Optional.empty(), nowNanos);
+    responses.probeEnded(row, result, nowNanos);
   }
 
   /**
@@ -388,18 +402,12 @@
    * @param head its response; empty when it did not answer in time
    */
   public void probeEnded(int row, boolean healthy, Optional<ResponseHead> head, long nowNanos) {
-    head.ifPresent(answer -> announced(row, answer, nowNanos));
-    head.flatMap(ResponseHead::load).ifPresent(load -> loadReported(row, load, nowNanos));
-    if (!healthy) {
-      targets.failed(row, 1, nowNanos);
-    }
-    if (head.isPresent()) {
-      forwarding.targetResponded(row, nowNanos);
-    } else {
-      forwarding.targetFailed(row, nowNanos);
-    }
-    crashes.probeEnded(row);
-    probes.ended(row);
+    responses.probeEnded(row, healthy, head, nowNanos);
+  }
+
+  /** Returns the numbers of requests that yielded or were refused under pressure. */
+  public OrderCounts orderCounts() {
+    return ordered.counts();
   }
 
   /** Returns the timeout of a probe, in ms. */
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetPlacement.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetPlacement.java
@@ -1,6 +1,7 @@
 package org.chivecross.logic.dispatch;
 
 import java.util.concurrent.TimeUnit;
+import org.chivecross.logic.admission.AdmissionDecision;
 import org.chivecross.model.failure.Failure;
 import org.chivecross.model.failure.Step;
 
@@ -42,6 +43,7 @@
   private final RetryAdvice advice;
   private final RetryDelays delays;
   private final LimitedTargets limitedTargets;
+  private final OrderedPlacement ordered;
 
   TargetPlacement(
       DispatchTargetTable targets,
@@ -51,8 +53,10 @@
       PlacementProbes probes,
       RetryAdvice advice,
       RetryDelays delays,
-      LimitedTargets limitedTargets) {
+      LimitedTargets limitedTargets,
+      OrderedPlacement ordered) {
     this.limitedTargets = limitedTargets;
+    this.ordered = ordered;
     this.targets = targets;
     this.homes = homes;
     this.ranking = ranking;
@@ -92,6 +96,10 @@
     if (rows.length == 0) {
       return placeOnLimited(ticket, available, nowNanos);
     }
+    AdmissionDecision decision = ordered.decide(ticket, nominalMillis, nowNanos);
+    if (!(decision instanceof AdmissionDecision.Unordered)) {
+      return ordered.place(ticket, decision, available, rows, budgetShare, nowNanos);
+    }
     int best = ranking.best(ticket, rows, FRESH_REPORT_NANOS, nowNanos);
     if (ranking.isGoodEnough(ticket, best, rows, nowNanos)) {
       return choose(ticket, best);
--- a/chivecross-core/src/test/java/org/chivecross/logic/dispatch/DispatchSimulation.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/DispatchSimulation.java
@@ -10,6 +10,9 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
+import java.util.function.Supplier;
+import org.chivecross.logic.admission.Admission;
+import org.chivecross.logic.admission.RequestOrder;
 import org.chivecross.model.fileset.RequestClass;
 import org.chivecross.model.fleet.FleetMember;
 import org.chivecross.model.registry.RegisteredTarget;
@@ -39,23 +42,12 @@
 
   private static final int SLOW_FACTOR = 5;
 
+  /** Time of a target that a probe costs; the next request there takes longer by it. */
+  private static final double PROBE_WORK_MILLIS = 6;
+
   /** Scheduled action; the number orders events of the same time. */
   private record Event(long nanos, long number, LongConsumer action) {}
 
-  /** Target that serves one request at a time in each slot. */
-  static final class FakeTarget {
-    final RegisteredTarget registered;
-    int running;
-    int waiting;
-    boolean ignoresProbes;
-    double shedFraction;
-    int requests;
-
-    FakeTarget(RegisteredTarget registered) {
-      this.registered = registered;
-    }
-  }
-
   final SplittableRandom random;
   final List<FakeTarget> targets = new ArrayList<>();
   final List<Dispatcher> entries = new ArrayList<>();
@@ -64,6 +56,10 @@
   private final double slowFraction;
   private final long workMillis;
   private long nextEventNumber;
+  Supplier<Admission> admission = RequestOrder::withOwnLevels;
+  double nearlyFullFactor = 1.7;
+  int repeats = 1;
+  final List<RouteLoad> routeLoads = new ArrayList<>();
   private boolean hasBudgetShares;
   int sent;
   int inTime;
@@ -105,7 +101,16 @@
       DispatchPreferences preferences =
           new DispatchPreferences(dataCentre, 20, 10, probesPerSecond, 0.2, 75, 10_000);
       Dispatcher entry =
-          new Dispatcher(preferences, row -> probe(index, row), target -> {}, random.split());
+          new Dispatcher(
+              preferences,
+              new DispatchPorts(
+                  row -> probe(index, row),
+                  target -> {},
+                  ForwardingPort.NONE,
+                  RequestLimitPort.NONE,
+                  SuspectRequestPort.NONE,
+                  admission.get()),
+              random.split());
       entry.applyRules(rules());
       entry.applyTargets(targets.stream().map(t -> t.registered).toList(), 0);
       entries.add(entry);
@@ -126,10 +131,12 @@
         1);
   }
 
-  private static RuleSet rules() {
+  private RuleSet rules() {
+    List<RouteRule> rules = new ArrayList<>(List.of(route()));
+    routeLoads.forEach(load -> rules.add(load.rule));
     return new RuleSet(
         1,
-        List.of(route()),
+        rules,
         List.of(new ServiceRule("s", "/health", 300)),
         new CallerLimits(1 << 14, 1 << 20, 1_000, 1_000));
   }
@@ -175,6 +182,11 @@
     }
   }
 
+  /** Sends requests of a route to entries at random from a time on; callers repeat refused ones. */
+  void load(RouteLoad load, int first, int last, double perSecond, double fromSecond, double to) {
+    new RouteLoadSender(this).send(load, first, last, perSecond, fromSecond, to);
+  }
+
   /** Sets the budget shares by load; only the first {@code loaded} entries receive requests. */
   void shareBudgetsByLoad(int perSecond, int loaded) {
     double total = (double) perSecond * loaded + entries.size();
@@ -319,6 +331,7 @@
     Dispatcher dispatcher = entries.get(entry);
     FakeTarget target = find(dispatcher, row);
     connect(dispatcher, target, nowNanos);
+    target.owedMillis += PROBE_WORK_MILLIS;
     long answer = nowNanos + PROBE_MILLIS * MILLI;
     if (target.ignoresProbes) {
       long timeout = nowNanos + Dispatcher.probeTimeoutMillis() * MILLI;
@@ -343,14 +356,14 @@
         });
   }
 
-  private FakeTarget find(Dispatcher dispatcher, int row) {
+  FakeTarget find(Dispatcher dispatcher, int row) {
     String id = dispatcher.target(row).orElseThrow().id();
     return targets.stream().filter(t -> t.registered.id().equals(id)).findFirst().orElseThrow();
   }
 
-  private long nowNanos;
+  long nowNanos;
 
-  private void schedule(long nanos, LongConsumer action) {
+  void schedule(long nanos, LongConsumer action) {
     events.add(
         new Event(
             Math.max(nanos, nowNanos),
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -70,6 +70,7 @@
   private final PlatformAdapter adapter;
   private final StoreReader store;
   private final Dispatcher dispatcher;
+  private final OverloadMonitor overload;
   private final FleetNode node;
   private final FleetSocket socket;
   private final DataPath dataPath;
@@ -104,6 +105,7 @@
             incarnation,
             settings.seeds(),
             settings.firstStart());
+    overload = new OverloadMonitor(incarnation);
     SplittableRandom dispatchRandom = random.split();
     node = new FleetNode(preferences, new NodePort(), random.split());
     dispatcher =
@@ -114,7 +116,8 @@
                 this::leavingAnnounced,
                 new IsolationMonitor(lock, scheduler, node),
                 new RequestLimitMonitor(node.evidence()),
-                new SuspectRequestMonitor(node.evidence())),
+                new SuspectRequestMonitor(node.evidence()),
+                overload.order()),
             dispatchRandom);
     PrometheusRegistry registry = new PrometheusRegistry();
     metrics = new EntryMetrics(registry, this::serviceName);
@@ -139,6 +142,7 @@
     prober = dataPath.prober(adapter.dialect(), scheduler);
     FleetMetrics.addGauges(metrics, lock, dataPath, socket, node, dispatcher, store);
     FleetMetrics.addStrainGauges(metrics, strain);
+    FleetMetrics.addOrderMetrics(metrics, lock, overload.levels(), dispatcher);
   }
 
   /**
@@ -235,6 +239,7 @@
       synchronized (lock) {
         long now = System.nanoTime();
         node.setRequestsPerSecond((int) Math.round(dispatcher.requestsPerSecond(now)));
+        overload.exchange(node, now);
         node.tick(now);
         dispatcher.setBudgetShare(node.budgetShare(now), node.budgetEntries());
         dispatcher.preferred().applyEntries(settings.ip(), node.others(now));
