--- a/chivecross-core/src/test/java/org/chivecross/logic/admission/RequestOrderTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/admission/RequestOrderTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -80,4 +81,21 @@
     assertEquals(own, order.pressure("s", 0));
     assertEquals(3, order.levels().invalidCount());
   }
+
+  /** Figures of all 1,000 entries would cost each relay more bytes than the whole membership. */
+  @Test
+  void aboutSixtyFourEntriesOfALargeFleetAdvertiseAndTheirMeanCounts() {
+    report(2, 0, 100);
+    int advertising = 0;
+    for (long incarnation = 0; incarnation < 1_000; incarnation++) {
+      advertising += order.levels().toAdvertise(1_000, incarnation, 0).size();
+    }
+    assertTrue(advertising >= 32 && advertising <= 128, advertising + " entries advertise");
+    double own = order.pressure("s", 0);
+    List<ServiceLoad> loads = List.of(new ServiceLoad("s".hashCode(), 2));
+    order
+        .levels()
+        .advertised(List.of(new FleetMember("10.0.0.1", 1, "a", true, false, 0, 5, false, loads)));
+    assertTrue(order.pressure("s", 0) > own && order.pressure("s", 0) < (own + 2) / 2);
+  }
 }
