--- a/chivecross-core/src/test/java/org/chivecross/logic/admission/RequestOrderTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/admission/RequestOrderTest.java
@@ -10,7 +10,9 @@
 import org.chivecross.model.fleet.FleetMember;
 import org.chivecross.model.fleet.ServiceLoad;
 import org.chivecross.model.request.LoadReport;
+import org.chivecross.model.ruleset.CallerLimits;
 import org.chivecross.model.ruleset.RouteRule;
+import org.chivecross.model.ruleset.RuleSet;
 import org.chivecross.model.ruleset.WeightedService;
 import org.junit.jupiter.api.Test;
 
@@ -98,4 +100,27 @@
         .advertised(List.of(new FleetMember("10.0.0.1", 1, "a", true, false, 0, 5, false, loads)));
     assertTrue(order.pressure("s", 0) > own && order.pressure("s", 0) < (own + 2) / 2);
   }
+
+  /** The priority of a route must count, but not so much that the route gets nothing. */
+  @Test
+  void aLessUrgentRouteYieldsUnlessItIsServedMuchLessOften() {
+    List<WeightedService> services = List.of(new WeightedService("s", 1));
+    RouteRule urgent =
+        new RouteRule("u", "h", "/u/", services, RequestClass.READ, 3_200, 433, 2, 0);
+    order.applyRules(
+        new RuleSet(1, List.of(ROUTE, urgent), List.of(), new CallerLimits(1, 1, 1, 1)));
+    report(2, 2, 30);
+    assertInstanceOf(AdmissionDecision.Yield.class, decide(0));
+    for (int i = 0; i < 40; i++) {
+      order.ended(urgent, "s", i % 2 == 0, 0);
+      order.ended(ROUTE, "s", true, 0);
+    }
+    assertInstanceOf(AdmissionDecision.RefuseNow.class, decide(1_600));
+    for (int i = 0; i < 400; i++) {
+      order.ended(urgent, "s", true, 0);
+      order.ended(ROUTE, "s", false, 0);
+    }
+    assertEquals(new AdmissionDecision.PlaceNow(false), decide(0));
+    assertEquals(new AdmissionDecision.PlaceNow(true), decide(1_600));
+  }
 }
