--- a/chivecross-core/src/main/java/org/chivecross/logic/admission/Admission.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/admission/Admission.java
@@ -21,6 +21,11 @@
           return new AdmissionDecision.Unordered();
         }
 
+        @Override
+        public AdmissionDecision peek(RequestSituation situation, long nowNanos) {
+          return new AdmissionDecision.Unordered();
+        }
+
         @Override
         public void reported(String service, LoadReport report, long nowNanos) {}
 
@@ -46,6 +51,9 @@
   /** Decides about a request that has no target yet; called again until it has one. */
   AdmissionDecision decide(RequestSituation situation, long nowNanos);
 
+  /** Returns what {@link #decide} would return, without a change of any state. */
+  AdmissionDecision peek(RequestSituation situation, long nowNanos);
+
   /** Handles the load report of a target of a service. */
   void reported(String service, LoadReport report, long nowNanos);
 
--- a/chivecross-core/src/main/java/org/chivecross/logic/admission/OverloadLevels.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/admission/OverloadLevels.java
@@ -137,20 +137,37 @@
     }
     double pressure = pressure(service, nowNanos);
     PressureLevel before = state.level;
-    PressureLevel reached = reachedLevel(pressure);
-    if (reached.compareTo(before) > 0) {
-      state.level = reached;
-      state.notBelowNanos = nowNanos;
-    } else if (pressure >= BOUNDS[before.ordinal()] - FALL_MARGIN) {
-      state.notBelowNanos = nowNanos;
-    } else if (nowNanos - state.notBelowNanos >= FALL_DELAY_NANOS) {
-      state.level = PressureLevel.values()[before.ordinal() - 1];
+    PressureLevel next = nextLevel(state, pressure, nowNanos);
+    if (next != before || isHeld(before, pressure)) {
+      state.level = next;
       state.notBelowNanos = nowNanos;
     }
-    if (state.level != before) {
-      listener.changed(service, before, state.level, pressure);
+    if (next != before) {
+      listener.changed(service, before, next, pressure);
+    }
+    return next;
+  }
+
+  /** Returns the level that {@link #level} would return, without updating it. */
+  PressureLevel peekLevel(String service, long nowNanos) {
+    State state = byService.get(service);
+    return state == null
+        ? PressureLevel.NONE
+        : nextLevel(state, pressure(service, nowNanos), nowNanos);
+  }
+
+  private static PressureLevel nextLevel(State state, double pressure, long nowNanos) {
+    PressureLevel reached = reachedLevel(pressure);
+    if (reached.compareTo(state.level) > 0) {
+      return reached;
     }
-    return state.level;
+    boolean falls =
+        !isHeld(state.level, pressure) && nowNanos - state.notBelowNanos >= FALL_DELAY_NANOS;
+    return falls ? PressureLevel.values()[state.level.ordinal() - 1] : state.level;
+  }
+
+  private static boolean isHeld(PressureLevel level, double pressure) {
+    return pressure >= BOUNDS[level.ordinal()] - FALL_MARGIN;
   }
 
   /**
--- a/chivecross-core/src/main/java/org/chivecross/logic/admission/RequestOrder.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/admission/RequestOrder.java
@@ -89,8 +89,15 @@
 
   @Override
   public AdmissionDecision decide(RequestSituation situation, long nowNanos) {
-    String service = situation.service();
-    PressureLevel level = levels.level(service, nowNanos);
+    return decide(situation, levels.level(situation.service(), nowNanos));
+  }
+
+  @Override
+  public AdmissionDecision peek(RequestSituation situation, long nowNanos) {
+    return decide(situation, levels.peekLevel(situation.service(), nowNanos));
+  }
+
+  private AdmissionDecision decide(RequestSituation situation, PressureLevel level) {
     if (level == PressureLevel.NONE) {
       return new AdmissionDecision.Unordered();
     }
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -116,7 +116,7 @@
             ranking,
             responseTimes,
             limitedTargets,
-            AdmissionExplainer.NONE);
+            ordered);
   }
 
   /** Replaces the rule set. */
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/OrderedPlacement.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/OrderedPlacement.java
@@ -76,15 +76,28 @@
 
   /** Returns the decision about a request that has no target yet. */
   AdmissionDecision decide(PlacementTicket ticket, double nominalMillis, long nowNanos) {
-    RequestSituation situation =
-        new RequestSituation(
-            ticket.route(),
-            ticket.service(),
-            nominalMillis,
-            untilObjectiveMillis(ticket, nowNanos),
-            leftMillis(ticket, nowNanos),
-            (ticket.deadlineNanos() - ticket.arrivedNanos()) / (double) NANOS_PER_MILLI);
-    return admission.decide(situation, nowNanos);
+    return admission.decide(situation(ticket, nominalMillis, nowNanos), nowNanos);
+  }
+
+  /** Returns the same decision without a change of any state. */
+  AdmissionDecision peek(PlacementTicket ticket, double nominalMillis, long nowNanos) {
+    return admission.peek(situation(ticket, nominalMillis, nowNanos), nowNanos);
+  }
+
+  /** Returns the pressure on the service of a request. */
+  double pressure(PlacementTicket ticket, long nowNanos) {
+    return admission.pressure(ticket.service(), nowNanos);
+  }
+
+  private static RequestSituation situation(
+      PlacementTicket ticket, double nominalMillis, long nowNanos) {
+    return new RequestSituation(
+        ticket.route(),
+        ticket.service(),
+        nominalMillis,
+        untilObjectiveMillis(ticket, nowNanos),
+        leftMillis(ticket, nowNanos),
+        (ticket.deadlineNanos() - ticket.arrivedNanos()) / (double) NANOS_PER_MILLI);
   }
 
   /**
@@ -209,7 +222,7 @@
   }
 
   /** A target with one slot has room when it is free. */
-  private boolean hasRoom(int row) {
+  boolean hasRoom(int row) {
     return targets.freeSlots(row) >= Math.min(ROOM_SLOTS, targets.slots(row));
   }
 
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PlacementExplainer.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PlacementExplainer.java
@@ -4,11 +4,13 @@
 import java.util.Arrays;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.chivecross.logic.admission.AdmissionDecision;
 import org.chivecross.logic.dispatch.PlacementExplanation.Candidate;
 import org.chivecross.logic.dispatch.PlacementExplanation.Outcome;
 import org.chivecross.logic.dispatch.PlacementExplanation.Reason;
@@ -29,7 +31,7 @@
   private final Supplier<Optional<RouteTable>> routes;
   private final ServiceRoundRobin roundRobin;
   private final RequestForwarding forwarding;
-  private final AdmissionExplainer admission;
+  private final OrderedPlacement ordered;
   private final PlacementForecast forecast;
 
   /**
@@ -46,7 +48,7 @@
       TargetRanking ranking,
       ResponseTimeEstimates responseTimes,
       LimitedTargets limitedTargets,
-      AdmissionExplainer admission) {
+      OrderedPlacement ordered) {
     this.routes = routes;
     this.roundRobin = roundRobin;
     this.forwarding = forwarding;
@@ -55,8 +57,9 @@
     this.ranking = ranking;
     this.responseTimes = responseTimes;
     this.limitedTargets = limitedTargets;
-    this.admission = admission;
-    forecast = new PlacementForecast(targets, homes, ranking, responseTimes, limitedTargets);
+    this.ordered = ordered;
+    forecast =
+        new PlacementForecast(targets, homes, ranking, responseTimes, limitedTargets, ordered);
   }
 
   /**
@@ -93,7 +96,7 @@
         detail,
         "",
         "",
-        new AdmissionExplainer.Admission("none", "none"),
+        new PlacementExplanation.Admission("none", "none"),
         0,
         0,
         "",
@@ -125,13 +128,28 @@
         found.detail(),
         ticket.route().name(),
         ticket.service(),
-        admission.explain(ticket, nowNanos),
+        admission(ticket, nowNanos),
         TimeUnit.NANOSECONDS.toMillis(ticket.deadlineNanos() - nowNanos),
         Math.round(responseTimes.nominalMillis(ticket.route())),
         targets.target(found.row()).map(RegisteredTarget::id).orElse(""),
         candidates);
   }
 
+  /** Returns how the request is admitted while its service is under pressure. */
+  private PlacementExplanation.Admission admission(PlacementTicket ticket, long nowNanos) {
+    double nominalMillis = responseTimes.nominalMillis(ticket.route());
+    AdmissionDecision decision = ordered.peek(ticket, nominalMillis, nowNanos);
+    String pressure = String.format(Locale.ROOT, "%.2f", ordered.pressure(ticket, nowNanos));
+    if (decision instanceof AdmissionDecision.Yield) {
+      return new PlacementExplanation.Admission(pressure, "yield");
+    }
+    if (decision instanceof AdmissionDecision.RefuseNow) {
+      return new PlacementExplanation.Admission(pressure, "refuse now");
+    }
+    boolean isOrdered = !(decision instanceof AdmissionDecision.Unordered);
+    return new PlacementExplanation.Admission(pressure, isOrdered ? "place now" : "none");
+  }
+
   /** Returns all registered targets: those that may be chosen, the limited ones, the others. */
   private int[] order(PlacementTicket ticket, int[] available, long nowNanos) {
     int[] all = targets.registeredRows(ticket.service());
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PlacementExplanation.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PlacementExplanation.java
@@ -22,7 +22,7 @@
     String detail,
     String route,
     String service,
-    AdmissionExplainer.Admission admission,
+    Admission admission,
     long deadlineMillis,
     long nominalMillis,
     String target,
@@ -111,4 +111,12 @@
       long rankingMillis,
       Reason reason,
       boolean chosen) {}
+
+  /**
+   * How a request is admitted while its service is under pressure.
+   *
+   * @param pressure pressure on its service; {@code none} if no route matches
+   * @param decision what is decided about the request; {@code none} without pressure
+   */
+  public record Admission(String pressure, String decision) {}
 }
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PlacementForecast.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PlacementForecast.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.chivecross.logic.admission.AdmissionDecision;
 import org.chivecross.logic.dispatch.PlacementExplanation.Outcome;
 
 /**
@@ -18,6 +19,7 @@
   private final TargetRanking ranking;
   private final ResponseTimeEstimates responseTimes;
   private final LimitedTargets limitedTargets;
+  private final OrderedPlacement ordered;
 
   /**
    * A forecast.
@@ -32,12 +34,14 @@
       HomeRegions homes,
       TargetRanking ranking,
       ResponseTimeEstimates responseTimes,
-      LimitedTargets limitedTargets) {
+      LimitedTargets limitedTargets,
+      OrderedPlacement ordered) {
     this.targets = targets;
     this.homes = homes;
     this.ranking = ranking;
     this.responseTimes = responseTimes;
     this.limitedTargets = limitedTargets;
+    this.ordered = ordered;
   }
 
   /** Returns the forecast for the first placement of a request. */
@@ -63,8 +67,15 @@
     if (rows.length == 0) {
       return onLimited(ticket, available, nowNanos);
     }
+    AdmissionDecision decision =
+        ordered.peek(ticket, responseTimes.nominalMillis(ticket.route()), nowNanos);
+    if (decision instanceof AdmissionDecision.RefuseNow refusal) {
+      return refuse(refusal.cause());
+    }
+    boolean isOrdered = !(decision instanceof AdmissionDecision.Unordered);
     int fresh = ranking.best(ticket, rows, TargetPlacement.FRESH_REPORT_NANOS, nowNanos);
-    if (ranking.isGoodEnough(ticket, fresh, rows, nowNanos)) {
+    if (ranking.isGoodEnough(ticket, fresh, rows, nowNanos)
+        && (!isOrdered || ordered.hasRoom(fresh))) {
       return new Forecast(Outcome.PLACE, fresh, "its fresh load report is good enough");
     }
     return afterProbing(ticket, available, rows, nowNanos);
