--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PreferredTargets.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PreferredTargets.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.BitSet;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -70,7 +69,7 @@
     private final Map<Integer, Long> newUntilNanos = new HashMap<>();
     private boolean inForce;
     private int size = MIN_SIZE;
-    private final BitSet preferred = new BitSet();
+    private final Map<Integer, Double> ranks = new HashMap<>();
   }
 
   private final DispatchTargetTable targets;
@@ -129,7 +128,7 @@
     boolean wasInForce = state.inForce;
     state.inForce = entryCount > 1 && keptConnections < bound;
     if (!state.inForce) {
-      state.preferred.clear();
+      state.ranks.clear();
       return;
     }
     double required =
@@ -149,7 +148,16 @@
   /** Returns whether a target is preferred. */
   boolean isPreferred(String service, int row) {
     ServiceState state = services.get(service);
-    return state != null && state.preferred.get(row);
+    return state != null && state.ranks.containsKey(row);
+  }
+
+  /**
+   * Returns the rank of a preferred target, from 0 for the first one to nearly 1 for the last one;
+   * 1 for all other targets.
+   */
+  double rank(String service, int row) {
+    ServiceState state = services.get(service);
+    return state == null ? 1 : state.ranks.getOrDefault(row, 1.0);
   }
 
   /**
@@ -193,7 +201,7 @@
     services.forEach(
         (service, state) -> {
           if (state.inForce) {
-            sizes.put(service, state.preferred.cardinality());
+            sizes.put(service, state.ranks.size());
           }
         });
     return sizes;
@@ -208,13 +216,13 @@
     if (rowsReplaced || state.orderGeneration != generation) {
       state.order = order(state.targets, rows);
       state.orderGeneration = generation;
-      state.preferred.clear();
+      state.ranks.clear();
     }
     int size = Math.min(state.size, state.order.length);
-    if (state.preferred.cardinality() != size) {
-      state.preferred.clear();
+    if (state.ranks.size() != size) {
+      state.ranks.clear();
       for (int i = 0; i < size; i++) {
-        state.preferred.set(state.order[i]);
+        state.ranks.put(state.order[i], i / (double) size);
       }
     }
   }
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetRanking.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetRanking.java
@@ -38,11 +38,18 @@
   /** Fraction of probes without that penalty, so that all entries use all targets, new ones too. */
   private static final double EXPLORING_FRACTION = 0.1;
 
+  /**
+   * Penalty of the last preferred target; that of the others is proportional to their rank. Each
+   * target is the first one of about as many entries, which makes collisions rarer. With larger
+   * penalties, the connections to the last ones are closed before they are used again.
+   */
+  private static final double RANK_PENALTY = 2.0;
+
   /**
    * Penalty of a target that is not preferred, while others are; large enough that preferred
    * targets without failures and bad reports come first.
    */
-  private static final double NOT_PREFERRED_PENALTY = 1 + UNCONNECTED_PENALTY;
+  private static final double NOT_PREFERRED_PENALTY = 1 + UNCONNECTED_PENALTY + RANK_PENALTY;
 
   /** Probes of a placement after which preferred targets and the data centre no longer count. */
   private static final int MAX_PREFERRED_PROBES = 3;
@@ -190,7 +197,10 @@
       if (mayPrefer) {
         order += crossDataCentreOrder(ticket, row);
         boolean isPreferred = !hadBadReport && preferred.isPreferred(ticket.service(), row);
-        order += isPreferred ? 0 : NOT_PREFERRED_PENALTY;
+        order +=
+            isPreferred
+                ? RANK_PENALTY * preferred.rank(ticket.service(), row)
+                : NOT_PREFERRED_PENALTY;
       }
       if (order < least) {
         least = order;
--- a/chivecross-core/src/main/java/org/chivecross/logic/subset/TargetSubsets.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/subset/TargetSubsets.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.IntUnaryOperator;
+import java.util.stream.IntStream;
 import org.chivecross.logic.membership.RendezvousHash;
 
 /**
@@ -54,7 +56,8 @@
     long[] entryKeys = entries.stream().mapToLong(Long::longValue).toArray();
     long[] targetKeys = targets.stream().mapToLong(RendezvousHash::of).toArray();
     Assignment assignment = new Assignment(entryKeys, targetKeys);
-    assignment.extend(size);
+    int limit = maxSubsetsPerTarget(entryKeys.length, targetKeys.length, size);
+    assignment.extend(size, target -> limit);
     for (int i = 0; i < entryKeys.length; i++) {
       Set<String> subset = subsets.getOrDefault(entryKeys[i], Set.of());
       assignment.lists.get(i).forEach(target -> subset.add(targets.get(target)));
@@ -75,13 +78,25 @@
   public static List<int[]> ordered(long[] entries, long[] targets, int maxSize) {
     Assignment assignment = new Assignment(entries, targets);
     for (int size = 1; size <= Math.min(maxSize, targets.length); size++) {
-      assignment.extend(size);
+      double mean = (double) entries.length * size / targets.length;
+      // Without the first pass, a few targets would be in hardly any subset.
+      assignment.extend(size, target -> (int) (mean / 2));
+      assignment.extend(size, target -> limit(mean, targets[target]));
     }
     return assignment.lists.stream()
         .map(list -> list.stream().mapToInt(Integer::intValue).toArray())
         .toList();
   }
 
+  /**
+   * Returns the limit of one target. Whether it is rounded up depends on the target, so that one
+   * entry or target more changes the limits of few targets instead of all.
+   */
+  private static int limit(double mean, long target) {
+    double fraction = (RendezvousHash.weight(target, 0) >>> 1) / (double) Long.MAX_VALUE;
+    return (int) (mean * LIMIT_MARGIN + fraction) + 1;
+  }
+
   /** Pairs that are not assigned yet, and the targets of each entry so far. */
   private static final class Assignment {
     private final int targetCount;
@@ -107,15 +122,15 @@
       }
     }
 
-    /** Assigns pairs until each entry has {@code size} targets or none is below its limit. */
-    void extend(int size) {
-      int limit = maxSubsetsPerTarget(lists.size(), targetCount, size);
+    /** Assigns pairs until each entry has {@code size} targets or no target is below its limit. */
+    void extend(int size, IntUnaryOperator limitOfTarget) {
+      int[] limits = IntStream.range(0, targetCount).map(limitOfTarget).toArray();
       int left = 0;
       for (long pair : pairs) {
         int index = (int) (pair & indexMask);
         int target = index % targetCount;
         List<Integer> list = lists.get(index / targetCount);
-        if (list.size() < size && subsetCounts[target] < limit) {
+        if (list.size() < size && subsetCounts[target] < limits[target]) {
           subsetCounts[target]++;
           list.add(target);
         } else {
