Assign preferred targets in rounds of two; order requests that share a probe

Requests that waited for the same probe were placed in the order of their identity hashes, so that runs of a simulation with the same seed differed.

Change: two targets for each entry and round; PlacementProbes keeps the waiting requests in order of arrival.

--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PlacementProbes.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PlacementProbes.java
@@ -1,7 +1,7 @@
 package org.chivecross.logic.dispatch;
 
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 
@@ -54,7 +54,7 @@
         break;
       }
       ticket.probeSent(row);
-      ticketsByProbedRow.computeIfAbsent(row, r -> new HashSet<>()).add(ticket);
+      ticketsByProbedRow.computeIfAbsent(row, r -> new LinkedHashSet<>()).add(ticket);
       sent++;
     }
     if (sent > 0) {
--- a/chivecross-core/src/main/java/org/chivecross/logic/subset/TargetSubsets.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/subset/TargetSubsets.java
@@ -26,6 +26,12 @@
   /** Factor by which the limit of a target exceeds the mean number of subsets. */
   private static final double LIMIT_MARGIN = 1.15;
 
+  /**
+   * Targets that each entry gets in one round of {@link #ordered}. With one, the loss of a target
+   * moved more than twice the connections that it had.
+   */
+  private static final int TARGETS_PER_ROUND = 2;
+
   private TargetSubsets() {}
 
   /**
@@ -66,8 +72,8 @@
   }
 
   /**
-   * Returns the targets of each entry, in an order of which every prefix is balanced: entries that
-   * need different numbers of targets use prefixes of different lengths. The cost is that of
+   * Returns the targets of each entry, in an order of which every even prefix is balanced: entries
+   * that need different numbers of targets use prefixes of different lengths. The cost is that of
    * sorting one {@code long} for each pair.
    *
    * @param entries hashes of the entries
@@ -77,7 +83,10 @@
    */
   public static List<int[]> ordered(long[] entries, long[] targets, int maxSize) {
     Assignment assignment = new Assignment(entries, targets);
-    for (int size = 1; size <= Math.min(maxSize, targets.length); size++) {
+    int longest = Math.min(maxSize, targets.length);
+    int size = 0;
+    while (size < longest) {
+      size = Math.min(longest, size + TARGETS_PER_ROUND);
       double mean = (double) entries.length * size / targets.length;
       // Without the first pass, a few targets would be in hardly any subset.
       assignment.extend(size, target -> (int) (mean / 2));
