Send one large body at a time to a target

Cause: a target's process ends when the requests that it holds exceed its memory, and one entry could send it several uploads of 360 KB at once. Change: LargeBodies keeps the attempts with a body over 32 KB by target; TargetPlacement leaves such targets out for another large body, and takes them after all when it would refuse the request otherwise. An attempt counts until it is closed in its AttemptTable, so no end needs to be reported.

--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -5,6 +5,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.chivecross.model.registry.RegisteredTarget;
 import org.chivecross.model.request.LoadReport;
@@ -37,6 +38,7 @@
   private final TargetRanking ranking;
   private final PlacementProbes probes;
   private final LimitedTargets limitedTargets;
+  private final LargeBodies largeBodies = new LargeBodies();
   private final HomeRegions homes;
   private final TargetPlacement placement;
   private final RequestForwarding forwarding;
@@ -75,7 +77,15 @@
     homes = new HomeRegions(preferences, targets);
     placement =
         new TargetPlacement(
-            targets, homes, ranking, responseTimes, probes, advice, delays, limitedTargets);
+            targets,
+            homes,
+            ranking,
+            responseTimes,
+            probes,
+            advice,
+            delays,
+            limitedTargets,
+            largeBodies);
     forwarding =
         new RequestForwarding(ports.forwarding(), targets, probes, () -> budgetShare, random);
     crashes = new CrashDetection(ports.suspects(), targets, probes, () -> budgetShare);
@@ -235,6 +245,17 @@
     return limitedTargets.sentCount();
   }
 
+  /**
+   * Records the body of an attempt that is started.
+   *
+   * @param isOpen returns whether the attempt is still in flight
+   */
+  public void bodyStarted(PlacementTicket ticket, int row, BooleanSupplier isOpen) {
+    if (!RequestForwarding.isEntry(row)) {
+      largeBodies.started(row, ticket.bodyBytes(), isOpen);
+    }
+  }
+
   /** Records that an attempt was started on a target or forwarded to an entry. */
   public void started(int row) {
     if (RequestForwarding.isEntry(row)) {
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetPlacement.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetPlacement.java
@@ -42,6 +42,7 @@
   private final RetryAdvice advice;
   private final RetryDelays delays;
   private final LimitedTargets limitedTargets;
+  private final LargeBodies largeBodies;
 
   TargetPlacement(
       DispatchTargetTable targets,
@@ -51,7 +52,9 @@
       PlacementProbes probes,
       RetryAdvice advice,
       RetryDelays delays,
-      LimitedTargets limitedTargets) {
+      LimitedTargets limitedTargets,
+      LargeBodies largeBodies) {
+    this.largeBodies = largeBodies;
     this.limitedTargets = limitedTargets;
     this.targets = targets;
     this.homes = homes;
@@ -77,6 +80,15 @@
     if (available.length == 0) {
       return placeWithoutTargets(ticket, nowNanos);
     }
+    int[] preferred = largeBodies.without(ticket, available);
+    Placement placement = placeAmong(ticket, preferred, budgetShare, nowNanos);
+    boolean isLastResort =
+        placement instanceof Placement.Refused && preferred.length < available.length;
+    return isLastResort ? placeAmong(ticket, available, budgetShare, nowNanos) : placement;
+  }
+
+  private Placement placeAmong(
+      PlacementTicket ticket, int[] available, double budgetShare, long nowNanos) {
     double nominalMillis = responseTimes.nominalMillis(ticket.route());
     double leftMillis = (ticket.deadlineNanos() - nowNanos) / (double) NANOS_PER_MILLI;
     if (leftMillis < nominalMillis / 2) {
