Bound what is buffered for slow callers and targets

Cause: responses behind a slow one, complete responses in the library's write queue and request bodies were kept without a bound on their total; a close was not noticed while the connection of a caller was not read; writes were cut when their caller left. Change: BufferBudget counts all of these per connection and in total, with a dynamic limit per connection; requests without room are refused as not run; ReadAhead notices closes; writes run to their end. New limits apply to entries on the platform only; other entries keep 256 KB per connection, which now includes pipelined responses.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -49,6 +49,9 @@
 
   private static final long CLOSE_IDLE_PERIOD_MILLIS = 500;
 
+  /** Period of looking after slow callers; a close is noticed, and acted on, within 500 ms. */
+  private static final long CHECK_SLOW_PEERS_PERIOD_MILLIS = 200;
+
   /** Minimum time for which a leaving entry serves callers that still use its address. */
   private static final long MIN_DRAIN_MILLIS = 4_500;
 
@@ -155,6 +158,8 @@
     dataPath.serveLocally(settings.readiness(), adapter.readiness(this::isReady));
     dataPath.serveLocally(settings.metrics(), FleetMetrics.routes(metrics));
     scheduler.every(CLOSE_IDLE_PERIOD_MILLIS, () -> dataPath.closeIdle(System.nanoTime()));
+    scheduler.every(
+        CHECK_SLOW_PEERS_PERIOD_MILLIS, () -> dataPath.checkSlowPeers(System.nanoTime()));
     scheduler.execute(this::tick);
     Logger.info(
         "started: entry {} incarnation {} data centre {} callers {} seeds {}",
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
@@ -5,6 +5,7 @@
 import java.io.UncheckedIOException;
 import java.util.Map;
 import java.util.function.LongSupplier;
+import org.chivecross.cli.entry.http.BufferBudget;
 import org.chivecross.cli.entry.http.DataPath;
 import org.chivecross.cli.entry.http.LocalRequest;
 import org.chivecross.cli.entry.http.LocalResponse;
@@ -71,6 +72,27 @@
         "Entries known to be alive, this one included",
         guarded(lock, () -> node.others(System.nanoTime()).size() + 1L));
     addTargetGauges(metrics, lock, node, dispatcher);
+    addBufferGauges(metrics, dataPath.budget());
+  }
+
+  /** Registers what is buffered for slow callers and targets, and what was done about it. */
+  private static void addBufferGauges(EntryMetrics metrics, BufferBudget budget) {
+    metrics.gauge(
+        "chivecross_buffered_bytes",
+        "Bytes buffered for callers and targets that read slowly",
+        budget::heldBytes);
+    metrics.counter(
+        "chivecross_requests_refused_for_memory",
+        "Requests refused since too much is buffered",
+        budget::refusalCount);
+    metrics.counter(
+        "chivecross_connections_ended_for_memory",
+        "Connections ended whose peers read nothing while too much was buffered",
+        budget::endedCount);
+    metrics.counter(
+        "chivecross_attempts_cancelled",
+        "Attempts cancelled since their caller closed its connection",
+        budget::cancelledCount);
   }
 
   /** Registers what is known of targets and requests that get special treatment. */
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -8,8 +8,6 @@
 import org.chivecross.logic.routing.Route;
 import org.chivecross.model.failure.Failure;
 import org.chivecross.model.failure.Step;
-import org.chivecross.model.fileset.RequestClass;
-import org.chivecross.model.peer.KeyCall;
 import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.Decision;
 import org.chivecross.model.request.Outcome;
@@ -19,7 +17,6 @@
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
-import org.glassfish.grizzly.memory.Buffers;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -45,6 +42,7 @@
   private @Nullable Attempt relayed;
   private boolean started;
   private boolean callerCongested;
+  private boolean callerGone;
   private boolean over;
   private final Optional<Route> route;
 
@@ -63,9 +61,7 @@
     timer = new ExchangeTimer(ports.scheduler(), () -> timer(System.nanoTime()));
     machine = ports.machines().create(timer::fireNow);
     times = new ExchangeTimes(nowNanos);
-    boolean keyed = RequestHeads.idempotencyKey(request).isPresent();
-    int retained = keyed ? KeyCall.MAX_BODY_BYTES : services.settings().retainedBodyBytes();
-    body = new BodyFlow(lock, new RequestBody(retained), caller.connection().getMemoryManager());
+    body = BodyFlow.of(lock, request, caller, services);
   }
 
   Object lock() {
@@ -98,6 +94,10 @@
         return true;
       }
       boolean more = body.receive(buffer, content.isLast());
+      if (!started && !body.tryAdmit(request.getContentLength())) {
+        answer(ports.answer(BufferBudget.REFUSAL, f -> f), Outcome.NOT_RUN);
+        return true;
+      }
       if (!started && body.isReadyToSend() && mayStart()) {
         started = true;
         start();
@@ -157,6 +157,8 @@
         start();
       }
     }
+    // It is no longer blocked by the bytes that wait for earlier responses.
+    caller.buffers().runWaiters();
   }
 
   @Override
@@ -165,10 +167,17 @@
       if (over) {
         return;
       }
+      response.discard();
+      if (route.filter(Route::isIdempotent).isEmpty() && attempts.isAnyAtWork()) {
+        // A write that may be running is left to finish; its response is dropped.
+        callerGone = true;
+        return;
+      }
+      services.budget().attemptsCancelled(attempts.runningCount());
       if (started) {
         machine.cancelled(System.nanoTime());
       }
-      finish(0, attempts.isAnySent() ? Outcome.UNKNOWN : Outcome.NOT_RUN);
+      finish(0, attempts.outcomeWithoutResponse());
     }
   }
 
@@ -242,10 +251,10 @@
         abort();
         return;
       }
-      Outcome outcome = attempts.isAnySent() ? Outcome.UNKNOWN : Outcome.NOT_RUN;
       if (started) {
         machine.cancelled(System.nanoTime());
       }
+      Outcome outcome = attempts.outcomeWithoutResponse();
       response.closeAfterwards();
       String peer = RequestHeads.callerAddress(caller.connection());
       Failure failure = new Failure(Step.ACCEPT, peer, detail);
@@ -263,20 +272,16 @@
 
   private boolean relay(Attempt attempt, HttpResponsePacket head, HttpContent content, long now) {
     List<Buffer> parts = attempt.held().release();
-    int ready = parts.size() - (content.isLast() ? 1 : 0);
-    for (int i = 0; i < ready; i++) {
-      response.write(parts.get(i), false);
-    }
     if (content.isLast()) {
-      Buffer rest = ready < 0 ? Buffers.EMPTY_BUFFER : parts.get(ready);
       machine.responseEnd(attempt.number(), now);
       int status = head.getStatus();
       attempt.responseEnded(head);
       over = true;
-      response.write(rest, true);
+      response.writeLast(parts);
       finish(status, Outcome.ANSWERED);
       return true;
     }
+    parts.forEach(part -> response.write(part, false));
     callerCongested = !response.canWrite(this::callerWritable);
     return !callerCongested;
   }
@@ -290,7 +295,10 @@
     if (over) {
       return;
     }
-    if (decision instanceof Decision.Send send) {
+    if (callerGone && !(decision instanceof Decision.Await)) {
+      machine.cancelled(now);
+      finish(0, Outcome.UNKNOWN);
+    } else if (decision instanceof Decision.Send send) {
       send(send, now);
     } else if (decision instanceof Decision.Relay relay) {
       relayed = attempts.keepOnly(relay.attempt());
@@ -316,7 +324,8 @@
 
   private void send(Decision.Send send, long now) {
     times.attemptDecided(now);
-    Attempt attempt = new Attempt(this, send, services.settings().heldResponseBytes(), now);
+    HeldResponse held = new HeldResponse(services, caller.buffers());
+    Attempt attempt = new Attempt(this, send, held, now);
     attempts.add(attempt);
     services.client().acquire(send.target(), send.kind(), now, attempt);
   }
@@ -330,7 +339,7 @@
 
   private void sendOn(Attempt attempt, UpstreamConnection connection) {
     long now = System.nanoTime();
-    if (over || attempt.isOver()) {
+    if (over || callerGone || attempt.isOver()) {
       connection.pool().release(connection);
       return;
     }
@@ -341,17 +350,12 @@
       return;
     }
     attempt.bind(connection, request, caller.connection(), ports, attempts.sentCount(), now);
-    if (body.sendTo(attempt) || isUploadWithBody()) {
+    if (body.sendTo(attempt) || body.isUpload(route)) {
       machine.bodySent(now);
     }
     rearm();
   }
 
-  private boolean isUploadWithBody() {
-    boolean upload = route.filter(r -> r.requestClass() == RequestClass.UPLOAD).isPresent();
-    return upload && body.receivedBytes() > 0;
-  }
-
   private void answer(LocalResponse answer, Outcome outcome) {
     if (!body.isComplete()) {
       response.closeWhileReceiving();
@@ -369,14 +373,10 @@
 
   private void passToOwner(long incarnation) {
     long now = System.nanoTime();
-    long arrived = times.arrivedNanos();
-    long remaining = RequestHeads.remainingMillis(request, route, arrived, now, ports.dialect());
-    if (!body.isComplete()) {
-      answer(OwnerForwarding.bodyTooLong(incarnation), Outcome.UNKNOWN);
-      return;
-    }
-    KeyCall call = OwnerForwarding.toCall(request, body.wholeBytes());
-    OwnerForwarding.send(ports.owners(), incarnation, call, remaining, this::ownerAnswered);
+    long remaining =
+        RequestHeads.remainingMillis(request, route, times.arrivedNanos(), now, ports.dialect());
+    OwnerForwarding.pass(
+        ports.owners(), incarnation, request, body, remaining, this::ownerAnswered);
   }
 
   private void ownerAnswered(LocalResponse answer) {
@@ -401,9 +401,7 @@
     if (status > 0 && body.isComplete()) {
       response.recycle();
     }
-    if (next != null) {
-      next.resume();
-    }
+    caller.resume(next);
   }
 
   private void callerWritable() {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
@@ -35,12 +35,17 @@
 
   private final UpstreamAddresses addresses;
   private final DataPathSettings settings;
+  private final BufferBudget budget;
   private final TCPNIOConnectorHandler connector;
   private final UpstreamRegistry upstreams = new UpstreamRegistry();
   private final Map<InetSocketAddress, UpstreamPool> pools = new ConcurrentHashMap<>();
 
   UpstreamClient(
-      TCPNIOTransport transport, UpstreamAddresses addresses, DataPathSettings settings) {
+      TCPNIOTransport transport,
+      UpstreamAddresses addresses,
+      DataPathSettings settings,
+      BufferBudget budget) {
+    this.budget = budget;
     this.addresses = addresses;
     this.settings = settings;
     FilterChain chain =
@@ -129,7 +134,7 @@
     @Override
     public void completed(Connection connection) {
       UpstreamConnection upstream =
-          new UpstreamConnection((NIOConnection) connection, pool, System.nanoTime());
+          new UpstreamConnection((NIOConnection) connection, pool, budget, System.nanoTime());
       upstreams.add(upstream);
       handler.acquired(upstream);
     }
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerRegistryTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerRegistryTest.java
@@ -14,7 +14,10 @@
 class CallerRegistryTest {
 
   private final CallerRegistry callers =
-      new CallerRegistry(DataPathSettings.defaults(), (request, reason, outcome) -> {});
+      new CallerRegistry(
+          DataPathSettings.defaults(),
+          (request, reason, outcome) -> {},
+          new BufferBudget(BufferLimits.perConnection()));
 
   /** Guards against a request on a connection accepted after the last check of a planned stop. */
   @Test
