Keep the total of buffered bytes below 8 MB while uploads and slow callers meet

Cause: in a trial, 60 callers that read nothing and 40 uploads of 360 KB held 9.7 MB: uploads filled the total, and each response went on to its minimum and one read. Change: uploads are admitted up to 6 MB; a connection's limit leaves room for its next read, and 1 MB is kept for connections at their minimum. Requests that are read ahead don't keep the space from others.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/BufferAccount.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/BufferAccount.java
@@ -13,8 +13,8 @@
  * The bytes that are buffered for one connection: those held by exchanges, and those that the
  * library queues for writing.
  *
- * <p>Invariant: the budget contains {@code held + counted} of each open account and nothing of a
- * closed one. Safe for use by many threads; waiting actions run without the lock.
+ * <p>Invariant: the budget contains {@code held + ahead + counted} of each open account and nothing
+ * of a closed one. Safe for use by many threads; waiting actions run without the lock.
  */
 final class BufferAccount {
 
@@ -24,6 +24,7 @@
   private final Supplier<String> peer;
   private final List<Waiter> waiters = new ArrayList<>();
   private long held;
+  private long ahead;
   private long queued;
   private long shared;
   private long counted;
@@ -52,6 +53,14 @@
     }
   }
 
+  /** Adds requests that were read ahead; these wait for space and must not keep it from others. */
+  synchronized void holdAhead(long bytes) {
+    if (!closed) {
+      ahead += bytes;
+      budget.add(bytes);
+    }
+  }
+
   /** Counts the bytes that the library queues, after a write. */
   synchronized void sampleQueue() {
     if (closed) {
@@ -159,7 +168,7 @@
         progressNanos = nowNanos;
       }
       progressed = false;
-      sampledBytes = held + queued;
+      sampledBytes = held + ahead + queued;
     }
     // The limit also rises when other connections release bytes.
     runWaiters();
@@ -197,7 +206,7 @@
         return;
       }
       closed = true;
-      budget.add(-held - counted);
+      budget.add(-held - ahead - counted);
     }
     budget.closed(this);
     runWaiters();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/BufferBudget.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/BufferBudget.java
@@ -26,10 +26,19 @@
   /** Size from which a body counts as large: such requests are refused first. */
   static final int LARGE_BODY_BYTES = 32 * 1024;
 
-  /** Limit of a connection when the total is used up, so that every response makes progress. */
-  static final int MIN_CONNECTION_BYTES = 16 * 1024;
+  /** Limit of a connection when the total is used up: one read, when nothing is buffered for it. */
+  static final int MIN_CONNECTION_BYTES = 1;
 
-  /** Divisor of the free bytes; 100 connections that read nothing hold 93 % of the total. */
+  /**
+   * Fraction of the total up to which uploads are admitted. The rest is for responses to requests
+   * that are in progress: 25 % of 8 MB is one read of 16 KB for 128 connections.
+   */
+  private static final double UPLOAD_FRACTION = 0.75;
+
+  /**
+   * Divisor of the free bytes, and of the total to get the bytes that are kept for connections at
+   * their minimum: 1 MB of 8 MB is one read of 16 KB for 64 connections.
+   */
   private static final int FREE_DIVISOR = 8;
 
   /** Retry delay of a refused request; a connection that is not read is ended after 1 s. */
@@ -78,10 +87,12 @@
     total.addAndGet(bytes);
   }
 
-  /** Returns the bytes up to which a connection may hold more. */
+  /** Returns the bytes up to which a connection may hold more; one read is added to them. */
   long connectionLimit() {
-    long free = limits.totalBytes() - total.get();
-    return Math.max(MIN_CONNECTION_BYTES, Math.min(limits.connectionBytes(), free / FREE_DIVISOR));
+    long reserve = limits.totalBytes() / FREE_DIVISOR;
+    long free = limits.totalBytes() - reserve - total.get();
+    long share = Math.min(limits.connectionBytes(), free / FREE_DIVISOR);
+    return Math.max(MIN_CONNECTION_BYTES, share - limits.readBytes());
   }
 
   /** Returns the bytes of a request body that are kept at most, so that it can be sent again. */
@@ -100,7 +111,7 @@
     long bound = limits.totalBytes();
     boolean isAdmitted =
         bodyBytes > LARGE_BODY_BYTES
-            ? total.get() + missingBytes <= bound
+            ? total.get() + missingBytes <= UPLOAD_FRACTION * bound
             : total.get() <= bound + bound / 2;
     if (!isAdmitted) {
       refusals.incrementAndGet();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ReadAhead.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ReadAhead.java
@@ -85,7 +85,7 @@
       ByteBuffer all = ByteBuffer.allocate(bytes.length + count);
       all.put(bytes).put(free.flip());
       bytes = all.array();
-      account.hold(count);
+      account.holdAhead(count);
     }
     return count;
   }
@@ -125,7 +125,7 @@
       return null;
     }
     Buffer taken = Buffers.wrap(connection.getMemoryManager(), bytes);
-    account.hold(-bytes.length);
+    account.holdAhead(-bytes.length);
     bytes = none;
     return taken;
   }
