--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -49,6 +48,9 @@
 
   private static final long CLOSE_IDLE_PERIOD_MILLIS = 500;
 
+  /** Period of looking after slow callers; a close is noticed, and acted on, within 500 ms. */
+  private static final long CHECK_SLOW_PEERS_PERIOD_MILLIS = 200;
+
   /** Minimum time for which a leaving entry serves callers that still use its address. */
   private static final long MIN_DRAIN_MILLIS = 4_500;
 
@@ -80,7 +82,7 @@
   private final CountDownLatch stopped = new CountDownLatch(1);
   private Map<String, ServiceRule> services = Map.of();
   private List<String> serviceNames = List.of();
-  private Set<String> evacuated = Set.of();
+  private final EvacuationLogger evacuationLogger = new EvacuationLogger();
   private boolean isLeaving;
   private int storeFailures;
 
@@ -164,6 +166,8 @@
     dataPath.serveLocally(settings.readiness(), adapter.readiness(this::isReady));
     dataPath.serveLocally(settings.metrics(), FleetMetrics.routes(metrics, lock, dispatcher));
     scheduler.every(CLOSE_IDLE_PERIOD_MILLIS, () -> dataPath.closeIdle(System.nanoTime()));
+    scheduler.every(
+        CHECK_SLOW_PEERS_PERIOD_MILLIS, () -> dataPath.checkSlowPeers(System.nanoTime()));
     scheduler.execute(this::tick);
     Logger.info(
         "started: entry {} incarnation {} data centre {} callers {} seeds {}",
@@ -326,14 +330,8 @@
     }
     Collection<RegisteredTarget> registered = node.targets(now);
     dispatcher.applyTargets(registered, now);
-    if (!node.evacuated().equals(evacuated)) {
-      evacuated = node.evacuated();
-      Logger.info(
-          "evacuated data centres: {}; nothing is sent to their targets, view {} ms old",
-          evacuated,
-          node.viewAgeMillis(now));
-    }
-    dispatcher.applyEvacuations(evacuated);
+    evacuationLogger.log(node.evacuated(), node.viewAgeMillis(now));
+    dispatcher.applyEvacuations(node.evacuated());
     Logger.info(
         "targets: {} usable of {} at {}",
         dispatcher.usableTargets(),
