--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -5,7 +5,6 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.chivecross.logic.admission.Admission;
 import org.chivecross.model.registry.RegisteredTarget;
@@ -40,7 +39,6 @@
   private final TargetRanking ranking;
   private final PlacementProbes probes;
   private final LimitedTargets limitedTargets;
-  private final LargeBodies largeBodies = new LargeBodies();
   private final HomeRegions homes;
   private final TargetPlacement placement;
   private final PlacementExplainer explainer;
@@ -55,6 +53,15 @@
   private double budgetShare = 1;
   private int budgetEntries;
 
+  /** Creates a dispatcher without routes and targets, whose entry forwards no requests. */
+  public Dispatcher(
+      DispatchPreferences preferences,
+      ProbeSender probeSender,
+      LeavingListener leavingListener,
+      RandomGenerator random) {
+    this(preferences, DispatchPorts.ofSingleEntry(probeSender, leavingListener), random);
+  }
+
   /** Creates a dispatcher without routes and targets. */
   public Dispatcher(DispatchPreferences preferences, DispatchPorts ports, RandomGenerator random) {
     admission = ports.admission();
@@ -85,8 +92,7 @@
             advice,
             delays,
             limitedTargets,
-            ordered,
-            largeBodies);
+            ordered);
     forwarding =
         new RequestForwarding(ports.forwarding(), targets, probes, () -> budgetShare, random);
     crashes = new CrashDetection(ports.suspects(), targets, probes, () -> budgetShare);
@@ -141,7 +147,12 @@
     return collisions.count();
   }
 
-  /** Sets this entry's share of the budgets, from 0 to 1, and the number of all; 0 if unknown. */
+  /**
+   * Sets this entry's share of the budgets that all entries share.
+   *
+   * @param share share of all requests, from 0 to 1
+   * @param entries entries that share the budgets; 0 when unknown
+   */
   public void setBudgetShare(double share, int entries) {
     budgetShare = share;
     budgetEntries = entries;
@@ -277,17 +288,6 @@
     return limitedTargets.sentCount();
   }
 
-  /**
-   * Records the body of an attempt that is started.
-   *
-   * @param isOpen returns whether the attempt is still in flight
-   */
-  public void bodyStarted(PlacementTicket ticket, int row, BooleanSupplier isOpen) {
-    if (!RequestForwarding.isEntry(row)) {
-      largeBodies.started(row, ticket.bodyBytes(), isOpen);
-    }
-  }
-
   /** Records that an attempt was started on a target or forwarded to an entry. */
   public void started(int row) {
     if (RequestForwarding.isEntry(row)) {
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetPlacement.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetPlacement.java
@@ -44,7 +44,6 @@
   private final RetryDelays delays;
   private final LimitedTargets limitedTargets;
   private final OrderedPlacement ordered;
-  private final LargeBodies largeBodies;
 
   TargetPlacement(
       DispatchTargetTable targets,
@@ -55,9 +54,7 @@
       RetryAdvice advice,
       RetryDelays delays,
       LimitedTargets limitedTargets,
-      OrderedPlacement ordered,
-      LargeBodies largeBodies) {
-    this.largeBodies = largeBodies;
+      OrderedPlacement ordered) {
     this.limitedTargets = limitedTargets;
     this.ordered = ordered;
     this.targets = targets;
@@ -84,15 +81,6 @@
     if (available.length == 0) {
       return placeWithoutTargets(ticket, nowNanos);
     }
-    int[] preferred = largeBodies.without(ticket, available);
-    Placement placement = placeAmong(ticket, preferred, budgetShare, nowNanos);
-    boolean isLastResort =
-        placement instanceof Placement.Refused && preferred.length < available.length;
-    return isLastResort ? placeAmong(ticket, available, budgetShare, nowNanos) : placement;
-  }
-
-  private Placement placeAmong(
-      PlacementTicket ticket, int[] available, double budgetShare, long nowNanos) {
     double nominalMillis = responseTimes.nominalMillis(ticket.route());
     double leftMillis = (ticket.deadlineNanos() - nowNanos) / (double) NANOS_PER_MILLI;
     if (leftMillis < nominalMillis / 2) {
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
@@ -337,7 +337,6 @@
     hedgeAtNanos = HedgeSchedule.hedgeAtNanos(dispatcher, current, target, nowNanos);
     recorder.sent(current, attempt, target, nowNanos);
     ends.started(target, nowNanos);
-    dispatcher.bodyStarted(current, target, () -> attempts.isOpen(attempt));
     return new Decision.Send(attempt, target, ConnectionKind.RECENTLY_LIVE, deadlineNanos);
   }
 
--- a/chivecross-core/src/test/java/org/chivecross/logic/dispatch/EvacuatedTargetTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/EvacuatedTargetTest.java
@@ -32,7 +32,8 @@
       new Dispatcher(
           new DispatchPreferences(
               "a", 20, 10, 1_000, 0.5, 100, 10_000, Map.of("a", "north", "b", "south")),
-          DispatchPorts.ofSingleEntry(probes::add, target -> {}),
+          probes::add,
+          target -> {},
           new SplittableRandom(3));
   private long now = 1_000 * MILLI;
 
--- a/chivecross-core/src/test/java/org/chivecross/logic/dispatch/LimitedTargetTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/LimitedTargetTest.java
@@ -6,13 +6,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.chivecross.model.fileset.RequestClass;
@@ -213,26 +211,4 @@
     dispatcher.limitStated(0, OptionalDouble.empty(), now);
     assertEquals(OptionalDouble.empty(), stated.get("t0"));
   }
-
-  /** Guards against uploads of 360 KB that exhaust the memory of one target. */
-  @Test
-  void secondLargeBodyGoesToAnotherTargetWhileOneCanTakeIt() {
-    applyTargets(3);
-    Set<Integer> used = new HashSet<>();
-    List<Integer> ended = new ArrayList<>();
-    for (int i = 0; i < 20; i++) {
-      PlacementTicket ticket = dispatcher.open(ROUTE, now + 1_000 * MILLI, 360_000, () -> {}, now);
-      int row = assertInstanceOf(Placement.Chosen.class, place(ticket)).target();
-      used.add(row);
-      dispatcher.bodyStarted(ticket, row, () -> !ended.contains(row));
-      if (i == 2) {
-        assertEquals(3, used.size());
-      } else if (i == 4) {
-        // All have one, and requests are placed all the same; from now on, one is preferred.
-        ended.add(row);
-        used.clear();
-      }
-    }
-    assertEquals(Set.copyOf(ended), used);
-  }
 }
--- a/chivecross-core/src/test/java/org/chivecross/logic/request/DispatchRequestMachineTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/request/DispatchRequestMachineTest.java
@@ -15,7 +15,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import org.chivecross.logic.dispatch.DispatchEvent;
-import org.chivecross.logic.dispatch.DispatchPorts;
 import org.chivecross.logic.dispatch.DispatchPreferences;
 import org.chivecross.logic.dispatch.Dispatcher;
 import org.chivecross.model.fileset.RequestClass;
@@ -55,7 +54,8 @@
   private final Dispatcher dispatcher =
       new Dispatcher(
           new DispatchPreferences("a", 20, 10, 1_000, 0.5, 100, 10_000),
-          DispatchPorts.ofSingleEntry(probes::add, leaving::add),
+          probes::add,
+          leaving::add,
           new SplittableRandom(5));
   private final DispatchRequestMachines machines =
       new DispatchRequestMachines(dispatcher, (id, event) -> journal.add(event));
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetDataPathSettings.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetDataPathSettings.java
@@ -1,6 +1,5 @@
 package org.chivecross.cli.entry.fleet;
 
-import org.chivecross.cli.entry.http.BufferLimits;
 import org.chivecross.cli.entry.http.DataPathSettings;
 
 /** Limits and time-outs of the data path on the platform. Stateless. */
@@ -16,15 +15,6 @@
   /** Responses up to this size are relayed only when complete; nearly all are smaller. */
   private static final int MAX_HELD_RESPONSE_BYTES = 64 * 1024;
 
-  /** Bytes buffered for all slow callers and targets; an entry is meant to stay near 50 MB. */
-  private static final long MAX_BUFFERED_BYTES = 8 << 20;
-
-  /** Bytes buffered for one of them; more than nearly all responses and uploads have. */
-  private static final int MAX_CONNECTION_BUFFERED_BYTES = 1 << 20;
-
-  /** Bytes read at once; each connection may exceed its share of the buffers by as many. */
-  private static final int READ_BYTES = 16 * 1024;
-
   /** Time since the last answer up to which an idle connection is assumed to be live. */
   private static final int RECENT_ACTIVITY_MILLIS = 400;
 
@@ -44,7 +34,6 @@
         RECENT_ACTIVITY_MILLIS,
         RETAINED_BODY_BYTES,
         MAX_HELD_RESPONSE_BYTES,
-        new BufferLimits(MAX_BUFFERED_BYTES, MAX_CONNECTION_BUFFERED_BYTES, READ_BYTES),
         1);
   }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -48,9 +49,6 @@
 
   private static final long CLOSE_IDLE_PERIOD_MILLIS = 500;
 
-  /** Period of looking after slow callers; a close is noticed, and acted on, within 500 ms. */
-  private static final long CHECK_SLOW_PEERS_PERIOD_MILLIS = 200;
-
   /** Minimum time for which a leaving entry serves callers that still use its address. */
   private static final long MIN_DRAIN_MILLIS = 4_500;
 
@@ -82,7 +80,7 @@
   private final CountDownLatch stopped = new CountDownLatch(1);
   private Map<String, ServiceRule> services = Map.of();
   private List<String> serviceNames = List.of();
-  private final EvacuationLogger evacuationLogger = new EvacuationLogger();
+  private Set<String> evacuated = Set.of();
   private boolean isLeaving;
   private int storeFailures;
 
@@ -166,8 +164,6 @@
     dataPath.serveLocally(settings.readiness(), adapter.readiness(this::isReady));
     dataPath.serveLocally(settings.metrics(), FleetMetrics.routes(metrics, lock, dispatcher));
     scheduler.every(CLOSE_IDLE_PERIOD_MILLIS, () -> dataPath.closeIdle(System.nanoTime()));
-    scheduler.every(
-        CHECK_SLOW_PEERS_PERIOD_MILLIS, () -> dataPath.checkSlowPeers(System.nanoTime()));
     scheduler.execute(this::tick);
     Logger.info(
         "started: entry {} incarnation {} data centre {} callers {} seeds {}",
@@ -330,8 +326,14 @@
     }
     Collection<RegisteredTarget> registered = node.targets(now);
     dispatcher.applyTargets(registered, now);
-    evacuationLogger.log(node.evacuated(), node.viewAgeMillis(now));
-    dispatcher.applyEvacuations(node.evacuated());
+    if (!node.evacuated().equals(evacuated)) {
+      evacuated = node.evacuated();
+      Logger.info(
+          "evacuated data centres: {}; nothing is sent to their targets, view {} ms old",
+          evacuated,
+          node.viewAgeMillis(now));
+    }
+    dispatcher.applyEvacuations(evacuated);
     Logger.info(
         "targets: {} usable of {} at {}",
         dispatcher.usableTargets(),
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetMetrics.java
@@ -5,7 +5,6 @@
 import java.io.UncheckedIOException;
 import java.util.Map;
 import java.util.function.LongSupplier;
-import org.chivecross.cli.entry.http.BufferBudget;
 import org.chivecross.cli.entry.http.DataPath;
 import org.chivecross.cli.entry.http.LocalRequest;
 import org.chivecross.cli.entry.http.LocalResponse;
@@ -85,7 +84,6 @@
         guarded(lock, () -> node.others(System.nanoTime()).size() + 1L));
     addTargetGauges(metrics, lock, node, dispatcher);
     addPreferenceMetrics(metrics, lock, dataPath, dispatcher);
-    addBufferGauges(metrics, dataPath.budget());
   }
 
   /** Registers the use of preferred targets and what it is to reduce. */
@@ -129,26 +127,6 @@
         strain::standstillPercent);
   }
 
-  /** Registers what is buffered for slow callers and targets, and what was done about it. */
-  private static void addBufferGauges(EntryMetrics metrics, BufferBudget budget) {
-    metrics.gauge(
-        "chivecross_buffered_bytes",
-        "Bytes buffered for callers and targets that read slowly",
-        budget::heldBytes);
-    metrics.counter(
-        "chivecross_requests_refused_for_memory",
-        "Requests refused since too much is buffered",
-        budget::refusalCount);
-    metrics.counter(
-        "chivecross_connections_ended_for_memory",
-        "Connections ended whose peers read nothing while too much was buffered",
-        budget::endedCount);
-    metrics.counter(
-        "chivecross_attempts_cancelled",
-        "Attempts cancelled since their caller closed its connection",
-        budget::cancelledCount);
-  }
-
   /** Registers what is known of targets and requests that get special treatment. */
   private static void addTargetGauges(
       EntryMetrics metrics, Object lock, FleetNode node, Dispatcher dispatcher) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
@@ -1,11 +1,15 @@
 package org.chivecross.cli.entry.http;
 
+import java.net.SocketAddress;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.Decision;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteHandler;
+import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
@@ -37,8 +41,8 @@
   private boolean decided;
   private boolean over;
 
-  Attempt(Exchange exchange, Decision.Send decision, HeldResponse held, long startedNanos) {
-    this.held = held;
+  Attempt(Exchange exchange, Decision.Send decision, int heldBytes, long startedNanos) {
+    held = new HeldResponse(heldBytes);
     this.startedNanos = startedNanos;
     this.exchange = exchange;
     this.decision = decision;
@@ -96,16 +100,6 @@
     return packet != null;
   }
 
-  /** Returns whether a byte of the request may have been sent and the attempt is not over. */
-  boolean isRunning() {
-    return isSent() && !over;
-  }
-
-  /** Returns whether the request was sent completely and no response has begun. */
-  boolean isAtWork() {
-    return requestComplete && !over && !headReceived;
-  }
-
   boolean headReceived() {
     return headReceived;
   }
@@ -140,13 +134,6 @@
     connection.setUser(this);
   }
 
-  /** Says how many bytes of the request are counted as the body that is kept. */
-  void share(long bytes) {
-    if (upstream != null) {
-      upstream.buffers().share(bytes);
-    }
-  }
-
   /** Writes a part of the request; the head is sent with the first part. */
   void write(Buffer content, boolean last) {
     if (upstream == null || packet == null || over) {
@@ -156,10 +143,7 @@
       requestComplete = true;
     }
     HttpContent part = packet.httpContentBuilder().content(content).last(last).build();
-    upstream
-        .connection()
-        .write(part, upstream.buffers().onWritten(upstream.connection()::terminateSilently));
-    upstream.buffers().sampleQueue();
+    upstream.connection().write(part, new WriteFailure());
   }
 
   /** Returns whether more of a body may be queued now; otherwise {@code resume} runs later. */
@@ -167,7 +151,11 @@
     if (upstream == null || over) {
       return true;
     }
-    return upstream.buffers().awaitSpace(() -> true, resume);
+    if (upstream.connection().canWrite()) {
+      return true;
+    }
+    upstream.connection().notifyCanWrite(new ResumeOnWrite(resume));
+    return false;
   }
 
   /** Marks that the machine was asked about the response; returns true for the first call. */
@@ -245,7 +233,6 @@
    */
   void responseEnded(HttpResponsePacket head) {
     over = true;
-    held.discard();
     UpstreamConnection connection = upstream;
     upstream = null;
     if (connection == null) {
@@ -280,7 +267,6 @@
       return;
     }
     over = true;
-    held.discard();
     FilterChainContext reader = takeSuspendedReader();
     if (upstream != null) {
       upstream.close();
@@ -289,4 +275,31 @@
       reader.completeAndRecycle();
     }
   }
+
+  /** Closes the connection when a write fails; the close then ends the attempt. */
+  private final class WriteFailure
+      extends EmptyCompletionHandler<WriteResult<HttpContent, SocketAddress>> {
+
+    @Override
+    public void failed(Throwable cause) {
+      UpstreamConnection connection = upstream;
+      if (connection != null) {
+        connection.connection().terminateSilently();
+      }
+    }
+  }
+
+  /** Runs an action when the connection is writable again. */
+  private record ResumeOnWrite(Runnable action) implements WriteHandler {
+
+    @Override
+    public void onWritePossible() {
+      action.run();
+    }
+
+    @Override
+    public void onError(Throwable cause) {
+      action.run();
+    }
+  }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/AttemptList.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/AttemptList.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.chivecross.logic.routing.Route;
-import org.chivecross.model.request.Outcome;
 import org.jspecify.annotations.Nullable;
 
 /** The attempts of one exchange in the order of their start. Guarded by the exchange's lock. */
@@ -19,9 +18,9 @@
     return attempts.size();
   }
 
-  /** Returns the outcome of a request that ends without the response of a target. */
-  Outcome outcomeWithoutResponse() {
-    return sentCount() > 0 ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+  /** Returns whether a byte of any attempt may have been sent. */
+  boolean isAnySent() {
+    return sentCount() > 0;
   }
 
   /** Returns the number of attempts of which a byte may have been sent. */
@@ -29,16 +28,6 @@
     return (int) attempts.stream().filter(Attempt::isSent).count();
   }
 
-  /** Returns whether a target has a complete request to which it has not begun to respond. */
-  boolean isAnyAtWork() {
-    return attempts.stream().anyMatch(Attempt::isAtWork);
-  }
-
-  /** Returns the number of attempts that were sent and are not over. */
-  int runningCount() {
-    return (int) attempts.stream().filter(Attempt::isRunning).count();
-  }
-
   /** Returns one attempt and abandons all others. */
   @Nullable Attempt keepOnly(int number) {
     Attempt kept = null;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/BodyFlow.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/BodyFlow.java
@@ -1,14 +1,8 @@
 package org.chivecross.cli.entry.http;
 
-import java.util.List;
-import java.util.Optional;
-import org.chivecross.logic.routing.Route;
-import org.chivecross.model.fileset.RequestClass;
-import org.chivecross.model.peer.KeyCall;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
-import org.glassfish.grizzly.http.HttpRequestPacket;
-import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -23,71 +17,21 @@
 
   private final Object lock;
   private final RequestBody body;
-  private final BufferAccount account;
-  private final ReadAhead readAhead;
+  private final MemoryManager<?> memory;
   private @Nullable Attempt sink;
   private @Nullable FilterChainContext suspendedReader;
   private boolean discarding;
-  private long counted;
-  private long admittedBytes = -1;
 
-  private BodyFlow(Object lock, RequestBody body, CallerConnection caller) {
+  BodyFlow(Object lock, RequestBody body, MemoryManager<?> memory) {
     this.lock = lock;
     this.body = body;
-    account = caller.buffers();
-    readAhead = caller.readAhead();
-  }
-
-  /** Creates the flow of the body of a request of which nothing has arrived. */
-  static BodyFlow of(
-      Object lock, HttpRequestPacket request, CallerConnection caller, ExchangeServices services) {
-    boolean keyed = RequestHeads.idempotencyKey(request).isPresent();
-    int configured = services.settings().retainedBodyBytes();
-    int retained = keyed ? KeyCall.MAX_BODY_BYTES : services.budget().retainLimit(configured);
-    return new BodyFlow(lock, new RequestBody(retained), caller);
-  }
-
-  /**
-   * Decides whether there is memory for this body, and reserves it. A body without an announced
-   * length is admitted part by part.
-   */
-  boolean tryAdmit(long announcedBytes) {
-    long size = Math.max(counted, Math.min(announcedBytes, body.retainLimitBytes()));
-    if (size <= admittedBytes) {
-      return true;
-    }
-    if (!account.budget().tryAdmit(size, size - counted)) {
-      return false;
-    }
-    admittedBytes = size;
-    account.hold(size - counted);
-    counted = size;
-    return true;
-  }
-
-  private void countRetained() {
-    long more = body.retainedBytes() - counted;
-    if (more > 0) {
-      counted += more;
-      account.hold(more);
-    }
-  }
-
-  private void releaseCounted() {
-    account.hold(-counted);
-    counted = 0;
+    this.memory = memory;
   }
 
   long receivedBytes() {
     return body.receivedBytes();
   }
 
-  /** Returns whether this is a body, of which a part has arrived, of a request that uploads. */
-  boolean isUpload(Optional<Route> route) {
-    boolean isUpload = route.filter(r -> r.requestClass() == RequestClass.UPLOAD).isPresent();
-    return isUpload && receivedBytes() > 0;
-  }
-
   boolean isComplete() {
     return body.isComplete();
   }
@@ -99,15 +43,11 @@
 
   /** Handles a part of the body; returns whether more may be read now. */
   boolean receive(Buffer content, boolean last) {
-    if (discarding) {
-      return true;
-    }
     if (body.retain(content, last)) {
-      countRetained();
       return body.isComplete() || !body.isReadyToSend();
     }
     Attempt target = sink;
-    if (target == null) {
+    if (target == null || discarding) {
       return true;
     }
     target.write(content, last);
@@ -125,18 +65,13 @@
    * @return whether the body can no longer be sent to another attempt
    */
   boolean sendTo(Attempt attempt) {
-    List<Buffer> parts = body.retainedParts();
+    Buffer content = retainedContent();
     boolean complete = body.isComplete();
-    // The parts of a streamed body are no longer counted here, but in the queue of the attempt.
-    attempt.share(complete ? counted : 0);
     if (!complete) {
       body.startStreaming();
-      releaseCounted();
       sink = attempt;
     }
-    int before = Math.max(0, parts.size() - 1);
-    parts.subList(0, before).forEach(part -> attempt.write(part, false));
-    attempt.write(parts.isEmpty() ? Buffers.EMPTY_BUFFER : parts.get(before), complete);
+    attempt.write(content, complete);
     if (!complete && attempt.canWrite(this::resume)) {
       resume();
     }
@@ -144,19 +79,15 @@
   }
 
   /** Returns what was received and is still kept. */
-  List<Buffer> retainedParts() {
-    return body.retainedParts();
+  Buffer retainedContent() {
+    return body.retainedContent(memory);
   }
 
   /** Returns a copy of a body that is complete and was kept completely. */
   byte[] wholeBytes() {
-    byte[] bytes = new byte[body.retainedBytes()];
-    int at = 0;
-    for (Buffer part : retainedParts()) {
-      int length = part.remaining();
-      part.get(bytes, at, length);
-      at += length;
-    }
+    Buffer content = retainedContent();
+    byte[] bytes = new byte[content.remaining()];
+    content.get(bytes);
     return bytes;
   }
 
@@ -165,7 +96,6 @@
     if (discarding || !isCongested()) {
       return false;
     }
-    readAhead.suspended();
     context.suspend();
     suspendedReader = context;
     return true;
@@ -174,8 +104,6 @@
   /** Drops the rest of the body and resumes a suspended reader. */
   void discard() {
     discarding = true;
-    body.dropRetained();
-    releaseCounted();
     resume();
   }
 
@@ -188,7 +116,6 @@
     }
     if (reader != null) {
       reader.resume(reader.getStopAction());
-      readAhead.resumed();
     }
   }
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
@@ -28,8 +28,6 @@
 
   private final NIOConnection connection;
   private final CutRequestListener cuts;
-  private final BufferAccount buffers;
-  private final ReadAhead readAhead;
   private final Deque<CallerExchange> open = new ArrayDeque<>();
   private final Map<CallerExchange, Outcome> ended = new HashMap<>();
   private @Nullable CallerExchange writer;
@@ -43,16 +41,9 @@
   private volatile long headStartNanos;
   private volatile long lingerStartNanos;
 
-  CallerConnection(
-      NIOConnection connection, CutRequestListener cuts, BufferBudget budget, long nowNanos) {
+  CallerConnection(NIOConnection connection, CutRequestListener cuts, long nowNanos) {
     this.connection = connection;
     this.cuts = cuts;
-    buffers =
-        budget.open(
-            () -> "caller " + connection.getPeerAddress(),
-            () -> connection.getAsyncWriteQueue().spaceInBytes(),
-            connection::terminateSilently);
-    readAhead = new ReadAhead(connection, buffers, this::closedByCaller);
     idleSinceNanos = nowNanos;
   }
 
@@ -60,21 +51,6 @@
     return connection;
   }
 
-  private void closedByCaller() {
-    noteCloseReason(CloseReason.CALLER);
-    connection.terminateSilently();
-  }
-
-  /** Returns the account of the bytes that are buffered for this connection. */
-  BufferAccount buffers() {
-    return buffers;
-  }
-
-  /** Returns the reader of bytes that arrive while processing is suspended. */
-  ReadAhead readAhead() {
-    return readAhead;
-  }
-
   /** Returns the exchange of the newest request, if any is open. */
   synchronized @Nullable CallerExchange newest() {
     return open.peekLast();
@@ -190,45 +166,16 @@
     return closing;
   }
 
-  /**
-   * Suspends a pipelined request if too many are open, or too much of earlier responses is
-   * buffered; returns whether it was suspended.
-   */
-  boolean suspendIfFull(FilterChainContext context) {
-    synchronized (this) {
-      if (open.size() < MAX_OPEN_EXCHANGES && buffers.hasSpace(false)) {
-        return false;
-      }
-      readAhead.suspended();
-      context.suspend();
-      suspendedRequest = context;
-      if (open.size() >= MAX_OPEN_EXCHANGES) {
-        return true;
-      }
-    }
-    if (buffers.awaitSpace(() -> false, this::resumeRequest)) {
-      resumeRequest();
+  /** Suspends a pipelined request if too many are open; returns whether it was suspended. */
+  synchronized boolean suspendIfFull(FilterChainContext context) {
+    if (open.size() < MAX_OPEN_EXCHANGES) {
+      return false;
     }
+    context.suspend();
+    suspendedRequest = context;
     return true;
   }
 
-  private void resumeRequest() {
-    FilterChainContext context;
-    synchronized (this) {
-      context = suspendedRequest;
-      suspendedRequest = null;
-    }
-    resume(context);
-  }
-
-  /** Processes a request that was suspended, if any. */
-  void resume(@Nullable FilterChainContext context) {
-    if (context != null) {
-      context.resume();
-      readAhead.resumed();
-    }
-  }
-
   /**
    * Records that an exchange is over, and allows the next exchange to write.
    *
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerRegistry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerRegistry.java
@@ -19,14 +19,12 @@
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("chivecross.caller");
   private final Set<CallerConnection> open = ConcurrentHashMap.newKeySet();
   private final CutRequestListener cuts;
-  private final BufferBudget budget;
   private volatile long idleNanos;
   private volatile long headNanos;
   private volatile boolean stopping;
 
-  CallerRegistry(DataPathSettings settings, CutRequestListener cuts, BufferBudget budget) {
+  CallerRegistry(DataPathSettings settings, CutRequestListener cuts) {
     this.cuts = cuts;
-    this.budget = budget;
     applyTimeouts(settings.idleTimeoutMillis(), settings.headerTimeoutMillis());
   }
 
@@ -38,7 +36,7 @@
 
   /** Adds an accepted connection. */
   void add(NIOConnection connection, long nowNanos) {
-    CallerConnection caller = new CallerConnection(connection, cuts, budget, nowNanos);
+    CallerConnection caller = new CallerConnection(connection, cuts, nowNanos);
     attribute.set(connection, caller);
     open.add(caller);
     connection.addCloseListener((closeable, type) -> closed(caller));
@@ -52,11 +50,6 @@
     return Optional.ofNullable(attribute.get(connection));
   }
 
-  /** Reads from connections whose processing is suspended, so that their close is noticed. */
-  void readAhead() {
-    open.forEach(caller -> caller.readAhead().poll());
-  }
-
   /** Returns the number of open connections. */
   int count() {
     return open.size();
@@ -105,6 +98,5 @@
     boolean isRemote = caller.connection().getCloseReason().getType() == CloseType.REMOTELY;
     CloseReason reason = isRemote ? CloseReason.CALLER : CloseReason.LIBRARY;
     caller.closed(reason).forEach(CallerExchange::callerClosed);
-    caller.buffers().close();
   }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
@@ -5,11 +5,11 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.List;
 import java.util.function.BooleanSupplier;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.CompletionHandler;
 import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.WriteHandler;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
@@ -28,6 +28,8 @@
  */
 final class CallerResponse {
 
+  private static final CompletionHandler<WriteResult<HttpContent, SocketAddress>> WRITTEN =
+      new EmptyCompletionHandler<>();
   private static final CompletionHandler<WriteResult<HttpResponsePacket, SocketAddress>>
       ACKNOWLEDGED = new EmptyCompletionHandler<>();
 
@@ -37,14 +39,12 @@
   private final boolean closeWhenLeaving;
   private final Deque<Part> pendingParts = new ArrayDeque<>();
   private final NIOConnection connection;
-  private final BufferAccount account;
   private final HttpRequestPacket request;
   private final HttpResponsePacket packet;
   private boolean closeAfter;
   private boolean committed;
   private boolean aborted;
   private boolean lingerBeforeClose;
-  private boolean discarding;
 
   /**
    * Creates the response to the request of an exchange.
@@ -61,7 +61,6 @@
     this.dialect = dialect;
     closeWhenLeaving = leaving.getAsBoolean();
     connection = caller.connection();
-    account = caller.buffers();
     request = exchange.request();
     packet = request.getResponse();
     closeAfter = HopHeaders.of(request.getHeaders()).contains("close");
@@ -97,26 +96,14 @@
 
   /** Writes a part of the body, or queues it until this response may be written. */
   void write(Buffer content, boolean last) {
-    if (discarding) {
-      return;
-    }
     pendingParts.add(new Part(content, last));
-    account.hold(content.remaining());
     flush();
   }
 
-  /** Writes the last parts of the body. */
-  void writeLast(List<Buffer> parts) {
-    int before = Math.max(0, parts.size() - 1);
-    parts.subList(0, before).forEach(part -> write(part, false));
-    write(parts.isEmpty() ? Buffers.EMPTY_BUFFER : parts.get(before), true);
-  }
-
   /** Writes the queued parts if this response may be written. */
   void flush() {
     while (!pendingParts.isEmpty() && caller.mayWrite(exchange)) {
       Part part = pendingParts.remove();
-      account.hold(-part.content().remaining());
       writeNow(part.content(), part.last());
     }
     if (aborted && caller.mayWrite(exchange)) {
@@ -135,9 +122,8 @@
     } else if (last && isLastOfConnection()) {
       connection.write(part, new CloseWhenWritten<>());
     } else {
-      connection.write(part, account.onWritten(() -> {}));
+      connection.write(part, WRITTEN);
     }
-    account.sampleQueue();
   }
 
   /** Writes a response that this entry generated itself. */
@@ -181,24 +167,13 @@
    */
   void abort() {
     aborted = true;
-    dropPending();
+    pendingParts.clear();
     caller.endAfterOpenExchanges();
     if (caller.mayWrite(exchange)) {
       closeAborted();
     }
   }
 
-  /** Drops this response, since its caller has closed the connection. */
-  void discard() {
-    discarding = true;
-    dropPending();
-  }
-
-  private void dropPending() {
-    pendingParts.forEach(part -> account.hold(-part.content().remaining()));
-    pendingParts.clear();
-  }
-
   private void closeAborted() {
     if (committed) {
       reset();
@@ -222,7 +197,22 @@
 
   /** Returns whether more bytes may be queued now; otherwise {@code resume} runs later. */
   boolean canWrite(Runnable resume) {
-    return discarding || account.awaitSpace(() -> caller.mayWrite(exchange), resume);
+    if (!pendingParts.isEmpty() || connection.canWrite()) {
+      return true;
+    }
+    connection.notifyCanWrite(
+        new WriteHandler() {
+          @Override
+          public void onWritePossible() {
+            resume.run();
+          }
+
+          @Override
+          public void onError(Throwable cause) {
+            resume.run();
+          }
+        });
+    return false;
   }
 
   /** Returns whether the connection is closed after this response. */
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
@@ -8,6 +8,7 @@
 import org.chivecross.model.ruleset.CallerLimits;
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
@@ -26,6 +27,7 @@
   /** Header of a forwarded request: attempts that the entry that forwarded it sent before. */
   public static final String EARLIER_ATTEMPTS = "chivecross-earlier-attempts";
 
+  private static final int WRITE_QUEUE_BYTES = 256 * 1024;
   private static final int ACCEPT_BACKLOG = 4096;
 
   private final DataPathPorts ports;
@@ -33,8 +35,6 @@
   private final ExchangeServices services;
   private final TCPNIOTransport transport;
   private final UpstreamClient client;
-  private final BufferBudget budget;
-  private final EventLog log = new EventLog(System::nanoTime);
   private final InFlightExchanges inFlight = new InFlightExchanges();
   private final CallerRegistry callers;
   private final CallerRegistry localCallers;
@@ -71,16 +71,15 @@
   public DataPath(DataPathPorts ports, DataPathSettings settings) {
     this.ports = ports;
     this.settings = settings;
-    budget = new BufferBudget(settings.buffers());
-    transport = newTransport(settings);
-    client = new UpstreamClient(transport, ports.addresses(), settings, budget);
-    CutRequestLog cuts = new CutRequestLog(log, ports.dialect());
-    callers = new CallerRegistry(settings, cuts, budget);
-    localCallers = new CallerRegistry(DataPathSettings.defaults(), cuts, budget);
-    forwarders = new CallerRegistry(DataPathSettings.defaults(), cuts, budget);
+    transport = newTransport(settings.selectorThreads());
+    client = new UpstreamClient(transport, ports.addresses(), settings);
+    CutRequestLog cuts = new CutRequestLog(new EventLog(System::nanoTime), ports.dialect());
+    callers = new CallerRegistry(settings, cuts);
+    localCallers = new CallerRegistry(DataPathSettings.defaults(), cuts);
+    forwarders = new CallerRegistry(DataPathSettings.defaults(), cuts);
     services =
         new ExchangeServices(
-            ports, client, inFlight, () -> leaving, () -> maxBodyBytes, budget, settings, false);
+            ports, client, inFlight, () -> leaving, () -> maxBodyBytes, settings, false);
     maxBodyBytes = settings.maxBodyBytes();
     transport.setProcessor(chain(callers, services, ports.localRoutes()));
   }
@@ -190,22 +189,6 @@
     inFlight.tick(nowNanos);
   }
 
-  /** Returns the bytes that are buffered for callers and targets. */
-  public BufferBudget budget() {
-    return budget;
-  }
-
-  /**
-   * Looks after slow callers and targets: notices callers that closed a connection whose processing
-   * is suspended, and ends a connection that holds memory while its peer reads nothing. Called by
-   * one thread, a few times a second.
-   */
-  public void checkSlowPeers(long nowNanos) {
-    callers.readAhead();
-    forwarders.readAhead();
-    budget.tick(nowNanos).ifPresent(account -> account.end(log, budget.heldBytes()));
-  }
-
   /** Closes connections that exceeded the idle time-out or the time-out of a request head. */
   public void closeIdle(long nowNanos) {
     client.closeIdle(nowNanos);
@@ -217,7 +200,7 @@
   private FilterChain chain(
       CallerRegistry registry, ExchangeServices exchangeServices, LocalRoutes routes) {
     return FilterChainBuilder.stateless()
-        .add(new ReadAheadFilter(registry))
+        .add(new TransportFilter())
         .add(new StrictServerFilter(settings, registry, ports.observer(), ports.dialect()))
         .add(new CallerFilter(registry, exchangeServices, routes))
         .build();
@@ -227,17 +210,13 @@
    * Creates the one transport for connections to callers and to targets. Sharing it makes each
    * selector thread take about as many of the library's pooled packets as it returns.
    */
-  private static TCPNIOTransport newTransport(DataPathSettings settings) {
-    TCPNIOTransport transport =
-        TCPNIOTransportBuilder.newInstance()
-            .setName("data-path")
-            .setIOStrategy(SameThreadIOStrategy.getInstance())
-            .setTcpNoDelay(true)
-            .setSelectorRunnersCount(settings.selectorThreads())
-            .build();
-    if (settings.buffers().readBytes() > 0) {
-      transport.setReadBufferSize(settings.buffers().readBytes());
-    }
-    return transport;
+  private static TCPNIOTransport newTransport(int selectorThreads) {
+    return TCPNIOTransportBuilder.newInstance()
+        .setName("data-path")
+        .setIOStrategy(SameThreadIOStrategy.getInstance())
+        .setTcpNoDelay(true)
+        .setSelectorRunnersCount(selectorThreads)
+        .setMaxAsyncWriteQueueSizeInBytes(WRITE_QUEUE_BYTES)
+        .build();
   }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPathSettings.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPathSettings.java
@@ -14,7 +14,6 @@
  * @param recentActivityMillis time since the last activity up to which a connection counts as live
  * @param retainedBodyBytes bytes of a request body that are kept, so that it can be sent again
  * @param heldResponseBytes bytes of a response up to which it is kept until it is complete
- * @param buffers limits on the bytes that are buffered for slow callers and targets
  * @param selectorThreads number of threads that serve all connections
  */
 public record DataPathSettings(
@@ -27,7 +26,6 @@
     int recentActivityMillis,
     int retainedBodyBytes,
     int heldResponseBytes,
-    BufferLimits buffers,
     int selectorThreads) {
 
   /** Default limit on the bytes of a body that are kept, and so can be sent again. */
@@ -52,7 +50,6 @@
         recentActivityMillis,
         RETAINED_BYTES,
         0,
-        BufferLimits.perConnection(),
         Runtime.getRuntime().availableProcessors());
   }
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -8,6 +8,8 @@
 import org.chivecross.logic.routing.Route;
 import org.chivecross.model.failure.Failure;
 import org.chivecross.model.failure.Step;
+import org.chivecross.model.fileset.RequestClass;
+import org.chivecross.model.peer.KeyCall;
 import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.Decision;
 import org.chivecross.model.request.Outcome;
@@ -17,6 +19,7 @@
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.memory.Buffers;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -42,7 +45,6 @@
   private @Nullable Attempt relayed;
   private boolean started;
   private boolean callerCongested;
-  private boolean callerGone;
   private boolean over;
   private final Optional<Route> route;
 
@@ -61,7 +63,9 @@
     timer = new ExchangeTimer(ports.scheduler(), () -> timer(System.nanoTime()));
     machine = ports.machines().create(timer::fireNow);
     times = new ExchangeTimes(nowNanos);
-    body = BodyFlow.of(lock, request, caller, services);
+    boolean keyed = RequestHeads.idempotencyKey(request).isPresent();
+    int retained = keyed ? KeyCall.MAX_BODY_BYTES : services.settings().retainedBodyBytes();
+    body = new BodyFlow(lock, new RequestBody(retained), caller.connection().getMemoryManager());
   }
 
   Object lock() {
@@ -94,10 +98,6 @@
         return true;
       }
       boolean more = body.receive(buffer, content.isLast());
-      if (!started && !body.tryAdmit(request.getContentLength())) {
-        answer(ports.answer(BufferBudget.REFUSAL, f -> f), Outcome.NOT_RUN);
-        return true;
-      }
       if (!started && body.isReadyToSend() && mayStart()) {
         started = true;
         start();
@@ -157,8 +157,6 @@
         start();
       }
     }
-    // It is no longer blocked by the bytes that wait for earlier responses.
-    caller.buffers().runWaiters();
   }
 
   @Override
@@ -167,17 +165,10 @@
       if (over) {
         return;
       }
-      response.discard();
-      if (route.filter(Route::isIdempotent).isEmpty() && attempts.isAnyAtWork()) {
-        // A write that may be running is left to finish; its response is dropped.
-        callerGone = true;
-        return;
-      }
-      services.budget().attemptsCancelled(attempts.runningCount());
       if (started) {
         machine.cancelled(System.nanoTime());
       }
-      finish(0, attempts.outcomeWithoutResponse());
+      finish(0, attempts.isAnySent() ? Outcome.UNKNOWN : Outcome.NOT_RUN);
     }
   }
 
@@ -251,10 +242,10 @@
         abort();
         return;
       }
+      Outcome outcome = attempts.isAnySent() ? Outcome.UNKNOWN : Outcome.NOT_RUN;
       if (started) {
         machine.cancelled(System.nanoTime());
       }
-      Outcome outcome = attempts.outcomeWithoutResponse();
       response.closeAfterwards();
       String peer = RequestHeads.callerAddress(caller.connection());
       Failure failure = new Failure(Step.ACCEPT, peer, detail);
@@ -272,16 +263,20 @@
 
   private boolean relay(Attempt attempt, HttpResponsePacket head, HttpContent content, long now) {
     List<Buffer> parts = attempt.held().release();
+    int ready = parts.size() - (content.isLast() ? 1 : 0);
+    for (int i = 0; i < ready; i++) {
+      response.write(parts.get(i), false);
+    }
     if (content.isLast()) {
+      Buffer rest = ready < 0 ? Buffers.EMPTY_BUFFER : parts.get(ready);
       machine.responseEnd(attempt.number(), now);
       int status = head.getStatus();
       attempt.responseEnded(head);
       over = true;
-      response.writeLast(parts);
+      response.write(rest, true);
       finish(status, Outcome.ANSWERED);
       return true;
     }
-    parts.forEach(part -> response.write(part, false));
     callerCongested = !response.canWrite(this::callerWritable);
     return !callerCongested;
   }
@@ -295,10 +290,7 @@
     if (over) {
       return;
     }
-    if (callerGone && !(decision instanceof Decision.Await)) {
-      machine.cancelled(now);
-      finish(0, Outcome.UNKNOWN);
-    } else if (decision instanceof Decision.Send send) {
+    if (decision instanceof Decision.Send send) {
       send(send, now);
     } else if (decision instanceof Decision.Relay relay) {
       relayed = attempts.keepOnly(relay.attempt());
@@ -324,8 +316,7 @@
 
   private void send(Decision.Send send, long now) {
     times.attemptDecided(now);
-    HeldResponse held = new HeldResponse(services, caller.buffers());
-    Attempt attempt = new Attempt(this, send, held, now);
+    Attempt attempt = new Attempt(this, send, services.settings().heldResponseBytes(), now);
     attempts.add(attempt);
     services.client().acquire(send.target(), send.kind(), now, attempt);
   }
@@ -339,7 +330,7 @@
 
   private void sendOn(Attempt attempt, UpstreamConnection connection) {
     long now = System.nanoTime();
-    if (over || callerGone || attempt.isOver()) {
+    if (over || attempt.isOver()) {
       connection.pool().release(connection);
       return;
     }
@@ -350,12 +341,17 @@
       return;
     }
     attempt.bind(connection, request, caller.connection(), ports, attempts.sentCount(), now);
-    if (body.sendTo(attempt) || body.isUpload(route)) {
+    if (body.sendTo(attempt) || isUploadWithBody()) {
       machine.bodySent(now);
     }
     rearm();
   }
 
+  private boolean isUploadWithBody() {
+    boolean upload = route.filter(r -> r.requestClass() == RequestClass.UPLOAD).isPresent();
+    return upload && body.receivedBytes() > 0;
+  }
+
   private void answer(LocalResponse answer, Outcome outcome) {
     if (!body.isComplete()) {
       response.closeWhileReceiving();
@@ -373,10 +369,14 @@
 
   private void passToOwner(long incarnation) {
     long now = System.nanoTime();
-    long remaining =
-        RequestHeads.remainingMillis(request, route, times.arrivedNanos(), now, ports.dialect());
-    OwnerForwarding.pass(
-        ports.owners(), incarnation, request, body, remaining, this::ownerAnswered);
+    long arrived = times.arrivedNanos();
+    long remaining = RequestHeads.remainingMillis(request, route, arrived, now, ports.dialect());
+    if (!body.isComplete()) {
+      answer(OwnerForwarding.bodyTooLong(incarnation), Outcome.UNKNOWN);
+      return;
+    }
+    KeyCall call = OwnerForwarding.toCall(request, body.wholeBytes());
+    OwnerForwarding.send(ports.owners(), incarnation, call, remaining, this::ownerAnswered);
   }
 
   private void ownerAnswered(LocalResponse answer) {
@@ -401,7 +401,9 @@
     if (status > 0 && body.isComplete()) {
       response.recycle();
     }
-    caller.resume(next);
+    if (next != null) {
+      next.resume();
+    }
   }
 
   private void callerWritable() {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ExchangeServices.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ExchangeServices.java
@@ -13,7 +13,6 @@
  * @param inFlight all exchanges that have started and are not over
  * @param leaving whether this entry is leaving and closes connections after their next response
  * @param maxBodyBytes most bytes of a request body
- * @param budget bytes that are buffered
  * @param settings limits and time-outs
  * @param forwarded whether the requests were forwarded by other entries
  */
@@ -23,14 +22,12 @@
     InFlightExchanges inFlight,
     BooleanSupplier leaving,
     LongSupplier maxBodyBytes,
-    BufferBudget budget,
     DataPathSettings settings,
     boolean forwarded) {
 
   /** Returns the same services for requests that other entries forwarded. */
   ExchangeServices forForwarded() {
-    return new ExchangeServices(
-        ports, client, inFlight, leaving, maxBodyBytes, budget, settings, true);
+    return new ExchangeServices(ports, client, inFlight, leaving, maxBodyBytes, settings, true);
   }
 
   /** Completes an answer of this entry to a request. */
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/HeldResponse.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/HeldResponse.java
@@ -14,17 +14,14 @@
 final class HeldResponse {
 
   private final int limit;
-  private final BufferAccount account;
   private final List<Buffer> parts = new ArrayList<>(2);
   private @Nullable HttpResponsePacket head;
   private int bytes;
-  private int counted;
   private boolean released;
 
-  /** Creates an empty buffer; parts are kept only up to the limit of the settings. */
-  HeldResponse(ExchangeServices services, BufferAccount account) {
-    limit = services.settings().heldResponseBytes();
-    this.account = account;
+  /** Creates an empty buffer; parts are kept only up to {@code limit} bytes. */
+  HeldResponse(int limit) {
+    this.limit = limit;
   }
 
   /** Returns the head if the body ends with the connection; otherwise, or without a head, null. */
@@ -45,24 +42,15 @@
     if (buffer.hasRemaining()) {
       parts.add(buffer);
       bytes += buffer.remaining();
-      account.hold(buffer.remaining());
-      counted += buffer.remaining();
     }
-    released |= content.isLast() || bytes > Math.min(limit, account.budget().connectionLimit());
+    released |= content.isLast() || bytes > limit;
     return released;
   }
 
   /** Removes and returns the parts that were kept. */
   List<Buffer> release() {
     List<Buffer> all = List.copyOf(parts);
-    discard();
-    return all;
-  }
-
-  /** Drops the parts that were kept. */
-  void discard() {
     parts.clear();
-    account.hold(-counted);
-    counted = 0;
+    return all;
   }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
@@ -90,7 +90,10 @@
   }
 
   private void end() {
-    caller.resume(caller.end(this, Outcome.NOT_RUN, System.nanoTime()));
+    FilterChainContext next = caller.end(this, Outcome.NOT_RUN, System.nanoTime());
+    if (next != null) {
+      next.resume();
+    }
   }
 
   private LocalRequest toLocalRequest() {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/OwnerForwarding.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/OwnerForwarding.java
@@ -88,21 +88,6 @@
     return new LocalResponse(answer.status(), headers, contentType, answer.body());
   }
 
-  /** Passes a request to the owner of its key; {@code handler} receives the response. */
-  static void pass(
-      OwnerCalls owners,
-      long incarnation,
-      HttpRequestPacket request,
-      BodyFlow body,
-      long remainingMillis,
-      Consumer<LocalResponse> handler) {
-    if (body.isComplete()) {
-      send(owners, incarnation, toCall(request, body.wholeBytes()), remainingMillis, handler);
-    } else {
-      handler.accept(bodyTooLong(incarnation));
-    }
-  }
-
   /** Sends a call to the owner of its key; {@code handler} receives the response for the caller. */
   static void send(
       OwnerCalls owners,
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestBody.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestBody.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
 
 /**
  * The body of a request that is being received.
@@ -71,35 +73,31 @@
   }
 
   /**
-   * Returns the kept parts, with positions of their own: reading them doesn't affect later calls.
-   * Empty after {@link #startStreaming}.
+   * Returns the kept bytes as one buffer with a position of its own: reading it doesn't affect
+   * later calls. Empty after {@link #startStreaming}.
    */
-  List<Buffer> retainedParts() {
-    return retained.stream().map(Buffer::duplicate).toList();
+  Buffer retainedContent(MemoryManager<?> memory) {
+    if (retained.isEmpty()) {
+      return Buffers.EMPTY_BUFFER;
+    }
+    if (retained.size() == 1) {
+      return retained.get(0).duplicate();
+    }
+    Buffer all = memory.allocate(retainedBytes);
+    for (Buffer part : retained) {
+      all.put(part.duplicate());
+    }
+    all.flip();
+    return all;
   }
 
   /**
    * Drops the kept parts; from now on, the body is streamed to one attempt. The caller fetches
-   * {@link #retainedParts} before, to send it first.
+   * {@link #retainedContent} before, to send it first.
    */
   void startStreaming() {
     streaming = true;
-    dropRetained();
-  }
-
-  /** Drops the kept parts of a body that is not sent any more. */
-  void dropRetained() {
     retained.clear();
     retainedBytes = 0;
   }
-
-  /** Returns the length from which an incomplete body is streamed. */
-  int retainLimitBytes() {
-    return retainLimitBytes;
-  }
-
-  /** Returns the number of bytes that are kept. */
-  int retainedBytes() {
-    return retainedBytes;
-  }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestFingerprint.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestFingerprint.java
@@ -1,7 +1,6 @@
 package org.chivecross.cli.entry.http;
 
 import java.nio.ByteBuffer;
-import java.util.List;
 import java.util.zip.CRC32C;
 import org.chivecross.logic.membership.RendezvousHash;
 import org.glassfish.grizzly.Buffer;
@@ -21,9 +20,9 @@
   /**
    * Returns the fingerprint of a request.
    *
-   * @param body what was received of the body when the request starts; its positions are not kept
+   * @param body what was received of the body when the request starts; its position is not kept
    */
-  static long of(HttpRequestPacket request, List<Buffer> body) {
+  static long of(HttpRequestPacket request, Buffer body) {
     String query = request.getQueryString();
     String head =
         HeaderText.of(request.getMethodDC())
@@ -33,15 +32,12 @@
             + '?'
             + (query == null ? "" : query);
     CRC32C checksum = new CRC32C();
-    long received = 0;
-    for (Buffer part : body) {
-      ByteBuffer bytes = part.toByteBuffer();
-      long compared = Math.min(bytes.remaining(), Math.max(0, MAX_BODY_BYTES - received));
-      bytes.limit(bytes.position() + (int) compared);
+    if (body.hasRemaining()) {
+      ByteBuffer bytes = body.toByteBuffer();
+      bytes.limit(bytes.position() + Math.min(bytes.remaining(), MAX_BODY_BYTES));
       checksum.update(bytes);
-      received += part.remaining();
     }
-    long length = Math.max(received, request.getContentLength());
+    long length = Math.max(body.remaining(), request.getContentLength());
     return RendezvousHash.weight(
         RendezvousHash.of(head), (length << Integer.SIZE) ^ checksum.getValue());
   }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestHeads.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/RequestHeads.java
@@ -54,7 +54,7 @@
         Math.max(bodyBytes, request.getContentLength()),
         dialect.requestId(headers).orElse(""),
         forwarded ? Optional.of(forwardedBy(headers)) : Optional.empty(),
-        RequestFingerprint.of(request, body.retainedParts()));
+        RequestFingerprint.of(request, body.retainedContent()));
   }
 
   private static ForwardedBy forwardedBy(MimeHeaders headers) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
@@ -36,18 +36,13 @@
 
   private final UpstreamAddresses addresses;
   private final DataPathSettings settings;
-  private final BufferBudget budget;
   private final TCPNIOConnectorHandler connector;
   private final LongAdder opened = new LongAdder();
   private final UpstreamRegistry upstreams = new UpstreamRegistry();
   private final Map<InetSocketAddress, UpstreamPool> pools = new ConcurrentHashMap<>();
 
   UpstreamClient(
-      TCPNIOTransport transport,
-      UpstreamAddresses addresses,
-      DataPathSettings settings,
-      BufferBudget budget) {
-    this.budget = budget;
+      TCPNIOTransport transport, UpstreamAddresses addresses, DataPathSettings settings) {
     this.addresses = addresses;
     this.settings = settings;
     FilterChain chain =
@@ -141,7 +136,7 @@
     @Override
     public void completed(Connection connection) {
       UpstreamConnection upstream =
-          new UpstreamConnection((NIOConnection) connection, pool, budget, System.nanoTime());
+          new UpstreamConnection((NIOConnection) connection, pool, System.nanoTime());
       upstreams.add(upstream);
       opened.increment();
       handler.acquired(upstream);
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamConnection.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamConnection.java
@@ -23,21 +23,14 @@
 
   private final NIOConnection connection;
   private final UpstreamPool pool;
-  private final BufferAccount buffers;
   private volatile @Nullable UpstreamUser user;
   private volatile long lastActivityNanos;
   private volatile long reusableUntilNanos = Long.MAX_VALUE;
   private final AtomicBoolean closed = new AtomicBoolean();
 
-  UpstreamConnection(
-      NIOConnection connection, UpstreamPool pool, BufferBudget budget, long nowNanos) {
+  UpstreamConnection(NIOConnection connection, UpstreamPool pool, long nowNanos) {
     this.connection = connection;
     this.pool = pool;
-    buffers =
-        budget.open(
-            () -> "target " + connection.getPeerAddress(),
-            () -> connection.getAsyncWriteQueue().spaceInBytes(),
-            connection::terminateSilently);
     lastActivityNanos = nowNanos;
   }
 
@@ -45,11 +38,6 @@
     return connection;
   }
 
-  /** Returns the account of the bytes that are buffered for this connection. */
-  BufferAccount buffers() {
-    return buffers;
-  }
-
   UpstreamPool pool() {
     return pool;
   }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamRegistry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamRegistry.java
@@ -43,7 +43,6 @@
       return;
     }
     upstream.pool().closed(upstream);
-    upstream.buffers().close();
     UpstreamUser user = upstream.user();
     if (user != null) {
       user.closed(isOrderly(upstream.connection().getCloseReason()));
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerCloseTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerCloseTest.java
@@ -25,8 +25,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.CsvSource;
 
 /** Tests requests that are read while the entry closes the connection on which they came. */
 class CallerCloseTest {
@@ -262,78 +260,6 @@
     }
   }
 
-  /** Guards against reads that go on at targets for longer than 0.5 s after a close or reset. */
-  @ParameterizedTest
-  @CsvSource({"3, false", "3, true", "30, false"})
-  void closeCancelsAllReadsOfAConnection(int requests, boolean isReset) throws Exception {
-    // Of 30 requests, 22 wait to be processed, and the entry must notice the close all the same.
-    int running = Math.min(8, requests);
-    upstream.setScript(call -> call.socket().getInputStream().read());
-    try (DataPathFixture entry = DataPathFixture.withBufferBudget(upstream.address())) {
-      Socket socket = entry.connect();
-      send(socket, GET.repeat(requests));
-      for (int i = 0; i < running; i++) {
-        upstream.nextCall();
-      }
-      socket.setSoLinger(isReset, 0);
-      long start = System.nanoTime();
-      socket.close();
-      for (int i = 0; i < running; i++) {
-        upstream.nextClosed();
-      }
-      assertTrue(System.nanoTime() - start <= TimeUnit.MILLISECONDS.toNanos(500));
-      awaitSecondCall();
-      assertEquals("[]", upstream.callsSeen());
-      assertEquals(0, entry.dataPath().inFlightCount());
-      assertEquals(running, entry.dataPath().budget().cancelledCount());
-    }
-  }
-
-  /** Guards against requests that are lost or reordered when they are read ahead. */
-  @Test
-  void requestsReadAheadAreAnsweredInOrder() throws Exception {
-    upstream.setScript(
-        call -> {
-          LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(30));
-          call.reply("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n" + call.head().substring(4, 13));
-        });
-    try (DataPathFixture entry = DataPathFixture.withBufferBudget(upstream.address());
-        Socket socket = entry.connect()) {
-      StringBuilder sent = new StringBuilder();
-      for (int i = 100; i < 160; i++) {
-        send(socket, get("/read/" + i, "X-A: b"));
-        sent.append("/read/").append(i);
-        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(3));
-      }
-      String read = readUntil(socket, "/read/159");
-      assertEquals(sent.toString(), read.replaceAll("(?s)HTTP/1.1 200 .*?\r\n\r\n", ""));
-    }
-  }
-
-  /** Guards against a write that is cut at its target, or sent again, after its caller left. */
-  @Test
-  void writeRunsToItsEndAndIsNotSentAgain() throws Exception {
-    CountDownLatch mayAnswer = new CountDownLatch(1);
-    upstream.setScript(
-        call -> {
-          awaitQuietly(mayAnswer);
-          call.reply("HTTP/1.1 503 No\r\nContent-Length: 0\r\nChivecross-Outcome: not-run\r\n\r\n");
-        });
-    try (DataPathFixture entry = DataPathFixture.withBufferBudget(upstream.address())) {
-      try (Socket socket = entry.connect()) {
-        send(socket, "POST /write HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab");
-        upstream.nextCall();
-      }
-      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(600));
-      assertEquals(1, entry.dataPath().inFlightCount());
-      mayAnswer.countDown();
-      entry.observer().nextSummary();
-      awaitSecondCall();
-      assertEquals("[]", upstream.callsSeen());
-      assertEquals(0, entry.dataPath().budget().cancelledCount());
-    }
-  }
-
   private static void sendAtTheIdleLimit(
       DataPathFixture entry, long end, AtomicInteger requests, Set<String> unanswered) {
     while (System.nanoTime() < end) {
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerConnectionTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerConnectionTest.java
@@ -37,7 +37,6 @@
         new CallerConnection(
             new TCPNIOConnection(TCPNIOTransportBuilder.newInstance().build(), channel),
             (request, reason, outcome) -> cuts.add(new Cut(request, reason, outcome)),
-            new BufferBudget(BufferLimits.perConnection()),
             0);
   }
 
@@ -133,7 +132,6 @@
         new CallerConnection(
             caller.connection(),
             (request, reason, outcome) -> cuts.add(new Cut(request, reason, outcome)),
-            new BufferBudget(BufferLimits.perConnection()),
             0);
     assertTrue(other.begin(answered));
     assertEquals(List.of(answered), other.closed(CloseReason.CALLER));
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerRegistryTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerRegistryTest.java
@@ -14,10 +14,7 @@
 class CallerRegistryTest {
 
   private final CallerRegistry callers =
-      new CallerRegistry(
-          DataPathSettings.defaults(),
-          (request, reason, outcome) -> {},
-          new BufferBudget(BufferLimits.perConnection()));
+      new CallerRegistry(DataPathSettings.defaults(), (request, reason, outcome) -> {});
 
   /** Guards against a request on a connection accepted after the last check of a planned stop. */
   @Test
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/DataPathFixture.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/DataPathFixture.java
@@ -91,7 +91,6 @@
           engine.tick(System.nanoTime());
           dataPath.tick(System.nanoTime());
           dataPath.closeIdle(System.nanoTime());
-          dataPath.checkSlowPeers(System.nanoTime());
         },
         2,
         2,
@@ -104,24 +103,6 @@
         Arrays.stream(upstreams).map(ScriptedUpstream::address).toArray(String[]::new));
   }
 
-  /** Creates a data path with the limits on buffered bytes that entries on the platform have. */
-  static DataPathFixture withBufferBudget(String upstream) throws IOException {
-    return new DataPathFixture(
-        new DataPathSettings(
-            16_384,
-            100,
-            1L << 40,
-            5_000,
-            60_000,
-            5_000,
-            500,
-            4 << 20,
-            64 * 1024,
-            new BufferLimits(8 << 20, 1 << 20, 16 * 1024),
-            1),
-        upstream);
-  }
-
   DataPath dataPath() {
     return dataPath;
   }
