Keep the order under overload to services with small targets

Earlier deployments have to be served as before.

Change: load reports of targets with more than four slots don't count as pressure, so the order never begins there.

Check: RequestOrderTest and OverloadOrderTest use targets of two slots.

--- a/chivecross-core/src/main/java/org/chivecross/logic/admission/OverloadLevels.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/admission/OverloadLevels.java
@@ -36,6 +36,12 @@
    */
   private static final double REPORT_GAIN = 0.1;
 
+  /**
+   * Slots of a target up to which its reports count. With six slots a target, an earlier form of
+   * the order made more requests late than it saved.
+   */
+  private static final int MAX_TARGET_SLOTS = 4;
+
   /** Reports from which the average is used; a single full target is no overload. */
   private static final int MIN_REPORTS = 8;
 
@@ -81,6 +87,9 @@
 
   /** Handles the load report of a target. */
   void reported(String service, LoadReport report, long nowNanos) {
+    if (report.slots() > MAX_TARGET_SLOTS) {
+      return;
+    }
     State state = byService.computeIfAbsent(service, name -> new State());
     double slots = Math.max(1, report.slots());
     double slowdown = report.slowdownPercent() / (double) LoadReport.NOMINAL_SLOWDOWN_PERCENT;
