--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
@@ -5,6 +5,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.function.BooleanSupplier;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.CompletionHandler;
@@ -100,6 +101,15 @@
     flush();
   }
 
+  /** Writes the last parts of the body, of which there may be none. */
+  void writeLast(List<Buffer> parts) {
+    int last = parts.size() - 1;
+    for (int i = 0; i < last; i++) {
+      write(parts.get(i), false);
+    }
+    write(last < 0 ? Buffers.EMPTY_BUFFER : parts.get(last), true);
+  }
+
   /** Writes the queued parts if this response may be written. */
   void flush() {
     while (!pendingParts.isEmpty() && caller.mayWrite(exchange)) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -19,7 +19,6 @@
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
-import org.glassfish.grizzly.memory.Buffers;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -98,10 +97,7 @@
         return true;
       }
       boolean more = body.receive(buffer, content.isLast());
-      if (!started && body.isReadyToSend() && mayStart()) {
-        started = true;
-        start();
-      }
+      startIfReady();
       return over || more;
     }
   }
@@ -152,10 +148,7 @@
   public void writeAllowed() {
     synchronized (lock) {
       response.flush();
-      if (!started && body.isReadyToSend() && !over) {
-        started = true;
-        start();
-      }
+      startIfReady();
     }
   }
 
@@ -216,6 +209,13 @@
     }
   }
 
+  private void startIfReady() {
+    if (!over && !started && body.isReadyToSend() && mayStart()) {
+      started = true;
+      start();
+    }
+  }
+
   /** A non-idempotent request waits for earlier ones, since they may close the connection. */
   private boolean mayStart() {
     return caller.mayWrite(this) || route.filter(Route::isIdempotent).isPresent();
@@ -263,20 +263,16 @@
 
   private boolean relay(Attempt attempt, HttpResponsePacket head, HttpContent content, long now) {
     List<Buffer> parts = attempt.held().release();
-    int ready = parts.size() - (content.isLast() ? 1 : 0);
-    for (int i = 0; i < ready; i++) {
-      response.write(parts.get(i), false);
-    }
     if (content.isLast()) {
-      Buffer rest = ready < 0 ? Buffers.EMPTY_BUFFER : parts.get(ready);
       machine.responseEnd(attempt.number(), now);
       int status = head.getStatus();
       attempt.responseEnded(head);
       over = true;
-      response.write(rest, true);
+      response.writeLast(parts);
       finish(status, Outcome.ANSWERED);
       return true;
     }
+    parts.forEach(part -> response.write(part, false));
     callerCongested = !response.canWrite(this::callerWritable);
     return !callerCongested;
   }
@@ -371,19 +367,14 @@
     long now = System.nanoTime();
     long arrived = times.arrivedNanos();
     long remaining = RequestHeads.remainingMillis(request, route, arrived, now, ports.dialect());
-    if (!body.isComplete()) {
-      answer(OwnerForwarding.bodyTooLong(incarnation), Outcome.UNKNOWN);
-      return;
-    }
-    KeyCall call = OwnerForwarding.toCall(request, body.wholeBytes());
-    OwnerForwarding.send(ports.owners(), incarnation, call, remaining, this::ownerAnswered);
+    OwnerForwarding.send(
+        ports.owners(), incarnation, request, body, remaining, this::ownerAnswered);
   }
 
-  private void ownerAnswered(LocalResponse answer) {
+  private void ownerAnswered(LocalResponse answer, Outcome outcome) {
     synchronized (lock) {
       if (!over) {
-        String outcome = answer.headers().get("Chivecross-Outcome");
-        answer(answer, outcome == null ? Outcome.ANSWERED : Outcome.UNKNOWN);
+        answer(answer, outcome);
       }
     }
   }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/OwnerForwarding.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/OwnerForwarding.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 import org.chivecross.logic.key.OwnerCalls;
 import org.chivecross.model.failure.Failure;
 import org.chivecross.model.failure.Result;
@@ -88,17 +88,31 @@
     return new LocalResponse(answer.status(), headers, contentType, answer.body());
   }
 
-  /** Sends a call to the owner of its key; {@code handler} receives the response for the caller. */
+  /**
+   * Sends a request to the owner of its key, unless its body is too long.
+   *
+   * @param remainingMillis time left for the response, in ms
+   * @param handler receives the response for the caller and its outcome
+   */
   static void send(
       OwnerCalls owners,
       long incarnation,
-      KeyCall call,
+      HttpRequestPacket request,
+      BodyFlow body,
       long remainingMillis,
-      Consumer<LocalResponse> handler) {
+      BiConsumer<LocalResponse, Outcome> handler) {
+    if (!body.isComplete()) {
+      handler.accept(bodyTooLong(incarnation), Outcome.UNKNOWN);
+      return;
+    }
     owners.call(
         incarnation,
-        call,
+        toCall(request, body.wholeBytes()),
         remainingMillis,
-        result -> handler.accept(toAnswer(result, incarnation)));
+        result -> {
+          LocalResponse answer = toAnswer(result, incarnation);
+          boolean isAnswered = answer.headers().get("Chivecross-Outcome") == null;
+          handler.accept(answer, isAnswered ? Outcome.ANSWERED : Outcome.UNKNOWN);
+        });
   }
 }
