Log callers that leave running requests, measure the rounds of the selector

When a request reaches a target after its caller has left, the logs tell neither how long the entry took to read the close nor what sent the request. A line for each running request that is abandoned now holds the time from reading to the last attempt, from there to the close, and the selector's last round; a histogram shows all rounds. No decision changes.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/AttemptList.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/AttemptList.java
@@ -28,6 +28,17 @@
     return (int) attempts.stream().filter(Attempt::isSent).count();
   }
 
+  /** Returns the monotonic time at which an attempt was last sent; 0 if none was. */
+  long lastSentNanos() {
+    long last = 0;
+    for (Attempt attempt : attempts) {
+      if (attempt.isSent() && (last == 0 || attempt.sentNanos() - last > 0)) {
+        last = attempt.sentNanos();
+      }
+    }
+    return last;
+  }
+
   /** Returns one attempt and abandons all others. */
   @Nullable Attempt keepOnly(int number) {
     Attempt kept = null;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/BodyFlow.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/BodyFlow.java
@@ -101,6 +101,11 @@
     return true;
   }
 
+  /** Returns whether a reader is suspended. */
+  boolean isReaderSuspended() {
+    return suspendedReader != null;
+  }
+
   /** Drops the rest of the body and resumes a suspended reader. */
   void discard() {
     discarding = true;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
@@ -103,6 +103,16 @@
     }
   }
 
+  /** Returns whether the caller has closed or reset the connection. */
+  synchronized boolean isClosedByCaller() {
+    return closeReason == CloseReason.CALLER;
+  }
+
+  /** Returns whether a request is suspended because too many are open. */
+  synchronized boolean isReaderSuspended() {
+    return suspendedRequest != null;
+  }
+
   /** Returns whether no request is being served. */
   synchronized boolean isIdle() {
     return open.isEmpty();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
@@ -71,15 +71,18 @@
   public DataPath(DataPathPorts ports, DataPathSettings settings) {
     this.ports = ports;
     this.settings = settings;
-    transport = newTransport(settings.selectorThreads());
+    SelectorRounds rounds = new SelectorRounds(ports.observer()::selectorRoundEnded);
+    transport = newTransport(settings.selectorThreads(), rounds);
     client = new UpstreamClient(transport, ports.addresses(), settings);
-    CutRequestLog cuts = new CutRequestLog(new EventLog(System::nanoTime), ports.dialect());
+    EventLog log = new EventLog(System::nanoTime);
+    CutRequestLog cuts = new CutRequestLog(log, ports.dialect());
+    AbandonedRequestLog abandoned = new AbandonedRequestLog(log, ports.dialect(), rounds);
     callers = new CallerRegistry(settings, cuts);
     localCallers = new CallerRegistry(DataPathSettings.defaults(), cuts);
     forwarders = new CallerRegistry(DataPathSettings.defaults(), cuts);
     services =
         new ExchangeServices(
-            ports, client, inFlight, () -> leaving, () -> maxBodyBytes, settings, false);
+            ports, client, inFlight, () -> leaving, () -> maxBodyBytes, settings, abandoned, false);
     maxBodyBytes = settings.maxBodyBytes();
     transport.setProcessor(chain(callers, services, ports.localRoutes()));
   }
@@ -210,13 +213,14 @@
    * Creates the one transport for connections to callers and to targets. Sharing it makes each
    * selector thread take about as many of the library's pooled packets as it returns.
    */
-  private static TCPNIOTransport newTransport(int selectorThreads) {
+  private static TCPNIOTransport newTransport(int selectorThreads, SelectorRounds rounds) {
     return TCPNIOTransportBuilder.newInstance()
         .setName("data-path")
         .setIOStrategy(SameThreadIOStrategy.getInstance())
         .setTcpNoDelay(true)
         .setSelectorRunnersCount(selectorThreads)
         .setMaxAsyncWriteQueueSizeInBytes(WRITE_QUEUE_BYTES)
+        .setSelectorHandler(rounds)
         .build();
   }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -161,6 +161,12 @@
       if (started) {
         machine.cancelled(System.nanoTime());
       }
+      if (attempts.isAnySent() && caller.isClosedByCaller()) {
+        boolean isSuspended = body.isReaderSuspended() || caller.isReaderSuspended();
+        services
+            .abandoned()
+            .abandoned(request, times.readyNanos(), attempts.lastSentNanos(), isSuspended);
+      }
       finish(0, attempts.isAnySent() ? Outcome.UNKNOWN : Outcome.NOT_RUN);
     }
   }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ExchangeObserver.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ExchangeObserver.java
@@ -20,6 +20,13 @@
    */
   void silentConnectionFound(int closed);
 
+  /**
+   * Called when a selector thread has handled the events of one selection.
+   *
+   * @param nanos time that this took, in ns
+   */
+  default void selectorRoundEnded(long nanos) {}
+
   /** Called when a request head was refused. */
   void headRefused(int status);
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ExchangeServices.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ExchangeServices.java
@@ -14,6 +14,7 @@
  * @param leaving whether this entry is leaving and closes connections after their next response
  * @param maxBodyBytes most bytes of a request body
  * @param settings limits and time-outs
+ * @param abandoned records requests whose callers left while they were running
  * @param forwarded whether the requests were forwarded by other entries
  */
 record ExchangeServices(
@@ -23,11 +24,13 @@
     BooleanSupplier leaving,
     LongSupplier maxBodyBytes,
     DataPathSettings settings,
+    AbandonedRequestLog abandoned,
     boolean forwarded) {
 
   /** Returns the same services for requests that other entries forwarded. */
   ExchangeServices forForwarded() {
-    return new ExchangeServices(ports, client, inFlight, leaving, maxBodyBytes, settings, true);
+    return new ExchangeServices(
+        ports, client, inFlight, leaving, maxBodyBytes, settings, abandoned, true);
   }
 
   /** Completes an answer of this entry to a request. */
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ExchangeTimes.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ExchangeTimes.java
@@ -22,6 +22,10 @@
     return arrivedNanos;
   }
 
+  long readyNanos() {
+    return readyNanos;
+  }
+
   /** Records that head and body have arrived as far as the decisions need them. */
   void ready(long nowNanos) {
     readyNanos = nowNanos;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/metrics/EntryMetrics.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/metrics/EntryMetrics.java
@@ -46,6 +46,7 @@
   private final Counter silentConnections;
   private final Counter suspectsClosed;
   private final Counter refusedHeads;
+  private final Histogram selectorRounds;
   private final Map<Labels, DataPoints> dataPointsByLabels = new ConcurrentHashMap<>();
 
   /**
@@ -57,10 +58,27 @@
   public EntryMetrics(PrometheusRegistry registry, IntFunction<Optional<String>> tenantOfService) {
     this.registry = registry;
     this.tenantOfService = tenantOfService;
-    request = histogram("chivecross_request_seconds", "From the head to the end of the answer");
-    upstream = histogram("chivecross_upstream_seconds", "From sending to the response head");
-    queueWait = histogram("chivecross_queue_wait_seconds", "From readiness to the first attempt");
-    added = histogram("chivecross_added_seconds", "Time to the response head spent in this entry");
+    request =
+        histogram(
+            "chivecross_request_seconds",
+            "From the head to the end of the answer",
+            "tenant",
+            "class");
+    upstream =
+        histogram(
+            "chivecross_upstream_seconds", "From sending to the response head", "tenant", "class");
+    queueWait =
+        histogram(
+            "chivecross_queue_wait_seconds",
+            "From readiness to the first attempt",
+            "tenant",
+            "class");
+    added =
+        histogram(
+            "chivecross_added_seconds",
+            "Time to the response head spent in this entry",
+            "tenant",
+            "class");
     requests =
         counter("chivecross_requests", "Requests that are over", "tenant", "class", "outcome");
     attempts = counter("chivecross_attempts", "Attempts at targets", "tenant", "class");
@@ -68,6 +86,10 @@
     suspectsClosed =
         counter("chivecross_suspects_closed", "Idle connections closed beside a silent one");
     refusedHeads = counter("chivecross_refused_heads", "Malformed requests", "status");
+    selectorRounds =
+        histogram(
+            "chivecross_selector_round_seconds",
+            "Time that a selector thread takes to handle the events of one selection");
   }
 
   /** Registers a gauge whose value is read on each scrape. */
@@ -125,6 +147,11 @@
     suspectsClosed.inc(closed);
   }
 
+  @Override
+  public void selectorRoundEnded(long nanos) {
+    selectorRounds.observe(nanos * SECONDS_PER_NANO);
+  }
+
   @Override
   public void headRefused(int status) {
     refusedHeads.labelValues(Integer.toString(status)).inc();
@@ -148,11 +175,11 @@
         route.get().requestClass().name());
   }
 
-  private Histogram histogram(String name, String help) {
+  private Histogram histogram(String name, String help, String... labels) {
     return Histogram.builder()
         .name(name)
         .help(help)
-        .labelNames("tenant", "class")
+        .labelNames(labels)
         .classicOnly()
         .classicUpperBounds(LATENCY_BUCKET_BOUNDS_SECONDS)
         .register(registry);
