Look for the close of the caller's connection before sending

Callers saw nothing; targets got requests up to a second after the callers of these had left, and worked for nobody.

Cause: a request and the close behind it are read in different rounds of the selector, and the request is sent at once. While an entry lags, the close is in the socket for as long as a round takes. The class of fault: state that the kernel already holds is acted on in the order of handling, not in that of arrival.

The new cases guard the order of bytes and answers.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/AbandonedRequestLog.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/AbandonedRequestLog.java
@@ -26,18 +26,21 @@
   /**
    * Writes a request whose caller has closed its connection.
    *
-   * @param readNanos monotonic time at which the request was read
-   * @param sentNanos monotonic time at which it was last sent to a target
+   * @param attempts its attempts, of which at least one was sent
    * @param isReaderSuspended whether the entry has stopped reading from the caller
    */
   void abandoned(
-      HttpRequestPacket request, long readNanos, long sentNanos, boolean isReaderSuspended) {
+      HttpRequestPacket request,
+      ExchangeTimes times,
+      AttemptList attempts,
+      boolean isReaderSuspended) {
     long now = System.nanoTime();
+    long sentNanos = attempts.lastSentNanos();
     NIOConnection connection = (NIOConnection) request.getConnection();
     long roundNanos = rounds.longestNanos(connection.getSelectorRunner(), now);
     Map<String, String> fields = new LinkedHashMap<>();
     fields.put("request", dialect.requestId(request.getHeaders()).orElse(""));
-    fields.put("readToSentMillis", millis(sentNanos - readNanos));
+    fields.put("readToSentMillis", millis(sentNanos - times.readyNanos()));
     fields.put("sentToCloseMillis", millis(now - sentNanos));
     fields.put("selectorRoundMillis", millis(roundNanos));
     fields.put("readerSuspended", Boolean.toString(isReaderSuspended));
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/BodyFlow.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/BodyFlow.java
@@ -18,14 +18,16 @@
   private final Object lock;
   private final RequestBody body;
   private final MemoryManager<?> memory;
+  private final CallerReader reader;
   private @Nullable Attempt sink;
   private @Nullable FilterChainContext suspendedReader;
   private boolean discarding;
 
-  BodyFlow(Object lock, RequestBody body, MemoryManager<?> memory) {
+  BodyFlow(Object lock, RequestBody body, CallerConnection caller) {
     this.lock = lock;
     this.body = body;
-    this.memory = memory;
+    memory = caller.connection().getMemoryManager();
+    reader = caller.reader();
   }
 
   long receivedBytes() {
@@ -96,16 +98,11 @@
     if (discarding || !isCongested()) {
       return false;
     }
-    context.suspend();
+    reader.suspend(context);
     suspendedReader = context;
     return true;
   }
 
-  /** Returns whether a reader is suspended. */
-  boolean isReaderSuspended() {
-    return suspendedReader != null;
-  }
-
   /** Drops the rest of the body and resumes a suspended reader. */
   void discard() {
     discarding = true;
@@ -114,13 +111,13 @@
 
   /** Resumes a suspended reader. */
   void resume() {
-    FilterChainContext reader;
+    FilterChainContext suspended;
     synchronized (lock) {
-      reader = suspendedReader;
+      suspended = suspendedReader;
       suspendedReader = null;
     }
-    if (reader != null) {
-      reader.resume(reader.getStopAction());
+    if (suspended != null) {
+      reader.resume(() -> suspended.resume(suspended.getStopAction()));
     }
   }
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
@@ -27,6 +27,7 @@
   private static final int MAX_OPEN_EXCHANGES = 8;
 
   private final NIOConnection connection;
+  private final CallerReader reader;
   private final CutRequestListener cuts;
   private final Deque<CallerExchange> open = new ArrayDeque<>();
   private final Map<CallerExchange, Outcome> ended = new HashMap<>();
@@ -43,6 +44,7 @@
 
   CallerConnection(NIOConnection connection, CutRequestListener cuts, long nowNanos) {
     this.connection = connection;
+    reader = new CallerReader(connection);
     this.cuts = cuts;
     idleSinceNanos = nowNanos;
   }
@@ -51,6 +53,22 @@
     return connection;
   }
 
+  CallerReader reader() {
+    return reader;
+  }
+
+  /**
+   * Returns whether the caller has closed or reset the connection, also if the selector has not
+   * handled that yet. From then on no exchange begins on it and none writes to it.
+   */
+  boolean hasLeft(long nowNanos) {
+    if (!reader.isEnded(nowNanos)) {
+      return false;
+    }
+    noteCloseReason(CloseReason.CALLER);
+    return true;
+  }
+
   /** Returns the exchange of the newest request, if any is open. */
   synchronized @Nullable CallerExchange newest() {
     return open.peekLast();
@@ -108,11 +126,6 @@
     return closeReason == CloseReason.CALLER;
   }
 
-  /** Returns whether a request is suspended because too many are open. */
-  synchronized boolean isReaderSuspended() {
-    return suspendedRequest != null;
-  }
-
   /** Returns whether no request is being served. */
   synchronized boolean isIdle() {
     return open.isEmpty();
@@ -120,7 +133,7 @@
 
   /** Returns whether an exchange may write its response now. */
   synchronized boolean mayWrite(CallerExchange exchange) {
-    return open.peekFirst() == exchange;
+    return open.peekFirst() == exchange && !reader.isEnded();
   }
 
   /**
@@ -181,7 +194,7 @@
     if (open.size() < MAX_OPEN_EXCHANGES) {
       return false;
     }
-    context.suspend();
+    reader.suspend(context);
     suspendedRequest = context;
     return true;
   }
@@ -190,7 +203,7 @@
    * Records that an exchange is over, and allows the next exchange to write.
    *
    * @param outcome not-run exactly if nothing of the request was sent to a target
-   * @return the suspended request, if any, which may run now
+   * @return the suspended request, if any, for {@link #resume}
    */
   @Nullable FilterChainContext end(CallerExchange exchange, Outcome outcome, long nowNanos) {
     boolean isCut;
@@ -231,6 +244,13 @@
     }
   }
 
+  /** Lets a request run that was suspended, if there is one. */
+  void resume(@Nullable FilterChainContext suspended) {
+    if (suspended != null) {
+      reader.resume(suspended::resume);
+    }
+  }
+
   /** Returns whether an exchange that ends now has not sent its complete response. */
   private boolean isCut(CallerExchange exchange) {
     if (closeReason == CloseReason.LAST_RESPONSE) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
@@ -8,7 +8,6 @@
 import org.chivecross.model.ruleset.CallerLimits;
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
-import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
@@ -203,7 +202,7 @@
   private FilterChain chain(
       CallerRegistry registry, ExchangeServices exchangeServices, LocalRoutes routes) {
     return FilterChainBuilder.stateless()
-        .add(new TransportFilter())
+        .add(new CallerTransportFilter(registry))
         .add(new StrictServerFilter(settings, registry, ports.observer(), ports.dialect()))
         .add(new CallerFilter(registry, exchangeServices, routes))
         .build();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -64,7 +64,7 @@
     times = new ExchangeTimes(nowNanos);
     boolean keyed = RequestHeads.idempotencyKey(request).isPresent();
     int retained = keyed ? KeyCall.MAX_BODY_BYTES : services.settings().retainedBodyBytes();
-    body = new BodyFlow(lock, new RequestBody(retained), caller.connection().getMemoryManager());
+    body = new BodyFlow(lock, new RequestBody(retained), caller);
   }
 
   Object lock() {
@@ -162,10 +162,8 @@
         machine.cancelled(System.nanoTime());
       }
       if (attempts.isAnySent() && caller.isClosedByCaller()) {
-        boolean isSuspended = body.isReaderSuspended() || caller.isReaderSuspended();
-        services
-            .abandoned()
-            .abandoned(request, times.readyNanos(), attempts.lastSentNanos(), isSuspended);
+        boolean isSuspended = caller.reader().isSuspended();
+        services.abandoned().abandoned(request, times, attempts, isSuspended);
       }
       finish(0, attempts.isAnySent() ? Outcome.UNKNOWN : Outcome.NOT_RUN);
     }
@@ -215,20 +213,19 @@
     }
   }
 
-  private void startIfReady() {
-    if (!over && !started && body.isReadyToSend() && mayStart()) {
-      started = true;
-      start();
-    }
-  }
-
   /** A non-idempotent request waits for earlier ones, since they may close the connection. */
   private boolean mayStart() {
     return caller.mayWrite(this) || route.filter(Route::isIdempotent).isPresent();
   }
 
-  private void start() {
+  /** Starts the request, unless it has started, can't start yet, or its caller has left. */
+  private void startIfReady() {
     long readyNanos = System.nanoTime();
+    boolean mayStartNow = !over && !started && body.isReadyToSend() && mayStart();
+    if (!mayStartNow || endIfCallerLeft(readyNanos)) {
+      return;
+    }
+    started = true;
     times.ready(readyNanos);
     long elapsed = TimeUnit.NANOSECONDS.toMillis(readyNanos - times.arrivedNanos());
     RequestHead head =
@@ -238,6 +235,15 @@
     carryOut(machine.arrived(head, now), now);
   }
 
+  private boolean endIfCallerLeft(long now) {
+    boolean hasLeft = caller.hasLeft(now);
+    if (hasLeft) {
+      ports.observer().droppedUnsent();
+      callerClosed();
+    }
+    return hasLeft;
+  }
+
   /** Answers without the machine; the outcome is not-run only if no attempt was sent. */
   private void refuse(int status, String detail) {
     synchronized (lock) {
@@ -332,7 +338,7 @@
 
   private void sendOn(Attempt attempt, UpstreamConnection connection) {
     long now = System.nanoTime();
-    if (over || attempt.isOver()) {
+    if (over || attempt.isOver() || endIfCallerLeft(now)) {
       connection.pool().release(connection);
       return;
     }
@@ -398,9 +404,7 @@
     if (status > 0 && body.isComplete()) {
       response.recycle();
     }
-    if (next != null) {
-      next.resume();
-    }
+    caller.resume(next);
   }
 
   private void callerWritable() {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ExchangeObserver.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ExchangeObserver.java
@@ -20,6 +20,9 @@
    */
   void silentConnectionFound(int closed);
 
+  /** Called when a request was dropped before it was sent, since its caller had left. */
+  default void droppedUnsent() {}
+
   /**
    * Called when a selector thread has handled the events of one selection.
    *
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
@@ -90,10 +90,7 @@
   }
 
   private void end() {
-    FilterChainContext next = caller.end(this, Outcome.NOT_RUN, System.nanoTime());
-    if (next != null) {
-      next.resume();
-    }
+    caller.resume(caller.end(this, Outcome.NOT_RUN, System.nanoTime()));
   }
 
   private LocalRequest toLocalRequest() {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/metrics/EntryMetrics.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/metrics/EntryMetrics.java
@@ -47,6 +47,7 @@
   private final Counter suspectsClosed;
   private final Counter refusedHeads;
   private final Histogram selectorRounds;
+  private final Counter droppedRequests;
   private final Map<Labels, DataPoints> dataPointsByLabels = new ConcurrentHashMap<>();
 
   /**
@@ -86,6 +87,10 @@
     suspectsClosed =
         counter("chivecross_suspects_closed", "Idle connections closed beside a silent one");
     refusedHeads = counter("chivecross_refused_heads", "Malformed requests", "status");
+    droppedRequests =
+        counter(
+            "chivecross_requests_dropped_unsent",
+            "Requests that were not sent since their callers had left");
     selectorRounds =
         histogram(
             "chivecross_selector_round_seconds",
@@ -147,6 +152,11 @@
     suspectsClosed.inc(closed);
   }
 
+  @Override
+  public void droppedUnsent() {
+    droppedRequests.inc();
+  }
+
   @Override
   public void selectorRoundEnded(long nanos) {
     selectorRounds.observe(nanos * SECONDS_PER_NANO);
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/AbandonedRequestTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/AbandonedRequestTest.java
@@ -8,16 +8,19 @@
 import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests requests whose callers leave while the entry does not read from its connections. */
 class AbandonedRequestTest {
@@ -136,6 +139,94 @@
     assertEquals(CALLERS / 2, callsFor("/gone"), upstream.callsSeen());
   }
 
+  /** Guards against a caller that gets the answer to another request in place of a dropped one. */
+  @Test
+  void callerThatEndedItsSideGetsNoAnswerToAnotherRequest() throws Exception {
+    List<ScriptedUpstream.Call> running = Collections.synchronizedList(new ArrayList<>());
+    openCallers();
+    warmUp();
+    upstream.setScript(running::add);
+    for (Socket caller : callers.subList(0, CALLERS / 2)) {
+      send(caller, request("GET", "/first") + request("GET", "/second"));
+    }
+    awaitTrue(() -> running.size() == CALLERS);
+    Socket holder = holdSelector();
+    for (Socket caller : callers) {
+      caller.shutdownOutput();
+    }
+    for (ScriptedUpstream.Call call : running) {
+      if (call.head().contains("/second")) {
+        call.reply(ScriptedUpstream.OK);
+      } else {
+        call.socket().setOption(StandardSocketOptions.SO_LINGER, 0);
+        call.socket().close();
+      }
+    }
+    upstream.setScript(call -> call.reply(ScriptedUpstream.OK));
+    goOn(holder);
+
+    for (Socket caller : callers) {
+      assertEquals(-1, caller.getInputStream().read());
+    }
+  }
+
+  /** Guards against a request that nobody handles after the look for a close has read it. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 7, 30})
+  void requestsThatArriveBeforeTheLookForACloseAreServedInOrder(int count) throws Exception {
+    upstream.setScript(call -> call.reply(numberAnswer(call)));
+    try (Socket caller = entry.connect()) {
+      send(caller, "GET /read/hold?00 HTTP/1.1\r\nHost: a\r\n\r\n");
+      await(selectorHeld);
+      StringBuilder expected = new StringBuilder("00");
+      for (int i = 1; i <= count; i++) {
+        send(caller, numbered(i));
+        expected.append("%02d".formatted(i));
+      }
+      selectorMayGoOn.countDown();
+
+      assertEquals(expected.toString(), readBodies(caller, count + 1));
+    }
+  }
+
+  /** Guards against requests that overtake others whose reader is suspended at the limit. */
+  @Test
+  void requestsReadByALookBesideASuspendedReaderAreServedInOrder() throws Exception {
+    List<ScriptedUpstream.Call> running = Collections.synchronizedList(new ArrayList<>());
+    openCallers();
+    warmUp();
+    upstream.setScript(running::add);
+    try (Socket caller = entry.connect()) {
+      StringBuilder expected = new StringBuilder();
+      for (int i = 0; i < 12; i++) {
+        send(caller, numbered(i));
+        expected.append("%02d".formatted(i));
+      }
+      awaitTrue(() -> running.size() == 8);
+      for (int i = 12; i < 17; i++) {
+        send(caller, numbered(i));
+        expected.append("%02d".formatted(i));
+      }
+      upstream.setScript(call -> call.reply(numberAnswer(call)));
+      for (ScriptedUpstream.Call call : running) {
+        if (id(call).equals("07")) {
+          call.socket().setOption(StandardSocketOptions.SO_LINGER, 0);
+          call.socket().close();
+        }
+      }
+      awaitTrue(() -> callsFor("/numbered?07") == 2);
+      // Time in which the entry would handle requests that are not to be handled yet.
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(50));
+      for (ScriptedUpstream.Call call : running) {
+        if (!id(call).equals("07")) {
+          call.reply(numberAnswer(call));
+        }
+      }
+
+      assertEquals(expected.toString(), readBodies(caller, 17));
+    }
+  }
+
   /** Guards against bytes that are lost when the entry looks for a close before it sends. */
   @Test
   void pipelinedRequestsAndBodiesArriveWholeAndInOrder() throws Exception {
@@ -205,7 +296,7 @@
   }
 
   private int callsFor(String path) {
-    return upstream.callsSeen().split(path, -1).length - 1;
+    return upstream.callsSeen().split(Pattern.quote(path), -1).length - 1;
   }
 
   private static String request(String method, String path) {
@@ -229,6 +320,19 @@
     return "GET " + path + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
   }
 
+  private static String numbered(int number) {
+    return "GET /read/numbered?%02d HTTP/1.1\r\nHost: a\r\n\r\n".formatted(number);
+  }
+
+  private static String numberAnswer(ScriptedUpstream.Call call) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + id(call);
+  }
+
+  private static String id(ScriptedUpstream.Call call) {
+    int at = call.head().indexOf('?') + 1;
+    return call.head().substring(at, at + 2);
+  }
+
   private static String bodyLength(ScriptedUpstream.Call call) {
     return call.text().chars().allMatch(c -> c == 'x') ? "" + call.body().length : "broken";
   }
