Look for the close of a target's connection before using it again

Callers of writes got 502 with an unknown outcome although nothing had run: their request was sent on a kept connection that the target had closed.

Cause: the same as that of requests sent after their callers had left. The end of the idle connection is in the socket, and the selector handles the new request first. It was found by looking for the cause elsewhere.

Change: a kept connection is read from before it is used; a byte or the end of the stream on it belongs to no request, so it is closed.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamConnection.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamConnection.java
@@ -1,5 +1,8 @@
 package org.chivecross.cli.entry.http;
 
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.regex.Matcher;
@@ -70,9 +73,24 @@
     }
   }
 
-  /** Returns whether a request can be sent without a race with the target's announced close. */
+  /**
+   * Returns whether a request can be sent without a race with the target's announced close. An idle
+   * connection on which this returns false must be closed: a byte of it may have been read.
+   */
   boolean isReusable(long nowNanos) {
-    return isOpen() && nowNanos < reusableUntilNanos;
+    return isOpen() && nowNanos < reusableUntilNanos && isSilent();
+  }
+
+  /**
+   * Returns whether nothing has arrived on this idle connection, neither its end nor bytes that
+   * belong to no request. The selector may not have read either yet.
+   */
+  private boolean isSilent() {
+    try {
+      return ((SocketChannel) connection.getChannel()).read(ByteBuffer.allocate(1)) == 0;
+    } catch (IOException e) {
+      return false;
+    }
   }
 
   boolean isOpen() {
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/AbandonedRequestTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/AbandonedRequestTest.java
@@ -10,6 +10,8 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -139,6 +141,28 @@
     assertEquals(CALLERS / 2, callsFor("/gone"), upstream.callsSeen());
   }
 
+  /** Guards against a write that gets no answer since its target had closed the connection. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void requestIsNotSentOnAConnectionThatItsTargetHasClosed(boolean isReset) throws Exception {
+    openCallers();
+    Set<Socket> idle = warmUp();
+    Socket holder = holdSelector();
+    for (Socket connection : idle) {
+      leave(connection, isReset);
+    }
+    for (Socket caller : callers) {
+      send(caller, request("POST", "/kept"));
+    }
+    selectorMayGoOn.countDown();
+
+    for (Socket caller : callers) {
+      assertEquals("ok", readBodies(caller, 1));
+    }
+    assertEquals(CALLERS, callsFor("/kept"), upstream.callsSeen());
+    holder.close();
+  }
+
   /** Guards against a caller that gets the answer to another request in place of a dropped one. */
   @Test
   void callerThatEndedItsSideGetsNoAnswerToAnotherRequest() throws Exception {
@@ -255,10 +279,16 @@
     }
   }
 
-  /** Sends a request on each connection at the same time, so that as many to the target open. */
-  private void warmUp() throws IOException {
+  /**
+   * Sends a request on each connection at the same time, so that as many to the target open.
+   *
+   * @return the target's ends of these
+   */
+  private Set<Socket> warmUp() throws IOException {
+    Set<Socket> connections = ConcurrentHashMap.newKeySet();
     upstream.setScript(
         call -> {
+          connections.add(call.socket());
           awaitTrue(() -> callsFor("/warm") == CALLERS);
           call.reply(ScriptedUpstream.OK);
         });
@@ -269,6 +299,7 @@
       assertEquals("ok", readBodies(caller, 1));
     }
     upstream.setScript(call -> call.reply(ScriptedUpstream.OK));
+    return connections;
   }
 
   private Socket holdSelector() throws IOException {
