Wait for the target's close in the tests of abandoned requests

requestIsNotSentOnAConnectionThatItsTargetHasClosed failed once in 2 runs of it beside a load of 25 (502, connection CLOSED). Cause, in the test: a socket that is closed with a reset while a thread reads from it sends the reset when that thread has left the read. So the entry looked before the target had closed. The tests now wait for the end of that thread; their assertions stay.

--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/AbandonedRequestTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/AbandonedRequestTest.java
@@ -131,8 +131,7 @@
     }
     synchronized (running) {
       for (ScriptedUpstream.Call call : running) {
-        call.socket().setOption(StandardSocketOptions.SO_LINGER, 0);
-        call.socket().close();
+        closeAtTarget(call.socket(), true);
       }
     }
     upstream.setScript(call -> call.reply(ScriptedUpstream.OK));
@@ -149,7 +148,7 @@
     Set<Socket> idle = warmUp();
     Socket holder = holdSelector();
     for (Socket connection : idle) {
-      leave(connection, isReset);
+      closeAtTarget(connection, isReset);
     }
     for (Socket caller : callers) {
       send(caller, request("POST", "/kept"));
@@ -182,8 +181,7 @@
       if (call.head().contains("/second")) {
         call.reply(ScriptedUpstream.OK);
       } else {
-        call.socket().setOption(StandardSocketOptions.SO_LINGER, 0);
-        call.socket().close();
+        closeAtTarget(call.socket(), true);
       }
     }
     upstream.setScript(call -> call.reply(ScriptedUpstream.OK));
@@ -326,6 +324,12 @@
     caller.close();
   }
 
+  /** Closes the target's end of a connection; a reset is sent once its reading thread has ended. */
+  private void closeAtTarget(Socket connection, boolean isReset) throws Exception {
+    leave(connection, isReset);
+    upstream.nextClosed();
+  }
+
   private int callsFor(String path) {
     return upstream.callsSeen().split(Pattern.quote(path), -1).length - 1;
   }
