Refuse requests that may outlast a planned stop

Callers of an entry that got SIGTERM lost requests: those that came late in the grace period were sent to targets, and their connections were closed without an answer when the entry ended, writes among them.

Cause: the entry knows its latest end, 5.3 s after SIGTERM with a grace period of 6 s, but nothing on the path of a request did. First attempts, retries, hedges and forwarded requests were sent until the last moment, and a moment without any request, at which the entry may end earlier, doesn't come.

A request is sent if its own deadline ends before the entry, or, in the first half of the stop, if the longest response time of its route fits, twice that unless it is idempotent. Others get 503 at once and a short Retry-After; forwarded ones 421, so that their entry tries another one. It works since nothing in flight then reaches the end, except for requests of the first half that take longer than any before.

--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -25,8 +25,6 @@
  */
 public final class Dispatcher {
 
-  private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
-
   private final RandomGenerator random;
   private final RetryDelays delays;
   private final DispatchTargetTable targets = new DispatchTargetTable();
@@ -41,6 +39,7 @@
   private final LimitedTargets limitedTargets;
   private final HomeRegions homes;
   private final TargetPlacement placement;
+  private final PlannedStop stop;
   private final PlacementExplainer explainer;
   private final RequestForwarding forwarding;
   private final CrashDetection crashes;
@@ -68,6 +67,7 @@
     this.random = random;
     retryBudgets = new RetryBudgets(preferences);
     RetryAdvice advice = new RetryAdvice(random);
+    stop = new PlannedStop(responseTimes, advice);
     expectedTimes = new ExpectedResponseTime(targets, preferences);
     preferred = new PreferredTargets(targets, preferences.dataCentre());
     ranking =
@@ -252,19 +252,25 @@
 
   /** Tries to choose a target or, for a request to be forwarded, an entry; may send probes. */
   public Placement place(PlacementTicket ticket, long nowNanos) {
-    int entry = forwarding.choose(ticket, nowNanos);
+    boolean maySend = stop.maySend(ticket, nowNanos);
+    int entry = maySend ? forwarding.choose(ticket, nowNanos) : ForwardingTable.NONE;
     if (entry != ForwardingTable.NONE) {
       // The entry that sends it to targets counts it.
       retryBudgets.ofService(ticket.service()).forgetRequest(nowNanos);
       return new Placement.Chosen(entry);
     }
-    Placement placed = placement.place(ticket, budgetShare, nowNanos);
+    Placement placed = maySend ? placement.place(ticket, budgetShare, nowNanos) : stop.refuse();
     if (placed instanceof Placement.Refused) {
       admission.ended(ticket.route(), ticket.service(), false, nowNanos);
     }
     return placed;
   }
 
+  /** Returns the planned stop of this entry. */
+  public PlannedStop stop() {
+    return stop;
+  }
+
   /** Returns the explanations of placements. */
   public PlacementExplainer explainer() {
     return explainer;
@@ -321,6 +327,7 @@
     targets.attemptEnded(row);
     targets.served(row, nowNanos);
     admission.ended(ticket.route(), ticket.service(), true, nowNanos);
+    responseTimes.recordAnyAnswer(ticket.route(), elapsedNanos);
     if (wasAtNominalSpeed) {
       responseTimes.recordAnswer(ticket.route(), elapsedNanos);
     }
@@ -395,12 +402,7 @@
     responses.probeEnded(row, result, nowNanos);
   }
 
-  /**
-   * Handles the end of a probe.
-   *
-   * @param healthy whether the target reported that it is healthy
-   * @param head its response; empty when it did not answer in time
-   */
+  /** Handles the end of a probe; without a {@code head} the target did not answer in time. */
   public void probeEnded(int row, boolean healthy, Optional<ResponseHead> head, long nowNanos) {
     responses.probeEnded(row, healthy, head, nowNanos);
   }
@@ -412,6 +414,6 @@
 
   /** Returns the timeout of a probe, in ms. */
   public static long probeTimeoutMillis() {
-    return TargetPlacement.PROBE_TIMEOUT_NANOS / NANOS_PER_MILLI;
+    return TimeUnit.NANOSECONDS.toMillis(TargetPlacement.PROBE_TIMEOUT_NANOS);
   }
 }
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/ResponseTimeEstimates.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/ResponseTimeEstimates.java
@@ -7,7 +7,8 @@
 
 /**
  * Nominal response time of each route: an EWMA over answers of targets that had free slots and
- * worked at nominal speed when they were chosen. Not thread-safe.
+ * worked at nominal speed when they were chosen; and the longest one over all targets. Not
+ * thread-safe.
  */
 final class ResponseTimeEstimates {
 
@@ -17,6 +18,10 @@
   /** EWMA weight of the newest answer; about the last ten answers count. */
   private static final double EWMA_GAIN = 0.1;
 
+  /** Factor by which each answer reduces the longest response time: old peaks are forgotten. */
+  private static final double LONGEST_DECAY = 0.995;
+
+  private final Map<String, Double> longestNanosByRoute = new HashMap<>();
   private final Map<String, Double> millisByRoute = new HashMap<>();
   private final Map<String, Double> bodyBytesByRoute = new HashMap<>();
 
@@ -37,6 +42,19 @@
     millisByRoute.put(key(route), before + EWMA_GAIN * (millis - before));
   }
 
+  /** Records the response time of any target; see {@link #longestNanos}. */
+  void recordAnyAnswer(RouteRule route, long elapsedNanos) {
+    longestNanosByRoute.merge(
+        key(route),
+        (double) elapsedNanos,
+        (longest, elapsed) -> Math.max(LONGEST_DECAY * longest, elapsed));
+  }
+
+  /** Returns about the longest response time of the latest answers; 0 before the first one. */
+  long longestNanos(RouteRule route) {
+    return Math.round(longestNanosByRoute.getOrDefault(key(route), 0.0));
+  }
+
   /** Returns the expected size of a response body of a route; 0 before the first response. */
   long bodyBytes(RouteRule route) {
     return Math.round(bodyBytesByRoute.getOrDefault(key(route), 0.0));
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/AttemptEnds.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/AttemptEnds.java
@@ -70,13 +70,18 @@
     }
   }
 
+  /** Closes an attempt whose result is no longer needed. */
+  void abandon(int attempt) {
+    if (attempts.isOpen(attempt)) {
+      attempts.close(attempt);
+      dispatcher.abandoned(attempts.target(attempt));
+    }
+  }
+
   /** Closes the open attempts, whose results are no longer needed. */
   void abandonAll() {
     for (int i = 0; i < attempts.size(); i++) {
-      if (attempts.isOpen(i)) {
-        attempts.close(i);
-        dispatcher.abandoned(attempts.target(i));
-      }
+      abandon(i);
     }
     if (isMarkedInFlight) {
       isMarkedInFlight = false;
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/DispatchRequestMachine.java
@@ -37,18 +37,13 @@
   /** Statuses that promise the caller that its request did not run and never will. */
   private static final Set<Integer> REFUSALS = Set.of(408, MISDIRECTED, 429, UNAVAILABLE);
 
-  /**
-   * Deadline of a request without a stated deadline, before the timeout of its route is applied.
-   */
+  /** Deadline of a request that states none, before the timeout of its route is applied. */
   private static final long DEFAULT_DEADLINE_MILLIS = 30_000;
 
   /** Retry delay advised by an entry that has not yet received its configuration. */
   private static final long STARTING_RETRY_AFTER_MILLIS = 250;
 
-  /**
-   * Time after the deadline at which a response that is still being relayed is cut; its caller no
-   * longer waits for the rest.
-   */
+  /** Time after the deadline of the caller at which a response that is being relayed is cut. */
   private static final long RELAY_MARGIN_NANOS = 1_000 * NANOS_PER_MILLI;
 
   /** Progress of a request. */
@@ -121,9 +116,17 @@
 
   @Override
   public boolean sending(int attempt, long nowNanos) {
-    return phase == Phase.ACTIVE
-        && nowNanos < deadlineNanos
-        && attempts.markSending(attempt, AttemptTable.NEVER);
+    PlacementTicket current = ticket;
+    if (phase != Phase.ACTIVE || current == null || nowNanos >= deadlineNanos) {
+      return false;
+    }
+    if (attempts.isOpen(attempt) && !dispatcher.stop().maySend(current, nowNanos)) {
+      ends.abandon(attempt);
+      // The next placement refuses the request.
+      isPlacing = true;
+      return false;
+    }
+    return attempts.markSending(attempt, AttemptTable.NEVER);
   }
 
   @Override
@@ -300,8 +303,10 @@
 
   private Decision place(PlacementTicket current, long nowNanos) {
     placeAtNanos = AttemptTable.NEVER;
-    if (isForwardedHere && dispatcher.forwarding().isIsolated() && attempts.nothingSent()) {
-      return answer(MISDIRECTED, "no target is reached here either", 0, nowNanos);
+    boolean isForOtherEntry =
+        dispatcher.forwarding().isIsolated() || !dispatcher.stop().maySend(current, nowNanos);
+    if (isForwardedHere && isForOtherEntry && attempts.nothingSent()) {
+      return answer(MISDIRECTED, "this entry reaches no target either, or stops", 0, nowNanos);
     }
     long blockedMillis = dispatcher.crashes().blockedMillis(ends.fingerprint(), nowNanos);
     if (blockedMillis > 0) {
@@ -377,7 +382,9 @@
       return false;
     }
     boolean isSafe = current.route().isIdempotent() || NotRunProof.of(attempts).isPresent();
-    return isSafe && dispatcher.crashes().mayResend(ends.fingerprint(), nowNanos);
+    return isSafe
+        && dispatcher.stop().maySend(current, nowNanos)
+        && dispatcher.crashes().mayResend(ends.fingerprint(), nowNanos);
   }
 
   private Decision timedOut(long nowNanos) {
@@ -388,10 +395,7 @@
         nowNanos);
   }
 
-  /**
-   * Ends the request: with a refusal when it provably did not run, otherwise with an unknown
-   * outcome.
-   */
+  /** Ends the request: as refused when it provably did not run, else with an unknown outcome. */
   private Decision giveUp(Failure failure, long retryAfterMillis, long nowNanos) {
     ends.abandonAll();
     phase = Phase.DONE;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -49,12 +49,6 @@
 
   private static final long CLOSE_IDLE_PERIOD_MILLIS = 500;
 
-  /** Minimum time for which a leaving entry serves callers that still use its address. */
-  private static final long MIN_DRAIN_MILLIS = 4_500;
-
-  /** Margin between the end of the process and the time at which the platform kills it. */
-  private static final long KILL_MARGIN_MILLIS = 700;
-
   private static final long DRAIN_POLL_PERIOD_MILLIS = 50;
 
   /** Pause after a tick that failed. */
@@ -206,21 +200,19 @@
   }
 
   private void startLeaving() {
+    long now = System.nanoTime();
+    StopTimes times = StopTimes.of(settings.graceMillis(), now);
     synchronized (lock) {
       if (isLeaving) {
         return;
       }
       isLeaving = true;
-      node.setReady(false, System.nanoTime());
+      node.setReady(false, now);
+      dispatcher.stop().plan(times.acceptUntilNanos(), times.lastResponseNanos());
     }
     Logger.info("stop requested: leaving, {} requests in flight", dataPath.inFlightCount());
     dataPath.startLeaving();
-    long now = System.nanoTime();
-    long maxDrainMillis = Math.max(0, settings.graceMillis() - KILL_MARGIN_MILLIS);
-    long minDrainMillis = Math.min(MIN_DRAIN_MILLIS, maxDrainMillis);
-    stopWhenDrained(
-        now + TimeUnit.MILLISECONDS.toNanos(minDrainMillis),
-        now + TimeUnit.MILLISECONDS.toNanos(maxDrainMillis));
+    stopWhenDrained(times.earliestEndNanos(), times.latestEndNanos());
   }
 
   private void stopWhenDrained(long earliestNanos, long latestNanos) {
