Count the retention of expired targets from the end of the outage

Callers of an entry that could not read the store for 4 s had deposits sent to targets that were removed from the store more than the drain bound before; those that ran there when the targets exited were answered 502.

Cause: any gap of 1.6 s between two reads was taken for an outage of the store, and targets whose removal was read within 2.3 s after it were retained for 2.3 s from their removal. But the gap may be the entry's own, a removal by a store that works is final, and after failed reads the first one that succeeds comes up to 1.8 s late.

Change: StoreOutage counts the retention from the end of the outage, which is assumed at most 0.5 s after the last unanswered read of an entry that reads by itself; a gap without an unanswered read is no outage. The node ticks when a retention ends, not with the next heartbeat. It works since an entry counts as in touch 3 s after a gap, when all that it retained is dropped.

--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/FleetNode.java
@@ -102,7 +102,7 @@
   /** Returns when {@link #tick} must be called at the latest. */
   public long nextTickNanos(long nowNanos) {
     long read = reads.isInProgress() ? Long.MAX_VALUE : nextReadNanos(nowNanos);
-    return Math.min(nextHeartbeatNanos, read);
+    return Math.min(Math.min(nextHeartbeatNanos, view.nextExpiryNanos()), read);
   }
 
   /** Handles a successful read of the store. */
@@ -134,6 +134,7 @@
     if (historyLost) {
       reads.changesLost();
     } else {
+      view.readUnanswered(reads.sentNanos());
       reads.failed(nowNanos);
     }
   }
@@ -300,6 +301,9 @@
     boolean isRemote = !message.dataCentre().equals(preferences.dataCentre());
     boolean isNewer = view.version().isBefore(update.version()) || !view.isInitialised();
     long ageBefore = view.ageMillis(nowNanos);
+    if (reads.isOverdue(nowNanos)) {
+      view.readUnanswered(reads.sentNanos());
+    }
     PlatformView.Changes changes = view.apply(update, nowNanos);
     if (!changes.isEmpty()) {
       port.viewChanged(changes.hasNewRules());
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/PlatformView.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/PlatformView.java
@@ -33,15 +33,6 @@
 
   private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
-  /**
-   * Time for which registrations that expired during an outage of the store are retained after it.
-   * A target that is alive registers again within 2 s; the rest is for the read that returns it.
-   */
-  private static final long EXPIRED_TARGET_RETENTION_NANOS = 2_300 * NANOS_PER_MILLI;
-
-  /** Gap between two reads that counts as an outage; the last in rank reads well before that. */
-  private static final long OUTAGE_THRESHOLD_NANOS = 1_600 * NANOS_PER_MILLI;
-
   private final Map<String, RegisteredTarget> targets = new TreeMap<>();
   private final Map<String, ExpiredTarget> expiredTargets = new TreeMap<>();
   private Optional<RuleSet> rules = Optional.empty();
@@ -51,7 +42,7 @@
   private Set<String> evacuated = Set.of();
   private StoreVersion version = StoreVersion.NONE;
   private long asOfNanos = Long.MIN_VALUE;
-  private long outageEndNanos = Long.MIN_VALUE / 2;
+  private final StoreOutage outage = new StoreOutage();
   private boolean isInitialised;
   private long digest;
   private boolean isDigestCurrent;
@@ -82,7 +73,9 @@
    * @param sentNanos time at which the read was sent; its result is at least that recent
    */
   Changes apply(StoreChange change, long sentNanos, long nowNanos) {
-    detectOutage(change.version(), sentNanos);
+    if (isInitialised) {
+      outage.readAnswered(version, asOfNanos, change.version(), sentNanos);
+    }
     List<String> removed = new ArrayList<>(change.removed());
     if (change.isSnapshot()) {
       removed.addAll(idsMissingFrom(change.registered()));
@@ -121,7 +114,9 @@
     if (isInitialised && update.version().isBefore(version)) {
       return mergeChanges(List.of(), List.of(), update.rules(), version, asOfNanos, nowNanos);
     }
-    detectOutage(update.version(), updateAsOfNanos);
+    if (isInitialised) {
+      outage.readByAnother(version, asOfNanos, update.version(), updateAsOfNanos);
+    }
     List<String> removed = new ArrayList<>(update.removed());
     if (update.isSnapshot()) {
       removed.addAll(idsMissingFrom(update.registered()));
@@ -194,24 +189,26 @@
     return expiredTargets.values().removeIf(entry -> nowNanos >= entry.retainedUntilNanos());
   }
 
+  /** Returns when {@link #expire} must be called at the latest. */
+  long nextExpiryNanos() {
+    return expiredTargets.values().stream()
+        .mapToLong(ExpiredTarget::retainedUntilNanos)
+        .min()
+        .orElse(Long.MAX_VALUE);
+  }
+
   /** After an outage, retains a removed target that had not announced its shutdown. */
   private void retainAfterOutage(RegisteredTarget target, long nowNanos) {
-    boolean isAfterOutage = nowNanos - outageEndNanos < EXPIRED_TARGET_RETENTION_NANOS;
-    if (isAfterOutage && !evidence.isLeaving(target) && !evidence.isRemoved(target)) {
-      expiredTargets.put(
-          target.id(), new ExpiredTarget(target, nowNanos + EXPIRED_TARGET_RETENTION_NANOS));
+    long retainedUntilNanos = outage.retainedUntilNanos();
+    boolean isRetained = nowNanos < retainedUntilNanos;
+    if (isRetained && !evidence.isLeaving(target) && !evidence.isRemoved(target)) {
+      expiredTargets.put(target.id(), new ExpiredTarget(target, retainedUntilNanos));
     }
   }
 
-  /**
-   * Records the end of a time without reads, in which live registrations may have expired, or the
-   * start of an era, whose copy of the store lacks the latest registrations.
-   */
-  private void detectOutage(StoreVersion newVersion, long newAsOfNanos) {
-    boolean isLongGap = newAsOfNanos - asOfNanos > OUTAGE_THRESHOLD_NANOS;
-    if (isInitialised && (isLongGap || newVersion.era() > version.era())) {
-      outageEndNanos = newAsOfNanos;
-    }
+  /** Records that a read of the store had no answer, or has had none for some time. */
+  void readUnanswered(long sentNanos) {
+    outage.readUnanswered(sentNanos);
   }
 
   private Changes mergeChanges(
--- a/chivecross-core/src/main/java/org/chivecross/logic/fleet/StoreReadSchedule.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/fleet/StoreReadSchedule.java
@@ -28,6 +28,9 @@
 
   private static final int MAX_DOUBLINGS = 3;
 
+  /** Time after which a read without an answer is overdue; a watch waits for 100 ms. */
+  private static final long OVERDUE_NANOS = 300 * NANOS_PER_MILLI;
+
   private final RandomGenerator random;
   private boolean isInProgress;
   private boolean needsSnapshot;
@@ -63,6 +66,11 @@
     return isInProgress;
   }
 
+  /** Returns whether a read has had no answer for longer than the store normally takes. */
+  boolean isOverdue(long nowNanos) {
+    return isInProgress && nowNanos - sentNanos > OVERDUE_NANOS;
+  }
+
   /** Returns whether the changes since the last read are not available. */
   boolean needsSnapshot() {
     return needsSnapshot;
--- a/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetNodeTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fleet/FleetNodeTest.java
@@ -10,12 +10,26 @@
 import org.chivecross.model.fleet.ViewUpdate;
 import org.chivecross.model.registry.RegisteredTarget;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Tests gossip between twelve entries in three data centres. */
 class FleetNodeTest {
 
   private static final long BOUND_MILLIS = 2_000;
 
+  /** Time after which nothing is sent to a target whose removal the store acknowledged. */
+  private static final long DRAIN_MILLIS = 2_000;
+
+  /** Time from which an entry that was cut off is bound by that. */
+  private static final long IN_TOUCH_AGAIN_MILLIS = 3_000;
+
+  /** Why an entry did not read the store. */
+  private enum Gap {
+    REFUSED,
+    SUSPENDED
+  }
+
   private final GossipSimulation simulation = new GossipSimulation(3, 4, 6, false);
 
   private static boolean isLeaving(FleetNode node, String id) {
@@ -119,6 +133,50 @@
     assertEquals(12, simulation.count(node -> node.targets(simulation.now).size() == 6));
   }
 
+  /** Guards against removed targets that stay in use since only this entry could not read. */
+  @ParameterizedTest
+  @CsvSource({"1, REFUSED", "12, REFUSED", "1, SUSPENDED", "12, SUSPENDED"})
+  void targetRemovedAfterAGapOfOneEntryIsDroppedWithinTheDrainBound(int entries, Gap gap) {
+    for (int seed = 0; seed < 20; seed++) {
+      GossipSimulation fleet =
+          new GossipSimulation(entries > 1 ? 3 : 1, Math.max(1, entries / 3), 6, false, seed);
+      GossipSimulation.Entry entry = fleet.entry("10.1.0.1");
+      fleet.runMillis(5_000 + 37 * seed);
+      fleet.entries.values().forEach(other -> other.refusedByStore = gap == Gap.REFUSED);
+      entry.stopped = gap == Gap.SUSPENDED;
+      entry.running = gap != Gap.SUSPENDED;
+      fleet.runMillis(4_000);
+      fleet.entries.values().forEach(other -> other.refusedByStore = false);
+      entry.running = true;
+      long sinceEndMillis = 100 + 150 * seed;
+      fleet.runMillis(sinceEndMillis);
+      RegisteredTarget removed = fleet.remove("t1");
+      fleet.runMillis(Math.max(DRAIN_MILLIS, IN_TOUCH_AGAIN_MILLIS - sinceEndMillis));
+      assertEquals(0, fleet.count(node -> knows(node, fleet.now, removed)), "seed " + seed);
+    }
+  }
+
+  private static boolean knows(FleetNode node, long now, RegisteredTarget target) {
+    return node.targets(now).stream().anyMatch(known -> known.id().equals(target.id()));
+  }
+
+  /** What expired in an outage stays known, what is removed after it is dropped in time. */
+  @Test
+  void targetRemovedAfterAnOutageIsDroppedWithinTheDrainBound() {
+    simulation.runMillis(5_000);
+    simulation.storeDown = true;
+    simulation.runMillis(4_000);
+    RegisteredTarget expired = simulation.remove("t1");
+    simulation.storeDown = false;
+    simulation.runMillis(1_400);
+    RegisteredTarget stopped = simulation.remove("t2");
+    assertEquals(12, simulation.count(node -> knows(node, simulation.now, expired)));
+    simulation.put(expired);
+    simulation.runMillis(DRAIN_MILLIS);
+    assertEquals(0, simulation.count(node -> knows(node, simulation.now, stopped)));
+    assertEquals(12, simulation.count(node -> knows(node, simulation.now, expired)));
+  }
+
   @Test
   void readRateStaysBoundedDuringAStoreOutage() {
     simulation.runMillis(5_000);
