Decode addresses of targets into a type that can be connected to

Callers lost requests while another writer's registration with a port above 65535 stood: connections were closed with requests at work at sound targets, others were never answered.

Cause: the decoder checked the address by a pattern that lets such ports pass, as well as octets above 255, port 0 and 0.0.0.0. The text was parsed when a connection was opened, and threw there, on the path of requests and probes.

Change: TargetAddress holds usable addresses only. Registrations are decoded into it, from the store and from other entries; those without one name no target.

--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PlacementExplainer.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PlacementExplainer.java
@@ -174,7 +174,7 @@
     double rankingMillis = ranking.rankingMillis(ticket, row, minFailures, nowNanos);
     return new Candidate(
         target.id(),
-        target.address(),
+        target.address().toString(),
         target.dataCentre(),
         load.running(),
         load.waiting(),
--- a/chivecross-core/src/main/java/org/chivecross/model/registry/RegisteredTarget.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/registry/RegisteredTarget.java
@@ -6,7 +6,7 @@
  * @param id name of the target; a restarted target has the same name and a later start
  * @param startedAtMillis start of this incarnation, in ms since the epoch of the target's own clock
  * @param service name of the service that it belongs to
- * @param address {@code ip:port} on which it listens
+ * @param address address on which it listens
  * @param dataCentre data centre that it runs in
  * @param slots number of requests that it processes concurrently
  * @param leaving whether it announced its shutdown
@@ -17,7 +17,7 @@
     String id,
     long startedAtMillis,
     String service,
-    String address,
+    TargetAddress address,
     String dataCentre,
     int slots,
     boolean leaving,
--- a/chivecross-core/src/test/java/org/chivecross/logic/dispatch/DispatchSimulation.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/DispatchSimulation.java
@@ -16,6 +16,7 @@
 import org.chivecross.model.fileset.RequestClass;
 import org.chivecross.model.fleet.FleetMember;
 import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.registry.TargetAddress;
 import org.chivecross.model.request.LoadReport;
 import org.chivecross.model.request.ResponseHead;
 import org.chivecross.model.ruleset.CallerLimits;
@@ -56,6 +57,10 @@
   private final double slowFraction;
   private final long workMillis;
   private long nextEventNumber;
+
+  /** 10.0.0.0 */
+  private static final int FIRST_TARGET_IP = 10 << 24;
+
   Supplier<Admission> admission = RequestOrder::withOwnLevels;
   double nearlyFullFactor = 1.7;
   int repeats = 1;
@@ -88,7 +93,7 @@
   void addTargets(String dataCentre, int count, int slots) {
     for (int i = 0; i < count; i++) {
       String id = dataCentre + "-" + targets.size();
-      String address = "10.0.0." + targets.size() + ":80";
+      TargetAddress address = new TargetAddress(FIRST_TARGET_IP + targets.size(), 80);
       targets.add(
           new FakeTarget(
               new RegisteredTarget(id, 1, "s", address, dataCentre, slots, false, 0, 0)));
--- a/chivecross-core/src/test/java/org/chivecross/logic/dispatch/DispatchTargetTableTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/DispatchTargetTableTest.java
@@ -6,6 +6,7 @@
 
 import java.util.List;
 import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.registry.TargetAddress;
 import org.junit.jupiter.api.Test;
 
 class DispatchTargetTableTest {
@@ -13,7 +14,8 @@
   private final DispatchTargetTable targets = new DispatchTargetTable();
 
   private static RegisteredTarget target(String id, long startedAt, boolean leaving) {
-    return new RegisteredTarget(id, startedAt, "s", "10.0.0.1:80", "a", 4, leaving, 0, 0);
+    return new RegisteredTarget(
+        id, startedAt, "s", TargetAddress.of("10.0.0.1:80"), "a", 4, leaving, 0, 0);
   }
 
   @Test
--- a/chivecross-core/src/test/java/org/chivecross/logic/dispatch/EvacuatedTargetTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/EvacuatedTargetTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.chivecross.model.fileset.RequestClass;
 import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.registry.TargetAddress;
 import org.chivecross.model.request.LoadReport;
 import org.chivecross.model.request.ResponseHead;
 import org.chivecross.model.ruleset.CallerLimits;
@@ -61,7 +62,9 @@
     List<RegisteredTarget> registered = new ArrayList<>();
     for (String dataCentre : dataCentres) {
       String id = "t" + registered.size();
-      registered.add(new RegisteredTarget(id, 1, "s", "10.0.0.1:80", dataCentre, 4, false, 0, 0));
+      registered.add(
+          new RegisteredTarget(
+              id, 1, "s", TargetAddress.of("10.0.0.1:80"), dataCentre, 4, false, 0, 0));
     }
     dispatcher.applyTargets(registered, now);
   }
--- a/chivecross-core/src/test/java/org/chivecross/logic/dispatch/LimitedTargetTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/LimitedTargetTest.java
@@ -16,6 +16,7 @@
 import org.chivecross.model.fileset.RequestClass;
 import org.chivecross.model.fleet.LimitShare;
 import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.registry.TargetAddress;
 import org.chivecross.model.request.LoadReport;
 import org.chivecross.model.request.ResponseHead;
 import org.chivecross.model.ruleset.CallerLimits;
@@ -79,7 +80,8 @@
     List<RegisteredTarget> registered = new ArrayList<>();
     for (int i = 0; i < count; i++) {
       registered.add(
-          new RegisteredTarget("t" + i, 1, "s", "10.0.0." + i + ":80", "a", 4, false, 0, 0));
+          new RegisteredTarget(
+              "t" + i, 1, "s", TargetAddress.of("10.0.0." + i + ":80"), "a", 4, false, 0, 0));
     }
     dispatcher.applyTargets(registered, now);
   }
--- a/chivecross-core/src/test/java/org/chivecross/logic/dispatch/PlacementExplanationTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/dispatch/PlacementExplanationTest.java
@@ -22,6 +22,7 @@
 import org.chivecross.model.fileset.RequestClass;
 import org.chivecross.model.fleet.LimitShare;
 import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.registry.TargetAddress;
 import org.chivecross.model.request.LoadReport;
 import org.chivecross.model.request.ResponseHead;
 import org.chivecross.model.ruleset.CallerLimits;
@@ -72,7 +73,15 @@
         String dataCentre = i % 3 == 0 ? "b" : "a";
         registered.add(
             new RegisteredTarget(
-                "t" + i, 1, "s" + i % 2, "10.0.0.1:1", dataCentre, 2, false, 0, 0));
+                "t" + i,
+                1,
+                "s" + i % 2,
+                TargetAddress.of("10.0.0.1:1"),
+                dataCentre,
+                2,
+                false,
+                0,
+                0));
       }
       dispatcher.applyTargets(registered, now);
     }
--- a/chivecross-core/src/test/java/org/chivecross/logic/fleet/GossipSimulation.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fleet/GossipSimulation.java
@@ -14,6 +14,7 @@
 import org.chivecross.model.fleet.StoreChange;
 import org.chivecross.model.fleet.StoreVersion;
 import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.registry.TargetAddress;
 import org.chivecross.model.ruleset.CallerLimits;
 import org.chivecross.model.ruleset.RouteRule;
 import org.chivecross.model.ruleset.RuleSet;
@@ -162,7 +163,9 @@
   }
 
   void put(String id, long startedAt, boolean leaving) {
-    put(new RegisteredTarget(id, startedAt, "s", "10.9.0.1:80", "dc1", 4, leaving, 0, 0));
+    put(
+        new RegisteredTarget(
+            id, startedAt, "s", TargetAddress.of("10.9.0.1:80"), "dc1", 4, leaving, 0, 0));
   }
 
   /** Registers a target with the next sequence number of its own. */
--- a/chivecross-core/src/test/java/org/chivecross/logic/fleet/WarmUpRateTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/fleet/WarmUpRateTest.java
@@ -11,6 +11,7 @@
 import org.chivecross.model.fleet.LimitShare;
 import org.chivecross.model.fleet.TargetIncarnation;
 import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.registry.TargetAddress;
 import org.chivecross.model.ruleset.CallerLimits;
 import org.chivecross.model.ruleset.RuleSet;
 import org.chivecross.model.ruleset.ServiceRule;
@@ -35,7 +36,7 @@
 
   private static RegisteredTarget target(long warmUpMillis) {
     return new RegisteredTarget(
-        TARGET.id(), 1, "s", "10.9.0.1:80", "dc1", 6, false, warmUpMillis, 0);
+        TARGET.id(), 1, "s", TargetAddress.of("10.9.0.1:80"), "dc1", 6, false, warmUpMillis, 0);
   }
 
   /** Requests that a target bears in one second while it warms up. */
--- a/chivecross-core/src/test/java/org/chivecross/logic/request/CrashingRequestMachineTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/request/CrashingRequestMachineTest.java
@@ -20,6 +20,7 @@
 import org.chivecross.model.fileset.RequestClass;
 import org.chivecross.model.fleet.RequestStanding;
 import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.registry.TargetAddress;
 import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.Decision;
 import org.chivecross.model.request.LoadReport;
@@ -106,7 +107,8 @@
     List<RegisteredTarget> registered = new ArrayList<>();
     for (int i = 0; i < 4; i++) {
       registered.add(
-          new RegisteredTarget("t" + i, 1, "s", "10.0.0." + i + ":80", "a", 4, false, 0, 0));
+          new RegisteredTarget(
+              "t" + i, 1, "s", TargetAddress.of("10.0.0." + i + ":80"), "a", 4, false, 0, 0));
     }
     dispatcher.applyTargets(registered, now);
   }
--- a/chivecross-core/src/test/java/org/chivecross/logic/request/DispatchRequestMachineTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/request/DispatchRequestMachineTest.java
@@ -19,6 +19,7 @@
 import org.chivecross.logic.dispatch.Dispatcher;
 import org.chivecross.model.fileset.RequestClass;
 import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.registry.TargetAddress;
 import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.Decision;
 import org.chivecross.model.request.LoadReport;
@@ -89,7 +90,8 @@
     List<RegisteredTarget> registered = new ArrayList<>();
     for (int i = 0; i < targets; i++) {
       registered.add(
-          new RegisteredTarget("t" + i, 1, "s", "10.0.0." + i + ":80", "a", 4, false, 0, 0));
+          new RegisteredTarget(
+              "t" + i, 1, "s", TargetAddress.of("10.0.0." + i + ":80"), "a", 4, false, 0, 0));
     }
     dispatcher.applyTargets(registered, now);
   }
--- a/chivecross-core/src/test/java/org/chivecross/logic/request/ForwardedRequestMachineTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/request/ForwardedRequestMachineTest.java
@@ -24,6 +24,7 @@
 import org.chivecross.logic.dispatch.SuspectRequestPort;
 import org.chivecross.model.fileset.RequestClass;
 import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.registry.TargetAddress;
 import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.Decision;
 import org.chivecross.model.request.ForwardedBy;
@@ -97,7 +98,8 @@
     List<RegisteredTarget> registered = new ArrayList<>();
     for (int i = 0; i < 6; i++) {
       registered.add(
-          new RegisteredTarget("t" + i, 1, "s", "10.0.0." + i + ":80", "a", 4, false, 0, 0));
+          new RegisteredTarget(
+              "t" + i, 1, "s", TargetAddress.of("10.0.0." + i + ":80"), "a", 4, false, 0, 0));
     }
     dispatcher.applyTargets(registered, now);
   }
--- a/chivecross-core/src/test/java/org/chivecross/logic/request/PlannedStopTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/request/PlannedStopTest.java
@@ -16,6 +16,7 @@
 import org.chivecross.logic.dispatch.Dispatcher;
 import org.chivecross.model.fileset.RequestClass;
 import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.registry.TargetAddress;
 import org.chivecross.model.request.Decision;
 import org.chivecross.model.request.ForwardedBy;
 import org.chivecross.model.request.LoadReport;
@@ -66,8 +67,10 @@
             1, routes, List.of(new ServiceRule("s", "/health", 0)), new CallerLimits(1, 1, 1, 1)));
     dispatcher.applyTargets(
         List.of(
-            new RegisteredTarget("t1", 1, "s", "10.0.0.1:80", "a", 64, false, 0, 0),
-            new RegisteredTarget("t2", 1, "s", "10.0.0.2:80", "a", 64, false, 0, 0)),
+            new RegisteredTarget(
+                "t1", 1, "s", TargetAddress.of("10.0.0.1:80"), "a", 64, false, 0, 0),
+            new RegisteredTarget(
+                "t2", 1, "s", TargetAddress.of("10.0.0.2:80"), "a", 64, false, 0, 0)),
         now);
   }
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/DispatchAddresses.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/DispatchAddresses.java
@@ -1,6 +1,8 @@
 package org.chivecross.cli.entry.fleet;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -9,6 +11,7 @@
 import org.chivecross.logic.dispatch.Dispatcher;
 import org.chivecross.logic.dispatch.RequestForwarding;
 import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.registry.TargetAddress;
 
 /**
  * Addresses, connection limits and ids of a dispatcher's targets, and of the entries to which it
@@ -22,7 +25,7 @@
   private final Object lock;
   private final Dispatcher dispatcher;
   private final int entryPort;
-  private final Map<String, InetSocketAddress> parsedAddresses = new ConcurrentHashMap<>();
+  private final Map<TargetAddress, InetSocketAddress> resolved = new ConcurrentHashMap<>();
 
   /** Creates the addresses; {@code entryPort} is the port for forwarded requests of all entries. */
   DispatchAddresses(Object lock, Dispatcher dispatcher, int entryPort) {
@@ -38,11 +41,11 @@
         return dispatcher
             .forwarding()
             .ip(target)
-            .map(ip -> parsedAddresses.computeIfAbsent(ip + ":" + entryPort, this::parse));
+            .flatMap(ip -> TargetAddress.parse(ip + ":" + entryPort))
+            .map(this::resolve);
       }
     }
-    return targetAt(target)
-        .map(found -> parsedAddresses.computeIfAbsent(found.address(), this::parse));
+    return targetAt(target).map(found -> resolve(found.address()));
   }
 
   @Override
@@ -80,9 +83,15 @@
     }
   }
 
-  private InetSocketAddress parse(String address) {
-    int colon = address.lastIndexOf(':');
-    return new InetSocketAddress(
-        address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+  private InetSocketAddress resolve(TargetAddress address) {
+    return resolved.computeIfAbsent(address, DispatchAddresses::toSocketAddress);
+  }
+
+  private static InetSocketAddress toSocketAddress(TargetAddress address) {
+    try {
+      return new InetSocketAddress(InetAddress.getByAddress(address.ipBytes()), address.port());
+    } catch (UnknownHostException e) {
+      throw new IllegalStateException("four bytes are always an address", e);
+    }
   }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -377,7 +377,7 @@
     }
     prober.probe(
         row,
-        target.get().address(),
+        target.get().address().toString(),
         service.healthPath(),
         Dispatcher.probeTimeoutMillis(),
         result -> probeEnded(row, result));
--- a/chivecross-wire/src/main/java/org/chivecross/wire/fleet/FleetCodec.java
+++ b/chivecross-wire/src/main/java/org/chivecross/wire/fleet/FleetCodec.java
@@ -19,6 +19,7 @@
 import org.chivecross.model.fleet.TargetWarmUp;
 import org.chivecross.model.fleet.ViewUpdate;
 import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.registry.TargetAddress;
 import org.chivecross.model.ruleset.RuleSet;
 import org.chivecross.wire.generated.fleet.EvacuationsNote;
 import org.chivecross.wire.generated.fleet.FleetDatagram;
@@ -228,7 +229,7 @@
               .setId(target.id())
               .setStartedAtMillis(target.startedAtMillis())
               .setService(target.service())
-              .setAddress(target.address())
+              .setAddress(target.address().toString())
               .setDataCentre(target.dataCentre())
               .setSlots(target.slots())
               .setLeaving(target.leaving())
@@ -254,7 +255,7 @@
         note.getDigest(),
         note.getRulesVersion(),
         note.getWhole(),
-        note.getRegisteredList().stream().map(FleetCodec::toTarget).toList(),
+        note.getRegisteredList().stream().flatMap(target -> toTarget(target).stream()).toList(),
         note.getRemovedList(),
         rules,
         note.hasEvacuations()
@@ -262,16 +263,20 @@
             : Optional.empty());
   }
 
-  private static RegisteredTarget toTarget(TargetNote note) {
-    return new RegisteredTarget(
-        note.getId(),
-        note.getStartedAtMillis(),
-        note.getService(),
-        note.getAddress(),
-        note.getDataCentre(),
-        note.getSlots(),
-        note.getLeaving(),
-        note.getWarmupMillis(),
-        note.getSequence());
+  /** Returns a target; empty without a usable address, which earlier releases pass on. */
+  private static Optional<RegisteredTarget> toTarget(TargetNote note) {
+    return TargetAddress.parse(note.getAddress())
+        .map(
+            address ->
+                new RegisteredTarget(
+                    note.getId(),
+                    note.getStartedAtMillis(),
+                    note.getService(),
+                    address,
+                    note.getDataCentre(),
+                    note.getSlots(),
+                    note.getLeaving(),
+                    note.getWarmupMillis(),
+                    note.getSequence()));
   }
 }
--- a/chivecross-wire/src/test/java/org/chivecross/wire/fleet/FleetCodecTest.java
+++ b/chivecross-wire/src/test/java/org/chivecross/wire/fleet/FleetCodecTest.java
@@ -28,6 +28,7 @@
 import org.chivecross.model.fleet.TargetWarmUp;
 import org.chivecross.model.fleet.ViewUpdate;
 import org.chivecross.model.registry.RegisteredTarget;
+import org.chivecross.model.registry.TargetAddress;
 import org.chivecross.model.ruleset.CallerLimits;
 import org.chivecross.model.ruleset.RouteRule;
 import org.chivecross.model.ruleset.RuleSet;
@@ -63,7 +64,8 @@
 
   private static FleetMessage message(int routes) {
     RegisteredTarget target =
-        new RegisteredTarget("i-1", 1790000000123L, "s1", "10.0.0.1:80", "a", 4, true, 1_500, 4);
+        new RegisteredTarget(
+            "i-1", 1790000000123L, "s1", TargetAddress.of("10.0.0.1:80"), "a", 4, true, 1_500, 4);
     ViewUpdate update =
         new ViewUpdate(
             new StoreVersion(3, 530),
