Contain unexpected errors in the request that they concern

Callers lost requests at work at sound targets when another request on their connection met an exception; a request whose timer met one was never answered.

Cause: nothing contained an exception. The library closes the connection that it was reading, with all requests on it; in a timer the exchange was not armed again.

Change: ErrorContainment runs the steps of an exchange that timers, connections and earlier responses trigger, CallerFilter what is read. An unexpected error ends its request with 503 if provably nothing was sent, else with 502, is logged and counted. An exception while connecting fails the attempt; one in the response of a target did so before.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/RecordingObserver.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/RecordingObserver.java
@@ -54,6 +54,11 @@
     delegate.silentConnectionFound(closed);
   }
 
+  @Override
+  public void failedUnexpectedly() {
+    delegate.failedUnexpectedly();
+  }
+
   @Override
   public void headRefused(int status) {
     delegate.headRefused(status);
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/EntryScheduler.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/EntryScheduler.java
@@ -88,7 +88,7 @@
     try {
       listener.wokeUp(dueNanos, idleSinceNanos, System.nanoTime());
       task.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | StackOverflowError e) {
       Logger.error(e, "scheduled task failed; other tasks are unaffected");
     } finally {
       idleSinceNanos = System.nanoTime();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerExchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerExchange.java
@@ -26,6 +26,9 @@
   /** Handles a body that can't be read completely because its chunked coding is invalid. */
   void bodyBroken();
 
+  /** Ends the exchange with an answer, after an unexpected error in one of its steps. */
+  void failedUnexpectedly();
+
   /** Called when all exchanges before this one are over, so that it may write its response. */
   void writeAllowed();
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerFilter.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerFilter.java
@@ -9,6 +9,7 @@
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.nio.NIOConnection;
 import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
 
 /** Passes the parts of requests to the exchanges they belong to. Safe for use by many threads. */
 final class CallerFilter extends BaseFilter {
@@ -55,12 +56,23 @@
       exchange.bodyBroken();
       return context.getStopAction();
     }
-    if (exchange.received(content) || !exchange.suspendReader(context)) {
+    if (receive(exchange, content) || !exchange.suspendReader(context)) {
       return context.getStopAction();
     }
     return context.getSuspendAction();
   }
 
+  /** Passes a part on; an unexpected error ends its request, not the others of the connection. */
+  private static boolean receive(CallerExchange exchange, HttpContent content) {
+    try {
+      return exchange.received(content);
+    } catch (RuntimeException | StackOverflowError e) {
+      Logger.error(e, "request ended by an unexpected error while it was read");
+      exchange.failedUnexpectedly();
+      return true;
+    }
+  }
+
   /** Begins the exchange of a request; returns null if its connection is being closed. */
   private @Nullable CallerExchange begin(CallerConnection caller, HttpRequestPacket request) {
     Optional<LocalHandler> local = localRoutes.find(request.getRequestURI());
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -2,12 +2,9 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.chivecross.logic.request.RequestMachine;
 import org.chivecross.logic.routing.Route;
-import org.chivecross.model.failure.Failure;
-import org.chivecross.model.failure.Step;
 import org.chivecross.model.fileset.RequestClass;
 import org.chivecross.model.peer.KeyCall;
 import org.chivecross.model.request.ConnectionFault;
@@ -41,6 +38,7 @@
   private final ExchangeTimes times;
   private final AttemptList attempts = new AttemptList();
   private final ExchangeTimer timer;
+  private final ErrorContainment containment;
   private @Nullable Attempt relayed;
   private boolean started;
   private boolean callerCongested;
@@ -55,6 +53,7 @@
     this.services = services;
     ports = services.ports();
     lock = ports.locks().get();
+    containment = new ErrorContainment(lock, this::failedUnexpectedly);
     this.caller = caller;
     this.request = request;
     response = new CallerResponse(caller, this, ports.dialect(), services.leaving());
@@ -93,7 +92,7 @@
       }
       Buffer buffer = content.getContent();
       if (body.receivedBytes() + buffer.remaining() > services.maxBodyBytes().getAsLong()) {
-        refuse(413, "body is larger than " + services.maxBodyBytes().getAsLong() + " bytes");
+        refuse(413, "body is larger than " + services.maxBodyBytes().getAsLong() + " bytes", true);
         return true;
       }
       boolean more = body.receive(buffer, content.isLast());
@@ -125,31 +124,42 @@
 
   /** Handles the timer; does nothing if it is not due. */
   void timer(long nowNanos) {
+    containment.run(() -> runTimer(nowNanos));
+  }
+
+  private void runTimer(long nowNanos) {
+    if (over || !timer.tryFire(nowNanos)) {
+      return;
+    }
+    Attempt expired = attempts.findTimedOut(services.settings().connectTimeoutNanos(), nowNanos);
+    if (expired == null) {
+      carryOut(machine.timer(nowNanos), nowNanos);
+    } else {
+      failed(expired, ConnectionFault.CONNECT_TIMEOUT, nowNanos);
+    }
+    route.ifPresent(r -> attempts.closeSuspects(services, r, nowNanos));
+  }
+
+  @Override
+  public void failedUnexpectedly() {
     synchronized (lock) {
-      if (over || !timer.tryFire(nowNanos)) {
-        return;
-      }
-      Attempt expired = attempts.findTimedOut(services.settings().connectTimeoutNanos(), nowNanos);
-      if (expired == null) {
-        carryOut(machine.timer(nowNanos), nowNanos);
-      } else {
-        failed(expired, ConnectionFault.CONNECT_TIMEOUT, nowNanos);
-      }
-      route.ifPresent(r -> attempts.closeSuspects(services, r, nowNanos));
+      ports.observer().failedUnexpectedly();
+      refuse(attempts.isAnySent() ? 502 : 503, "unexpected error of this entry", false);
     }
   }
 
   @Override
   public void bodyBroken() {
-    refuse(400, "body is not in valid chunks");
+    refuse(400, "body is not in valid chunks", true);
   }
 
   @Override
   public void writeAllowed() {
-    synchronized (lock) {
-      response.flush();
-      startIfReady();
-    }
+    containment.run(
+        () -> {
+          response.flush();
+          startIfReady();
+        });
   }
 
   @Override
@@ -206,11 +216,7 @@
 
   /** Handles the loss of an attempt's connection, or the failure to get one. */
   void attemptFailed(Attempt attempt, ConnectionFault fault) {
-    synchronized (lock) {
-      if (!over && !attempt.isOver()) {
-        failed(attempt, fault, System.nanoTime());
-      }
-    }
+    containment.run(() -> failed(attempt, fault, System.nanoTime()));
   }
 
   /** A non-idempotent request waits for earlier ones, since they may close the connection. */
@@ -245,7 +251,7 @@
   }
 
   /** Answers without the machine; the outcome is not-run only if no attempt was sent. */
-  private void refuse(int status, String detail) {
+  private void refuse(int status, String detail, boolean closes) {
     synchronized (lock) {
       if (over) {
         return;
@@ -258,10 +264,10 @@
       if (started) {
         machine.cancelled(System.nanoTime());
       }
-      response.closeAfterwards();
-      String peer = RequestHeads.callerAddress(caller.connection());
-      Failure failure = new Failure(Step.ACCEPT, peer, detail);
-      answer(ports.dialect().answer(status, outcome, failure, OptionalLong.empty()), outcome);
+      if (closes) {
+        response.closeAfterwards();
+      }
+      answer(services.refusal(status, outcome, caller.connection(), detail), outcome);
     }
   }
 
@@ -290,6 +296,9 @@
   }
 
   private void failed(Attempt attempt, ConnectionFault fault, long now) {
+    if (over || attempt.isOver()) {
+      return;
+    }
     attempt.abandon();
     carryOut(machine.connectionFailed(attempt.number(), fault, now), now);
   }
@@ -309,7 +318,13 @@
     } else if (decision instanceof Decision.Finish) {
       finish(0, Outcome.UNKNOWN);
     } else if (decision instanceof Decision.PassToOwner pass) {
-      passToOwner(pass.ownerIncarnation());
+      services.passToOwner(
+          pass.ownerIncarnation(),
+          request,
+          body,
+          route,
+          times.arrivedNanos(),
+          (answer, outcome) -> containment.run(() -> answer(answer, outcome)));
     }
     rearm();
   }
@@ -331,9 +346,7 @@
 
   /** Sends an attempt on the connection that was acquired for it. */
   void acquired(Attempt attempt, UpstreamConnection connection) {
-    synchronized (lock) {
-      sendOn(attempt, connection);
-    }
+    containment.run(() -> sendOn(attempt, connection));
   }
 
   private void sendOn(Attempt attempt, UpstreamConnection connection) {
@@ -361,6 +374,9 @@
   }
 
   private void answer(LocalResponse answer, Outcome outcome) {
+    if (over) {
+      return;
+    }
     if (!body.isComplete()) {
       response.closeWhileReceiving();
     }
@@ -375,22 +391,6 @@
     finish(0, Outcome.UNKNOWN);
   }
 
-  private void passToOwner(long incarnation) {
-    long now = System.nanoTime();
-    long arrived = times.arrivedNanos();
-    long remaining = RequestHeads.remainingMillis(request, route, arrived, now, ports.dialect());
-    OwnerForwarding.send(
-        ports.owners(), incarnation, request, body, remaining, this::ownerAnswered);
-  }
-
-  private void ownerAnswered(LocalResponse answer, Outcome outcome) {
-    synchronized (lock) {
-      if (!over) {
-        answer(answer, outcome);
-      }
-    }
-  }
-
   private void finish(int status, Outcome outcome) {
     over = true;
     timer.set(Long.MAX_VALUE);
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ExchangeObserver.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ExchangeObserver.java
@@ -23,6 +23,9 @@
   /** Called when a request was dropped before it was sent, since its caller had left. */
   default void droppedUnsent() {}
 
+  /** Called when a request is ended by an unexpected error, such as a defect of this program. */
+  default void failedUnexpectedly() {}
+
   /**
    * Called when a selector thread has handled the events of one selection.
    *
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ExchangeServices.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ExchangeServices.java
@@ -1,8 +1,15 @@
 package org.chivecross.cli.entry.http;
 
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import org.chivecross.logic.routing.Route;
+import org.chivecross.model.failure.Failure;
+import org.chivecross.model.failure.Step;
 import org.chivecross.model.request.Outcome;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 
 /**
@@ -33,6 +40,30 @@
         ports, client, inFlight, leaving, maxBodyBytes, settings, abandoned, true);
   }
 
+  /** Returns the answer to a request that no target is asked for. */
+  LocalResponse refusal(int status, Outcome outcome, Connection<?> caller, String detail) {
+    Failure failure = new Failure(Step.ACCEPT, RequestHeads.callerAddress(caller), detail);
+    return ports.dialect().answer(status, outcome, failure, OptionalLong.empty());
+  }
+
+  /**
+   * Passes a request to the entry that owns its key.
+   *
+   * @param handler receives the response for the caller and its outcome
+   */
+  void passToOwner(
+      long incarnation,
+      HttpRequestPacket request,
+      BodyFlow body,
+      Optional<Route> route,
+      long arrivedNanos,
+      BiConsumer<LocalResponse, Outcome> handler) {
+    long now = System.nanoTime();
+    long remaining =
+        RequestHeads.remainingMillis(request, route, arrivedNanos, now, ports.dialect());
+    OwnerForwarding.send(ports.owners(), incarnation, request, body, remaining, handler);
+  }
+
   /** Completes an answer of this entry to a request. */
   LocalResponse complete(LocalResponse answer, HttpRequestPacket request, Outcome outcome) {
     return forwarded
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/LocalExchange.java
@@ -62,6 +62,11 @@
         LocalResponse.text(400, Map.of(), "application/json", "{\"error\":\"malformed body\"}\n"));
   }
 
+  @Override
+  public void failedUnexpectedly() {
+    answer(LocalResponse.text(500, Map.of(), "application/json", "{\"error\":\"unexpected\"}\n"));
+  }
+
   @Override
   public synchronized void writeAllowed() {
     response.flush();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
@@ -71,8 +71,12 @@
       handler.failed(ConnectionFault.LIMITED);
       return;
     }
-    connector.connect(
-        (SocketAddress) address.get(), new ConnectCompletion(pool, address.get(), handler));
+    ConnectCompletion completion = new ConnectCompletion(pool, address.get(), handler);
+    try {
+      connector.connect((SocketAddress) address.get(), completion);
+    } catch (RuntimeException e) {
+      completion.failed(e);
+    }
   }
 
   /** Returns the number of connections opened so far. */
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/metrics/EntryMetrics.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/metrics/EntryMetrics.java
@@ -48,6 +48,7 @@
   private final Counter refusedHeads;
   private final Histogram selectorRounds;
   private final Counter droppedRequests;
+  private final Counter unexpectedErrors;
   private final Map<Labels, DataPoints> dataPointsByLabels = new ConcurrentHashMap<>();
 
   /**
@@ -91,6 +92,8 @@
         counter(
             "chivecross_requests_dropped_unsent",
             "Requests that were not sent since their callers had left");
+    unexpectedErrors =
+        counter("chivecross_unexpected_errors", "Requests that an unexpected error has ended");
     selectorRounds =
         histogram(
             "chivecross_selector_round_seconds",
@@ -157,6 +160,11 @@
     droppedRequests.inc();
   }
 
+  @Override
+  public void failedUnexpectedly() {
+    unexpectedErrors.inc();
+  }
+
   @Override
   public void selectorRoundEnded(long nanos) {
     selectorRounds.observe(nanos * SECONDS_PER_NANO);
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerConnectionTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/CallerConnectionTest.java
@@ -210,6 +210,9 @@
       onAllowed.run();
     }
 
+    @Override
+    public void failedUnexpectedly() {}
+
     @Override
     public void callerClosed() {}
   }
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/DataPathFixture.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/DataPathFixture.java
@@ -51,6 +51,7 @@
   private final RecordingOwners owners = new RecordingOwners();
   private final DataPath dataPath;
   private final InetSocketAddress address;
+  private volatile boolean addressesFail;
 
   DataPathFixture(DataPathSettings settings, String... targets) throws IOException {
     this(settings, router -> router, targets);
@@ -67,6 +68,9 @@
         new UpstreamAddresses() {
           @Override
           public Optional<InetSocketAddress> address(int target) {
+            if (addressesFail) {
+              throw new IllegalStateException("defect of the test");
+            }
             String[] parts = engine.address(target).split(":", -1);
             return Optional.of(new InetSocketAddress(parts[0], Integer.parseInt(parts[1])));
           }
@@ -103,6 +107,11 @@
         Arrays.stream(upstreams).map(ScriptedUpstream::address).toArray(String[]::new));
   }
 
+  /** Sets whether looking up the address of a target throws an exception. */
+  void setAddressesFail(boolean fail) {
+    addressesFail = fail;
+  }
+
   DataPath dataPath() {
     return dataPath;
   }
