Bound what is queued behind earlier responses

Operators of similar systems lost a machine, and the requests of all callers on it, to a target that sent a body without end.

Cause, found here in one place: the response to a pipelined read that is not due yet was queued without a bound. With something queued, canWrite said that more may be read. Parts of one byte count as one byte although each takes hundreds on the heap.

Change: a queued or held response counts its bytes and an overhead for each part. Beyond 64 KiB its target is not read until the responses before it have left. It works since a target that is not read can send no more than what its connection buffers.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
@@ -19,6 +19,7 @@
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.nio.NIOConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The response to one request of a caller. Guarded by the lock of the exchange.
@@ -34,6 +35,9 @@
   private static final CompletionHandler<WriteResult<HttpResponsePacket, SocketAddress>>
       ACKNOWLEDGED = new EmptyCompletionHandler<>();
 
+  /** Bytes that are queued, before no more is read, while responses before this one are due. */
+  private static final int MAX_QUEUED_BYTES = 64 * 1024;
+
   private final CallerConnection caller;
   private final CallerExchange exchange;
   private final RequestDialect dialect;
@@ -42,6 +46,8 @@
   private final NIOConnection connection;
   private final HttpRequestPacket request;
   private final HttpResponsePacket packet;
+  private int queuedBytes;
+  private @Nullable Runnable resumeAfterFlush;
   private boolean closeAfter;
   private boolean committed;
   private boolean aborted;
@@ -98,6 +104,7 @@
   /** Writes a part of the body, or queues it until this response may be written. */
   void write(Buffer content, boolean last) {
     pendingParts.add(new Part(content, last));
+    queuedBytes += HeldResponse.heapBytes(content);
     flush();
   }
 
@@ -110,12 +117,18 @@
     write(last < 0 ? Buffers.EMPTY_BUFFER : parts.get(last), true);
   }
 
-  /** Writes the queued parts if this response may be written. */
+  /** Writes the queued parts if this response may be written; lets more be read afterwards. */
   void flush() {
     while (!pendingParts.isEmpty() && caller.mayWrite(exchange)) {
       Part part = pendingParts.remove();
+      queuedBytes -= HeldResponse.heapBytes(part.content());
       writeNow(part.content(), part.last());
     }
+    Runnable resume = resumeAfterFlush;
+    if (resume != null && pendingParts.isEmpty()) {
+      resumeAfterFlush = null;
+      resume.run();
+    }
     if (aborted && caller.mayWrite(exchange)) {
       closeAborted();
     }
@@ -178,6 +191,8 @@
   void abort() {
     aborted = true;
     pendingParts.clear();
+    queuedBytes = 0;
+    resumeAfterFlush = null;
     caller.endAfterOpenExchanges();
     if (caller.mayWrite(exchange)) {
       closeAborted();
@@ -207,6 +222,10 @@
 
   /** Returns whether more bytes may be queued now; otherwise {@code resume} runs later. */
   boolean canWrite(Runnable resume) {
+    if (queuedBytes > MAX_QUEUED_BYTES) {
+      resumeAfterFlush = resume;
+      return false;
+    }
     if (!pendingParts.isEmpty() || connection.canWrite()) {
       return true;
     }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/HeldResponse.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/HeldResponse.java
@@ -13,13 +13,16 @@
  */
 final class HeldResponse {
 
+  /** Heap that a part takes besides its bytes; a target may send each byte in a part of its own. */
+  private static final int PART_OVERHEAD_BYTES = 256;
+
   private final int limit;
   private final List<Buffer> parts = new ArrayList<>(2);
   private @Nullable HttpResponsePacket head;
   private int bytes;
   private boolean released;
 
-  /** Creates an empty buffer; parts are kept only up to {@code limit} bytes. */
+  /** Creates an empty buffer; parts are kept only up to {@code limit} bytes of heap. */
   HeldResponse(int limit) {
     this.limit = limit;
   }
@@ -35,13 +38,18 @@
     return !head.isChunked() && head.getContentLength() < 0;
   }
 
+  /** Returns about the heap that a part takes, in bytes. */
+  static int heapBytes(Buffer part) {
+    return PART_OVERHEAD_BYTES + part.remaining();
+  }
+
   /** Adds a part; returns whether the parts so far may be sent to the caller. */
   boolean take(HttpContent content) {
     head = (HttpResponsePacket) content.getHttpHeader();
     Buffer buffer = content.getContent();
     if (buffer.hasRemaining()) {
       parts.add(buffer);
-      bytes += buffer.remaining();
+      bytes += heapBytes(buffer);
     }
     released |= content.isLast() || bytes > limit;
     return released;
