--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -282,11 +282,12 @@
     }
   }
 
-  /** Reads the store; an unexpected exception is a failed read, after which reading goes on. */
+  /** Reads the store; an unexpected error is a failed read, after which reading goes on. */
   private StoreReader.Answer readSafely(OptionalLong after) {
     try {
       return store.read(after);
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | VirtualMachineError e) {
+      // A value of another program may need more stack or heap than there is.
       Logger.error(e, "reading the store failed unexpectedly");
       return new StoreReader.Answer.Failed(
           new Failure(Step.PLATFORM_READ, Failure.LOCAL, e.toString()));
