Name and document the planned stop and the containment for newcomers

No change of behaviour: recordAnyAnswer is recordResponseTime, the reasons for the half of the stop and for the containment stand where a reader looks.

--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/Dispatcher.java
@@ -327,7 +327,7 @@
     targets.attemptEnded(row);
     targets.served(row, nowNanos);
     admission.ended(ticket.route(), ticket.service(), true, nowNanos);
-    responseTimes.recordAnyAnswer(ticket.route(), elapsedNanos);
+    responseTimes.recordResponseTime(ticket.route(), elapsedNanos);
     if (wasAtNominalSpeed) {
       responseTimes.recordAnswer(ticket.route(), elapsedNanos);
     }
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PlannedStop.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/PlannedStop.java
@@ -8,8 +8,8 @@
  * What is sent must be able to end before the entry does, since a request that is cut has an
  * unknown outcome, whereas a refused one can be sent to another entry at once.
  *
- * <p>Invariant: once a request of some kind may not be sent, none with a later deadline may be, up
- * to changes of the response times observed. Not thread-safe.
+ * <p>Invariant: a request whose own deadline ends before the stop may always be sent; any other one
+ * only until a fixed time. Not thread-safe.
  */
 public final class PlannedStop {
 
--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/ResponseTimeEstimates.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/ResponseTimeEstimates.java
@@ -42,8 +42,8 @@
     millisByRoute.put(key(route), before + EWMA_GAIN * (millis - before));
   }
 
-  /** Records the response time of any target; see {@link #longestNanos}. */
-  void recordAnyAnswer(RouteRule route, long elapsedNanos) {
+  /** Records the time that an answer of any target took; see {@link #longestNanos}. */
+  void recordResponseTime(RouteRule route, long elapsedNanos) {
     longestNanosByRoute.merge(
         key(route),
         (double) elapsedNanos,
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/StopTimes.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/StopTimes.java
@@ -7,7 +7,8 @@
  * requested, and {@code latestEndNanos} is the last one. Immutable and safe for use by many
  * threads.
  *
- * @param acceptUntilNanos from then on only requests whose own deadline ends in time are accepted
+ * @param acceptUntilNanos half of the stop, so that requests sent before have at least the other
+ *     half to end; from then on only those whose own deadline ends in time are sent
  * @param lastResponseNanos time by which all responses must be complete
  * @param earliestEndNanos earliest end, as callers may still use the address of this entry
  * @param latestEndNanos latest end, also with requests in flight
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ErrorContainment.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ErrorContainment.java
@@ -5,8 +5,8 @@
 /**
  * Runs the steps of one exchange under its lock, so that an unexpected error in one of them ends
  * this exchange and nothing else: an exception that reaches the library closes the connection on
- * which it was reading, with all other requests on it, and one that reaches a timer leaves the
- * exchange without any.
+ * which it was reading, with all other requests on it, and one that reaches the scheduler leaves
+ * the exchange without a timer.
  *
  * <p>Invariant: no runtime exception leaves {@link #run}, unless the handler throws one. Safe for
  * use by many threads.
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -250,7 +250,7 @@
     return hasLeft;
   }
 
-  /** Answers without the machine; the outcome is not-run only if no attempt was sent. */
+  /** Answers without the machine; the outcome is not-run exactly if no attempt was sent. */
   private void refuse(int status, String detail, boolean closes) {
     synchronized (lock) {
       if (over) {
