Log requests in flight at the end of a stop, and the close that it causes

The lines of the record can't tell a close by the stop from one after an exception (both LIBRARY), nor say how old the requests in flight at the end are, when they were sent and when their deadline is.

Each request in flight at the end of a stop now leaves one line with its age, the time since it was sent, the time until its deadline and the targets at work; the reason of the closes that follow is STOP_OVER. Lines after it in the same process are consequences of the stop.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/AttemptList.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/AttemptList.java
@@ -39,6 +39,14 @@
     return last;
   }
 
+  /** Returns the targets to which the request was sent and of which no response is complete. */
+  List<Integer> targetsAtWork() {
+    return attempts.stream()
+        .filter(attempt -> attempt.isSent() && !attempt.isOver())
+        .map(Attempt::target)
+        .toList();
+  }
+
   /** Returns one attempt and abandons all others. */
   @Nullable Attempt keepOnly(int number) {
     Attempt kept = null;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/BodyFlow.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/BodyFlow.java
@@ -1,5 +1,8 @@
 package org.chivecross.cli.entry.http;
 
+import java.util.Optional;
+import org.chivecross.logic.routing.Route;
+import org.chivecross.model.fileset.RequestClass;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.memory.MemoryManager;
@@ -34,6 +37,12 @@
     return body.receivedBytes();
   }
 
+  /** Returns whether a byte of an upload has arrived. */
+  boolean isUploadBegun(Optional<Route> route) {
+    return receivedBytes() > 0
+        && route.filter(found -> found.requestClass() == RequestClass.UPLOAD).isPresent();
+  }
+
   boolean isComplete() {
     return body.isComplete();
   }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerRegistry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerRegistry.java
@@ -86,6 +86,11 @@
     open.forEach(CallerRegistry::closeIfIdle);
   }
 
+  /** Records that the open connections are about to be closed by the end of the entry. */
+  void noteStopOver() {
+    open.forEach(caller -> caller.noteCloseReason(CloseReason.STOP_OVER));
+  }
+
   private static void closeIfIdle(CallerConnection caller) {
     if (caller.closeIfIdle()) {
       caller.connection().closeSilently();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CloseReason.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CloseReason.java
@@ -10,6 +10,8 @@
   LINGER_OVER,
   /** The entry stops and no request was in flight. */
   STOP,
+  /** The planned stop of the entry is over while requests were in flight. */
+  STOP_OVER,
   /** A complete response ended the connection. */
   LAST_RESPONSE,
   /** A response could not be completed after its first bytes were sent. */
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
@@ -35,6 +35,7 @@
   private final TCPNIOTransport transport;
   private final UpstreamClient client;
   private final InFlightExchanges inFlight = new InFlightExchanges();
+  private final StoppedRequestLog stoppedRequests;
   private final CallerRegistry callers;
   private final CallerRegistry localCallers;
   private final CallerRegistry forwarders;
@@ -76,6 +77,7 @@
     EventLog log = new EventLog(System::nanoTime);
     CutRequestLog cuts = new CutRequestLog(log, ports.dialect());
     AbandonedRequestLog abandoned = new AbandonedRequestLog(log, ports.dialect(), rounds);
+    stoppedRequests = new StoppedRequestLog(log, client, ports.dialect());
     callers = new CallerRegistry(settings, cuts);
     localCallers = new CallerRegistry(DataPathSettings.defaults(), cuts);
     forwarders = new CallerRegistry(DataPathSettings.defaults(), cuts);
@@ -137,6 +139,9 @@
    * @throws IOException if a transport can't be stopped
    */
   public void stop() throws IOException {
+    inFlight.forEach(exchange -> exchange.reportStopped(stoppedRequests));
+    callers.noteStopOver();
+    forwarders.noteStopOver();
     transport.shutdownNow();
   }
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -5,8 +5,6 @@
 import java.util.concurrent.TimeUnit;
 import org.chivecross.logic.request.RequestMachine;
 import org.chivecross.logic.routing.Route;
-import org.chivecross.model.fileset.RequestClass;
-import org.chivecross.model.peer.KeyCall;
 import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.Decision;
 import org.chivecross.model.request.Outcome;
@@ -61,9 +59,7 @@
     timer = new ExchangeTimer(ports.scheduler(), () -> timer(System.nanoTime()));
     machine = ports.machines().create(timer::fireNow);
     times = new ExchangeTimes(nowNanos);
-    boolean keyed = RequestHeads.idempotencyKey(request).isPresent();
-    int retained = keyed ? KeyCall.MAX_BODY_BYTES : services.settings().retainedBodyBytes();
-    body = new BodyFlow(lock, new RequestBody(retained), caller);
+    body = new BodyFlow(lock, services.newBody(request), caller);
   }
 
   Object lock() {
@@ -172,13 +168,21 @@
         machine.cancelled(System.nanoTime());
       }
       if (attempts.isAnySent() && caller.isClosedByCaller()) {
-        boolean isSuspended = caller.reader().isSuspended();
-        services.abandoned().abandoned(request, times, attempts, isSuspended);
+        services.abandoned().abandoned(request, times, attempts, caller.reader().isSuspended());
       }
       finish(0, attempts.isAnySent() ? Outcome.UNKNOWN : Outcome.NOT_RUN);
     }
   }
 
+  /** Writes the request to the log if it is not over. */
+  void reportStopped(StoppedRequestLog stopped) {
+    synchronized (lock) {
+      if (!over) {
+        stopped.cut(request, route, times, attempts);
+      }
+    }
+  }
+
   /** Handles a part of a response; returns whether more may be read now. */
   boolean responseContent(Attempt attempt, HttpContent content) {
     synchronized (lock) {
@@ -362,17 +366,12 @@
       return;
     }
     attempt.bind(connection, request, caller.connection(), ports, attempts.sentCount(), now);
-    if (body.sendTo(attempt) || isUploadWithBody()) {
+    if (body.sendTo(attempt) || body.isUploadBegun(route)) {
       machine.bodySent(now);
     }
     rearm();
   }
 
-  private boolean isUploadWithBody() {
-    boolean upload = route.filter(r -> r.requestClass() == RequestClass.UPLOAD).isPresent();
-    return upload && body.receivedBytes() > 0;
-  }
-
   private void answer(LocalResponse answer, Outcome outcome) {
     if (over) {
       return;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ExchangeServices.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ExchangeServices.java
@@ -8,6 +8,7 @@
 import org.chivecross.logic.routing.Route;
 import org.chivecross.model.failure.Failure;
 import org.chivecross.model.failure.Step;
+import org.chivecross.model.peer.KeyCall;
 import org.chivecross.model.request.Outcome;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.HttpRequestPacket;
@@ -40,6 +41,12 @@
         ports, client, inFlight, leaving, maxBodyBytes, settings, abandoned, true);
   }
 
+  /** Returns the empty body of a request; it keeps as much as further attempts may need. */
+  RequestBody newBody(HttpRequestPacket request) {
+    boolean keyed = RequestHeads.idempotencyKey(request).isPresent();
+    return new RequestBody(keyed ? KeyCall.MAX_BODY_BYTES : settings.retainedBodyBytes());
+  }
+
   /** Returns the answer to a request that no target is asked for. */
   LocalResponse refusal(int status, Outcome outcome, Connection<?> caller, String detail) {
     Failure failure = new Failure(Step.ACCEPT, RequestHeads.callerAddress(caller), detail);
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/InFlightExchanges.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/InFlightExchanges.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
 
 /** The exchanges in flight; each tick runs their due timers. Safe for use by many threads. */
 final class InFlightExchanges {
@@ -20,6 +21,10 @@
     return exchanges.size();
   }
 
+  void forEach(Consumer<Exchange> action) {
+    exchanges.forEach(action);
+  }
+
   /** Runs the timers that are due. */
   void tick(long nowNanos) {
     for (Exchange exchange : exchanges) {
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
@@ -3,11 +3,13 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.stream.Collectors;
 import org.chivecross.model.failure.Failure;
 import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.ConnectionKind;
@@ -104,6 +106,14 @@
     all.forEach(pool -> pool.closeIdle(idleNanos, nowNanos));
   }
 
+  /** Returns the addresses of targets, separated by spaces. */
+  String addressesOf(List<Integer> targets) {
+    return targets.stream()
+        .flatMap(target -> addresses.address(target).stream())
+        .map(address -> address.getHostString() + ":" + address.getPort())
+        .collect(Collectors.joining(" "));
+  }
+
   /** Returns a failure that names a target by its address instead of its row. */
   Failure withAddress(Failure failure) {
     if (!failure.peer().startsWith(TARGET_PEER)) {
