Take only an answer of the network for a refusal by a target

Every failure to connect except a time-out counted as refused, also a lack of descriptors, an address that can't be bound, a transport that is shut down, a cancelled connect and a target that is no longer known. A refusal after a closed connection is what makes a target count as ended, at all entries.

Connect failures are now classified by what the network answered; everything else is LOCAL: the attempt is over, and nothing is concluded about its target (no crash, no failure, no isolation). A probe that wasn't made judges nothing (ProbeResult.NotMade).

--- a/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetResponses.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/dispatch/TargetResponses.java
@@ -68,6 +68,11 @@
       probeEnded(row, responded.healthy(), Optional.of(responded.head()), nowNanos);
       return;
     }
+    if (result instanceof ProbeResult.NotMade) {
+      crashes.probeEnded(row);
+      probes.ended(row);
+      return;
+    }
     if (result instanceof ProbeResult.Failed failed && failed.refused()) {
       crashes.connectionRefused(row, nowNanos);
     }
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/AttemptEnds.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/AttemptEnds.java
@@ -41,6 +41,10 @@
   void connectionFailed(PlacementTicket ticket, int attempt, ConnectionFault fault, long nowNanos) {
     attempts.close(attempt);
     int target = attempts.target(attempt);
+    if (fault == ConnectionFault.LOCAL) {
+      dispatcher.abandoned(target);
+      return;
+    }
     if (fault == ConnectionFault.MALFORMED || fault == ConnectionFault.LIMITED) {
       dispatcher.failed(target, nowNanos);
     } else {
--- a/chivecross-core/src/main/java/org/chivecross/model/request/ProbeResult.java
+++ b/chivecross-core/src/main/java/org/chivecross/model/request/ProbeResult.java
@@ -16,4 +16,7 @@
    * @param refused whether the target refused the connection
    */
   record Failed(boolean refused) implements ProbeResult {}
+
+  /** This entry could not probe the target for a reason of its own; the target is not judged. */
+  record NotMade() implements ProbeResult {}
 }
--- a/chivecross-core/src/test/java/org/chivecross/logic/request/CrashingRequestMachineTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/request/CrashingRequestMachineTest.java
@@ -186,6 +186,21 @@
     assertEquals(1, ended.size());
   }
 
+  /** Guards against an entry that takes its own end or fault for the end of a target. */
+  @Test
+  void faultOfThisEntryIsNoEvidenceAboutTheTarget() {
+    RequestMachine first = machines.create();
+    Decision.Send send = sent(first, arrive(first));
+    close(first, send);
+    dispatcher.probeEnded(send.target(), new ProbeResult.NotMade(), now);
+    dispatcher.crashes().connectionRefused(send.target(), now);
+    RequestMachine second = machines.create();
+    Decision.Send cut = sent(second, arrive(second));
+    second.connectionFailed(cut.attempt(), ConnectionFault.LOCAL, now);
+    dispatcher.crashes().connectionRefused(cut.target(), now);
+    assertEquals(List.of(), ended);
+  }
+
   @Test
   void requestThatWasNotSentIsNotHeldResponsible() {
     RequestMachine machine = machines.create();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -373,7 +373,7 @@
     Optional<RegisteredTarget> target = dispatcher.target(row);
     ServiceRule service = target.map(t -> services.get(t.service())).orElse(null);
     if (service == null) {
-      scheduler.execute(() -> probeEnded(row, new ProbeResult.Failed(false)));
+      scheduler.execute(() -> probeEnded(row, new ProbeResult.NotMade()));
       return;
     }
     prober.probe(
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/TargetProber.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/TargetProber.java
@@ -161,7 +161,10 @@
       if (used != null) {
         used.close();
       }
-      listener.ended(new ProbeResult.Failed(fault == ConnectionFault.REFUSED));
+      listener.ended(
+          fault == ConnectionFault.LOCAL
+              ? new ProbeResult.NotMade()
+              : new ProbeResult.Failed(fault == ConnectionFault.REFUSED));
     }
 
     @Override
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
@@ -20,6 +20,7 @@
 import org.glassfish.grizzly.nio.NIOConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.tinylog.Logger;
 
 /** Opens, pools and reuses connections to targets. Safe for use by many threads. */
 final class UpstreamClient {
@@ -60,7 +61,7 @@
   void acquire(int target, ConnectionKind kind, long nowNanos, AcquireHandler handler) {
     Optional<InetSocketAddress> address = addresses.address(target);
     if (address.isEmpty()) {
-      handler.failed(ConnectionFault.REFUSED);
+      handler.failed(ConnectionFault.LOCAL);
       return;
     }
     UpstreamPool pool = poolOf(address.get());
@@ -159,21 +160,15 @@
     @Override
     public void failed(Throwable cause) {
       pool.connectFailed();
-      handler.failed(faultOf(cause));
+      ConnectionFault fault = ConnectFailures.faultOf(cause);
+      Logger.debug("connect to {} failed as {}: {}", address, fault, cause);
+      handler.failed(fault);
     }
 
     @Override
     public void cancelled() {
       pool.connectFailed();
-      handler.failed(ConnectionFault.REFUSED);
-    }
-
-    private ConnectionFault faultOf(Throwable cause) {
-      boolean timedOut =
-          cause instanceof java.net.SocketTimeoutException
-              || cause instanceof java.util.concurrent.TimeoutException;
-      org.tinylog.Logger.debug("connect to {} failed: {}", address, cause);
-      return timedOut ? ConnectionFault.CONNECT_TIMEOUT : ConnectionFault.REFUSED;
+      handler.failed(ConnectionFault.LOCAL);
     }
   }
 }
