End the requests in flight before an entry closes its connections

Cause: at its end an entry shut its transport down with exchanges and probes still open. Those that lost their target's connection first took it for an act of the target: attempt failed, 502, a probe through the closed transport, 'target ended', evidence to all entries; the others lost their caller first and were closed without an answer.

Now the end has an order: from its start, closes and connect failures are LOCAL; then each request in flight is ended and logged, with 503 if nothing was sent, with 502 if a target may have run it, by a reset if its response has begun; only then are connections closed. A request that was passed to the owner of its key may have run as well: it no longer counts as unsent.

EndedEntryTest (two entries, four requests of 8 s): red before, 'attempt failed' for all and 'ended while it ran' for two of the four; now four answers 502 and neither line. Whether an answer should be given at all when a target is at work: both promise nothing, but the answer spares the caller the wait for a reset and says what is known.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -193,9 +193,9 @@
   public void awaitStop() throws InterruptedException, IOException {
     stopped.await();
     Logger.info("stopped: {} requests in flight", dataPath.inFlightCount());
+    dataPath.stop();
     scheduler.stop();
     storeThread.stop();
-    dataPath.stop();
     socket.close();
   }
 
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/AttemptList.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/AttemptList.java
@@ -9,6 +9,7 @@
 final class AttemptList {
 
   private final List<Attempt> attempts = new ArrayList<>(1);
+  private boolean passedOn;
 
   void add(Attempt attempt) {
     attempts.add(attempt);
@@ -18,9 +19,14 @@
     return attempts.size();
   }
 
-  /** Returns whether a byte of any attempt may have been sent. */
+  /** Records that the request was passed to another entry, which may run it. */
+  void markPassedOn() {
+    passedOn = true;
+  }
+
+  /** Returns whether a byte of any attempt may have been sent, also by another entry. */
   boolean isAnySent() {
-    return sentCount() > 0;
+    return passedOn || sentCount() > 0;
   }
 
   /** Returns the number of attempts of which a byte may have been sent. */
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
@@ -163,8 +163,11 @@
     write(content, true);
   }
 
-  /** Sends 100 (Continue), so that the caller sends the body. */
-  void sendContinue() {
+  /** Sends 100 (Continue) if the caller waits for it before it sends the body. */
+  void acknowledge() {
+    if (!request.requiresAcknowledgement()) {
+      return;
+    }
     packet.setAcknowledgement(true);
     packet.setStatus(100);
     connection.write(packet, ACKNOWLEDGED);
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
@@ -134,12 +134,14 @@
   }
 
   /**
-   * Closes all connections immediately.
+   * Ends the requests in flight, each with a true answer if none has begun, then closes all
+   * connections. Nothing that happens from then on is reported as an act of a target.
    *
    * @throws IOException if a transport can't be stopped
    */
   public void stop() throws IOException {
-    inFlight.forEach(exchange -> exchange.reportStopped(stoppedRequests));
+    client.stop();
+    inFlight.forEach(exchange -> exchange.stop(stoppedRequests));
     callers.noteStopOver();
     forwarders.noteStopOver();
     transport.shutdownNow();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -112,9 +112,7 @@
   /** Sends 100 (Continue) if the caller waits for it before it sends the body. */
   void acknowledge() {
     synchronized (lock) {
-      if (request.requiresAcknowledgement()) {
-        response.sendContinue();
-      }
+      response.acknowledge();
     }
   }
 
@@ -167,18 +165,19 @@
       if (started) {
         machine.cancelled(System.nanoTime());
       }
-      if (attempts.isAnySent() && caller.isClosedByCaller()) {
+      if (attempts.sentCount() > 0 && caller.isClosedByCaller()) {
         services.abandoned().abandoned(request, times, attempts, caller.reader().isSuspended());
       }
       finish(0, attempts.isAnySent() ? Outcome.UNKNOWN : Outcome.NOT_RUN);
     }
   }
 
-  /** Writes the request to the log if it is not over. */
-  void reportStopped(StoppedRequestLog stopped) {
+  /** Ends the request because the entry ends. */
+  void stop(StoppedRequestLog stopped) {
     synchronized (lock) {
       if (!over) {
         stopped.cut(request, route, times, attempts);
+        refuse(attempts.isAnySent() ? 502 : 503, "this entry ends", false);
       }
     }
   }
@@ -322,6 +321,7 @@
     } else if (decision instanceof Decision.Finish) {
       finish(0, Outcome.UNKNOWN);
     } else if (decision instanceof Decision.PassToOwner pass) {
+      attempts.markPassedOn();
       services.passToOwner(
           pass.ownerIncarnation(),
           request,
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
@@ -60,7 +60,7 @@
   /** Acquires a connection to a target; {@code handler} may be called before this returns. */
   void acquire(int target, ConnectionKind kind, long nowNanos, AcquireHandler handler) {
     Optional<InetSocketAddress> address = addresses.address(target);
-    if (address.isEmpty()) {
+    if (address.isEmpty() || upstreams.isStopped()) {
       handler.failed(ConnectionFault.LOCAL);
       return;
     }
@@ -82,6 +82,14 @@
     }
   }
 
+  /**
+   * Opens no connection any more. The ends of open connections are reported as {@link
+   * ConnectionFault#LOCAL} from now on, since this entry is about to close them.
+   */
+  void stop() {
+    upstreams.stop();
+  }
+
   /** Returns the number of connections opened so far. */
   long openedCount() {
     return opened.sum();
@@ -160,7 +168,8 @@
     @Override
     public void failed(Throwable cause) {
       pool.connectFailed();
-      ConnectionFault fault = ConnectFailures.faultOf(cause);
+      ConnectionFault fault =
+          upstreams.isStopped() ? ConnectionFault.LOCAL : ConnectFailures.faultOf(cause);
       Logger.debug("connect to {} failed as {}: {}", address, fault, cause);
       handler.failed(fault);
     }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamRegistry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamRegistry.java
@@ -2,6 +2,7 @@
 
 import java.io.EOFException;
 import java.util.Optional;
+import org.chivecross.model.request.ConnectionFault;
 import org.glassfish.grizzly.CloseReason;
 import org.glassfish.grizzly.CloseType;
 import org.glassfish.grizzly.Connection;
@@ -14,6 +15,16 @@
 
   private final Attribute<UpstreamConnection> attribute =
       Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("chivecross.upstream");
+  private volatile boolean stopped;
+
+  /** Reports the closes that follow as faults of this entry. */
+  void stop() {
+    stopped = true;
+  }
+
+  boolean isStopped() {
+    return stopped;
+  }
 
   /** Adds an open connection; its close is reported to its user. */
   void add(UpstreamConnection upstream) {
@@ -38,13 +49,15 @@
     }
   }
 
-  private static void closed(UpstreamConnection upstream) {
+  private void closed(UpstreamConnection upstream) {
     if (!upstream.markClosed()) {
       return;
     }
     upstream.pool().closed(upstream);
     UpstreamUser user = upstream.user();
-    if (user != null) {
+    if (user != null && stopped) {
+      user.failed(ConnectionFault.LOCAL);
+    } else if (user != null) {
       user.closed(isOrderly(upstream.connection().getCloseReason()));
     }
   }
