Let callers take their answers before an entry ends

Callers of a stopping entry lost answers that targets or the entry had given: cut in the middle, or destroyed by a reset.

Causes: an entry counted as drained when no exchange was open, although answers were still queued for slow callers, and the shutdown of the transport dropped them, also the 502 and 503 that the end itself gives. A connection that the entry ended by its own choice was closed at once; a request of the caller that was on its way then reset it, and what the caller had not received was lost. Exchanges whose request was still arriving, or waited behind another one, were not answered at all.

Now drained means that nothing is queued either; a chosen end shuts down the sending side and reads to the caller's close, for 2 s at most (RFC 9112, section 9.6); at the end all open exchanges are answered, and callers have 0.2 s of the 0.7 s before the kill to take the answers.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -51,6 +51,9 @@
 
   private static final long DRAIN_POLL_PERIOD_MILLIS = 50;
 
+  /** Time for callers to take the last responses; part of the margin before the platform kills. */
+  private static final long CLOSE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
   /** Pause after a tick that failed. */
   private static final long FAILED_TICK_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -193,7 +196,7 @@
   public void awaitStop() throws InterruptedException, IOException {
     stopped.await();
     Logger.info("stopped: {} requests in flight", dataPath.inFlightCount());
-    dataPath.stop();
+    dataPath.stop(System.nanoTime() + CLOSE_NANOS);
     scheduler.stop();
     storeThread.stop();
     socket.close();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerConnection.java
@@ -1,8 +1,10 @@
 package org.chivecross.cli.entry.http;
 
 import java.io.IOException;
+import java.nio.channels.NotYetConnectedException;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -131,6 +133,23 @@
     return open.isEmpty();
   }
 
+  /**
+   * Returns whether no request is being served and all responses are written to the socket, as they
+   * are once the sending side is shut down.
+   */
+  synchronized boolean isDrained() {
+    // An exchange ends after its response was handed to the library.
+    boolean isWritten = connection.getAsyncWriteQueue().spaceInBytes() == 0;
+    return lingerStartNanos != 0 || (open.isEmpty() && isWritten);
+  }
+
+  /** Returns the open exchanges; an exchange that ends thus starts none behind it. */
+  synchronized List<CallerExchange> newestFirst() {
+    List<CallerExchange> exchanges = new ArrayList<>();
+    open.descendingIterator().forEachRemaining(exchanges::add);
+    return exchanges;
+  }
+
   /** Returns whether an exchange may write its response now. */
   synchronized boolean mayWrite(CallerExchange exchange) {
     return open.peekFirst() == exchange && !reader.isEnded();
@@ -279,7 +298,7 @@
     lingerStartNanos = nowNanos;
     try {
       ((SocketChannel) connection.getChannel()).shutdownOutput();
-    } catch (IOException e) {
+    } catch (IOException | NotYetConnectedException e) {
       noteCloseReason(CloseReason.WRITE_FAILED);
       connection.terminateSilently();
     }
@@ -312,6 +331,20 @@
     return closing;
   }
 
+  /**
+   * Decides to end a drained connection that is not being closed; from then on no exchange begins
+   * on it.
+   *
+   * @return whether {@link #linger} must be called now
+   */
+  synchronized boolean tryEndIdle() {
+    if (closeReason != null || lingerStartNanos != 0 || !isDrained()) {
+      return false;
+    }
+    noteCloseReason(CloseReason.STOP);
+    return true;
+  }
+
   private void decideClose(CloseReason reason) {
     noteCloseReason(reason);
     closing = true;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerExchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerExchange.java
@@ -32,6 +32,9 @@
   /** Called when all exchanges before this one are over, so that it may write its response. */
   void writeAllowed();
 
+  /** Ends the exchange because the entry ends, with an answer if no response has begun. */
+  default void stop(StoppedRequestLog stopped) {}
+
   /** Handles the close of the caller's connection. */
   void callerClosed();
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerRegistry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerRegistry.java
@@ -55,14 +55,14 @@
     return open.size();
   }
 
-  /** Returns whether any connection has an open exchange. */
-  boolean hasExchange() {
+  /** Returns whether no connection has an open exchange or bytes that are not written yet. */
+  boolean isDrained() {
     for (CallerConnection caller : open) {
-      if (!caller.isIdle()) {
-        return true;
+      if (!caller.isDrained()) {
+        return false;
       }
     }
-    return false;
+    return true;
   }
 
   /**
@@ -78,12 +78,25 @@
   }
 
   /**
-   * Closes all connections on which no request is being served, also those that were accepted
-   * before and are added later.
+   * Closes the sending side of all connections on which no request is being served and nothing is
+   * left to write; they are closed when their callers close theirs or have had time for it. Those
+   * that were accepted before and are added later carry no response and are closed at once.
    */
   void closeAllIdle() {
     stopping = true;
-    open.forEach(CallerRegistry::closeIfIdle);
+    long now = System.nanoTime();
+    for (CallerConnection caller : open) {
+      if (caller.tryEndIdle()) {
+        caller.linger(now);
+      }
+    }
+  }
+
+  /** Ends all open exchanges because the entry ends. */
+  void stopExchanges(StoppedRequestLog stopped) {
+    for (CallerConnection caller : open) {
+      caller.newestFirst().forEach(exchange -> exchange.stop(stopped));
+    }
   }
 
   /** Records that the open connections are about to be closed by the end of the entry. */
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/CallerResponse.java
@@ -272,7 +272,10 @@
 
   private void prepareConnection() {
     // Later requests on this connection may be running already and still need it.
-    closeAfter |= closeWhenLeaving && caller.tryEndAfter(exchange);
+    boolean endsByChoice = closeWhenLeaving && caller.tryEndAfter(exchange);
+    // The caller doesn't know yet that this response is the last one.
+    lingerBeforeClose |= endsByChoice && !isLastOfConnection();
+    closeAfter |= endsByChoice;
     if (closeAfter) {
       request.getProcessingState().setKeepAlive(false);
       packet.setHeader("Connection", "close");
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.chivecross.cli.log.EventLog;
 import org.chivecross.logic.key.OwnerCalls;
 import org.chivecross.logic.request.RequestPolicies;
@@ -28,6 +30,7 @@
 
   private static final int WRITE_QUEUE_BYTES = 256 * 1024;
   private static final int ACCEPT_BACKLOG = 4096;
+  private static final long CLOSE_POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
 
   private final DataPathPorts ports;
   private final DataPathSettings settings;
@@ -133,20 +136,44 @@
     callers.applyTimeouts(limits.idleTimeoutMillis(), limits.headTimeoutMillis());
   }
 
+  /**
+   * Ends all requests and closes all connections, without waiting for callers.
+   *
+   * @throws IOException if a transport can't be stopped
+   */
+  public void stop() throws IOException {
+    stop(System.nanoTime());
+  }
+
   /**
    * Ends the requests in flight, each with a true answer if none has begun, then closes all
    * connections. Nothing that happens from then on is reported as an act of a target.
    *
+   * @param closeUntilNanos monotonic time until which callers may take what was answered and close
+   *     their side; blocks until then at most
    * @throws IOException if a transport can't be stopped
    */
-  public void stop() throws IOException {
+  public void stop(long closeUntilNanos) throws IOException {
     client.stop();
-    inFlight.forEach(exchange -> exchange.stop(stoppedRequests));
+    stopExchanges();
+    while (System.nanoTime() < closeUntilNanos && callers.count() + forwarders.count() > 0) {
+      callers.closeAllIdle();
+      forwarders.closeAllIdle();
+      LockSupport.parkNanos(CLOSE_POLL_NANOS);
+      // A request that was being read may have begun since.
+      stopExchanges();
+    }
     callers.noteStopOver();
     forwarders.noteStopOver();
     transport.shutdownNow();
   }
 
+  private void stopExchanges() {
+    callers.stopExchanges(stoppedRequests);
+    forwarders.stopExchanges(stoppedRequests);
+    inFlight.forEach(exchange -> exchange.stop(stoppedRequests));
+  }
+
   /** Stops accepting connections; open ones continue to be served. */
   public void stopAccepting() {
     transport.unbindAll();
@@ -157,14 +184,18 @@
     leaving = true;
   }
 
-  /** Returns whether no request is in flight, so that stopping interrupts none. */
+  /**
+   * Returns whether no request is in flight and no response is queued, so that stopping interrupts
+   * none.
+   */
   public boolean isDrained() {
-    return inFlight.count() == 0 && !callers.hasExchange() && !forwarders.hasExchange();
+    return inFlight.count() == 0 && callers.isDrained() && forwarders.isDrained();
   }
 
   /**
-   * Closes all listeners and idle connections if no request is in flight. A request that arrives in
-   * the meantime is either served or, on a connection that is being closed, not sent to a target.
+   * Closes all listeners and the sending side of idle connections if this entry is drained. A
+   * request that arrives in the meantime is either served or, on a connection that is being closed,
+   * not sent to a target.
    *
    * @return whether nothing is left to serve
    */
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -172,8 +172,8 @@
     }
   }
 
-  /** Ends the request because the entry ends. */
-  void stop(StoppedRequestLog stopped) {
+  @Override
+  public void stop(StoppedRequestLog stopped) {
     synchronized (lock) {
       if (!over) {
         stopped.cut(request, route, times, attempts);
