--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/FleetEntry.java
@@ -187,9 +187,10 @@
     Logger.info("settings reloaded: seeds {}; restart needed: {}", next.seeds(), restart);
   }
 
-  /** Starts a graceful stop. Thread-safe. */
+  /** Starts a graceful stop, also before the entry is started. Thread-safe. */
   public void requestStop() {
-    scheduler.execute(this::startLeaving);
+    long now = System.nanoTime();
+    scheduler.execute(() -> startLeaving(now));
   }
 
   /** Waits until the graceful stop is over, then closes all connections and threads. */
@@ -202,9 +203,10 @@
     socket.close();
   }
 
-  private void startLeaving() {
+  /** Starts to leave; the platform counts from the request, which this thread may see late. */
+  private void startLeaving(long requestedNanos) {
     long now = System.nanoTime();
-    StopTimes times = StopTimes.of(settings.graceMillis(), now);
+    StopTimes times = StopTimes.of(settings.graceMillis(), requestedNanos);
     synchronized (lock) {
       if (isLeaving) {
         return;
