Test that nothing is sent again late in a planned stop

Retries and hedges were looked through for a path that sends what can't end before the stop; none was found, as Dispatcher.place and DispatchRequestMachine.sending both ask.

--- a/chivecross-core/src/test/java/org/chivecross/logic/request/PlannedStopTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/request/PlannedStopTest.java
@@ -17,6 +17,7 @@
 import org.chivecross.model.fileset.RequestClass;
 import org.chivecross.model.registry.RegisteredTarget;
 import org.chivecross.model.registry.TargetAddress;
+import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.Decision;
 import org.chivecross.model.request.ForwardedBy;
 import org.chivecross.model.request.LoadReport;
@@ -32,6 +33,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests requests that callers with stale addresses send to an entry that stops in 5.2 s. */
 class PlannedStopTest {
@@ -197,6 +199,33 @@
     assertEquals(Outcome.NOT_RUN, answer.outcome());
   }
 
+  /** Guards against retries and hedges that are added when they can no longer end in time. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void readGetsNoFurtherAttemptLateInAStop(boolean firstFails) {
+    planStop();
+    runUntil(now + 2_000 * MILLI);
+    RequestMachine machine = machines.create(() -> {});
+    Decision.Send send =
+        assertInstanceOf(
+            Decision.Send.class,
+            arrived(machine, head(RequestClass.READ, 6_000, Optional.empty())));
+    assertTrue(machine.sending(send.attempt(), now));
+    runUntil(now + 700 * MILLI);
+    Decision next =
+        firstFails
+            ? machine.connectionFailed(send.attempt(), ConnectionFault.CLOSED, now)
+            : machine.timer(now);
+    for (int i = 0; i < 120; i++) {
+      assertFalse(next instanceof Decision.Send, "sent again at " + i);
+      while (!probes.isEmpty()) {
+        dispatcher.probeEnded(probes.remove(), true, Optional.of(IDLE), now);
+      }
+      runUntil(now + 20 * MILLI);
+      next = machine.timer(now);
+    }
+  }
+
   /** The entry that forwarded it then tries another one. */
   @Test
   void forwardedRequestIsReturnedToItsEntry() {
