Judge no target by a probe that this entry could not make

Two probes ended as 'no response': one whose time-out falls into the end of the entry, between its start and the stop of the scheduler (some milliseconds), and one for which the entry has as many connections to the target as it may have. Three of them make an entry say that it is isolated, and each lowers the rank of its target.

TargetProber, the one place where probes end, now reports both as NotMade.

No such line was seen in a process: the first case needs a probe that is due within the end.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/TargetProber.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/TargetProber.java
@@ -162,11 +162,18 @@
         used.close();
       }
       listener.ended(
-          fault == ConnectionFault.LOCAL
+          isOwn(fault)
               ? new ProbeResult.NotMade()
               : new ProbeResult.Failed(fault == ConnectionFault.REFUSED));
     }
 
+    /** Returns whether a fault is due to this entry and says nothing about the target. */
+    private boolean isOwn(ConnectionFault fault) {
+      return fault == ConnectionFault.LOCAL
+          || fault == ConnectionFault.LIMITED
+          || client.isStopped();
+    }
+
     @Override
     public boolean suspendReader(FilterChainContext context) {
       return false;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
@@ -90,6 +90,10 @@
     upstreams.stop();
   }
 
+  boolean isStopped() {
+    return upstreams.isStopped();
+  }
+
   /** Returns the number of connections opened so far. */
   long openedCount() {
     return opened.sum();
--- /dev/null
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/EndingDataPathTest.java
@@ -0,0 +1,71 @@
+package org.chivecross.cli.entry.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.chivecross.model.request.ProbeResult;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Tests what this entry concludes about targets while it ends or lacks connections. */
+@Timeout(30)
+class EndingDataPathTest {
+
+  private final List<Runnable> timers = new CopyOnWriteArrayList<>();
+  private final List<ProbeResult> probed = new CopyOnWriteArrayList<>();
+  private ScriptedUpstream upstream;
+  private DataPathFixture entry;
+
+  @BeforeEach
+  void start() throws IOException {
+    upstream = new ScriptedUpstream(call -> {});
+    entry = DataPathFixture.to(upstream);
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    entry.close();
+    upstream.close();
+  }
+
+  private void probe() {
+    entry
+        .dataPath()
+        .prober(new NativeDialect(), (nanos, task) -> timers.add(task))
+        .probe(0, "h", "/health", 1_000, probed::add);
+  }
+
+  private Socket send(String path) throws Exception {
+    Socket caller = entry.connect();
+    String request = "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n";
+    caller.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+    upstream.nextCall();
+    return caller;
+  }
+
+  /** Guards against targets that an ending entry takes for silent. */
+  @Test
+  void probeThatTimesOutWhileTheEntryEndsJudgesNothing() throws Exception {
+    probe();
+    upstream.nextCall();
+    try (Socket caller = send("/read/x")) {
+      entry.observer().whenEnded(() -> timers.forEach(Runnable::run));
+      entry.dataPath().stop();
+      assertEquals(List.of(new ProbeResult.NotMade()), probed);
+    }
+  }
+
+  /** Guards against targets that count as silent since this entry has no connection for probes. */
+  @Test
+  void probeWithoutConnectionJudgesNothing() {
+    entry.setConnectionLimit(0);
+    probe();
+    assertEquals(List.of(new ProbeResult.NotMade()), probed);
+  }
+}
