Tell responses that can't be parsed, and own errors, from closes by targets

When a response could not be parsed, or code of this entry threw an exception while it handled one, the attempt failed as CLOSED, 'the target closed the connection'. That starts a check whether the target has ended, and counts towards isolation, although the target has sent a response.

Cause: the library passes an exception only to the filters before the one that threw it, so that UpstreamFilter.exceptionOccurred never ran for what was read. The transport filter closed the connection, and the close was reported.

Now the first filter reports MALFORMED before it closes, and UpstreamFilter contains errors of this entry: they end the request that they concern, as at all other places (502, counted, no fault of the target).

UnexpectedErrorTest, before: faults [CLOSED] instead of none, and CLOSED instead of MALFORMED; now as stated.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
@@ -203,6 +203,11 @@
     exchange.attemptFailed(this, fault);
   }
 
+  @Override
+  public void failedUnexpectedly() {
+    exchange.failedUnexpectedly();
+  }
+
   /**
    * Suspends reading the response, unless the caller has become writable in the meantime.
    *
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ResetAwareFilter.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ResetAwareFilter.java
@@ -2,6 +2,7 @@
 
 import java.io.EOFException;
 import java.io.IOException;
+import org.chivecross.model.request.ConnectionFault;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
@@ -13,9 +14,18 @@
  * Reads from connections and distinguishes a reset from an orderly close. The library's own filter
  * reports both as the end of the stream, but a body that ends with its connection is complete only
  * after an orderly close. Safe for use by many threads.
+ *
+ * <p>The library passes an exception of a filter to the filters before it only, so that this one
+ * reports bytes that are no response.
  */
 final class ResetAwareFilter extends TransportFilter {
 
+  private final UpstreamRegistry upstreams;
+
+  ResetAwareFilter(UpstreamRegistry upstreams) {
+    this.upstreams = upstreams;
+  }
+
   @Override
   public NextAction handleRead(FilterChainContext context) throws IOException {
     if (!(context.getConnection() instanceof TCPNIOConnection tcp)) {
@@ -38,4 +48,13 @@
       return context.getStopAction();
     }
   }
+
+  @Override
+  public void exceptionOccurred(FilterChainContext context, Throwable error) {
+    // Reported before the close, which would count as an act of the target.
+    upstreams
+        .userOf(context.getConnection())
+        .ifPresent(user -> user.failed(ConnectionFault.MALFORMED));
+    context.getConnection().terminateSilently();
+  }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
@@ -50,7 +50,7 @@
     this.settings = settings;
     FilterChain chain =
         FilterChainBuilder.stateless()
-            .add(new ResetAwareFilter())
+            .add(new ResetAwareFilter(upstreams))
             .add(new StrictClientFilter(settings.maxHeadBytes(), upstreams))
             .add(new UpstreamFilter(upstreams))
             .build();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamFilter.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamFilter.java
@@ -7,6 +7,7 @@
 import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpBrokenContent;
 import org.glassfish.grizzly.http.HttpContent;
+import org.tinylog.Logger;
 
 /** Passes parts of responses to the user of their connection. Safe for use by many threads. */
 final class UpstreamFilter extends BaseFilter {
@@ -30,7 +31,14 @@
       user.get().failed(ConnectionFault.MALFORMED);
       return context.getStopAction();
     }
-    if (user.get().received(content) || !user.get().suspendReader(context)) {
+    try {
+      if (user.get().received(content) || !user.get().suspendReader(context)) {
+        return context.getStopAction();
+      }
+    } catch (RuntimeException | StackOverflowError e) {
+      Logger.error(e, "response could not be handled because of an unexpected error");
+      user.get().failedUnexpectedly();
+      context.getConnection().terminateSilently();
       return context.getStopAction();
     }
     return context.getSuspendAction();
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamUser.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamUser.java
@@ -16,6 +16,11 @@
   /** Handles a fault after which the connection can't be used any more. */
   void failed(ConnectionFault fault);
 
+  /** Handles an unexpected error of this entry, after which the connection is closed. */
+  default void failedUnexpectedly() {
+    failed(ConnectionFault.LOCAL);
+  }
+
   /**
    * Handles the close of the connection.
    *
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/DataPathFixture.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/DataPathFixture.java
@@ -1,6 +1,8 @@
 package org.chivecross.cli.entry.http;
 
 import java.io.IOException;
+import java.lang.reflect.InvocationHandler;
+import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -13,6 +15,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledExecutorService;
@@ -25,6 +28,8 @@
 import org.chivecross.logic.key.KeyClaim;
 import org.chivecross.logic.key.KeyRegistry;
 import org.chivecross.logic.key.OwnerCalls;
+import org.chivecross.logic.request.RequestMachine;
+import org.chivecross.logic.request.RequestMachines;
 import org.chivecross.logic.routing.RequestRouter;
 import org.chivecross.model.failure.Result;
 import org.chivecross.model.fileset.ClassPolicy;
@@ -38,6 +43,7 @@
 import org.chivecross.model.fileset.Tenant;
 import org.chivecross.model.peer.KeyAnswer;
 import org.chivecross.model.peer.KeyCall;
+import org.chivecross.model.request.ConnectionFault;
 import org.chivecross.model.request.Outcome;
 
 /** A data path on a port that the system chose, with one service whose targets are given. */
@@ -197,7 +203,52 @@
     private final BlockingQueue<ExchangeSummary> summaries = new LinkedBlockingQueue<>();
     private final AtomicInteger silent = new AtomicInteger();
     private final AtomicInteger suspects = new AtomicInteger();
+    private final AtomicInteger unexpected = new AtomicInteger();
+    private final List<ConnectionFault> faults = new CopyOnWriteArrayList<>();
     private volatile Runnable endedAction = () -> {};
+    private volatile boolean responsesFail;
+
+    /** Sets whether deciding about a response throws an exception. */
+    void setResponsesFail(boolean fail) {
+      responsesFail = fail;
+    }
+
+    /** Returns the faults of targets that were reported to the machines of requests. */
+    List<ConnectionFault> faults() {
+      return List.copyOf(faults);
+    }
+
+    int unexpectedCount() {
+      return unexpected.get();
+    }
+
+    @Override
+    public void failedUnexpectedly() {
+      unexpected.incrementAndGet();
+    }
+
+    @Override
+    public RequestMachines recorded(RequestMachines machines) {
+      return () -> recorded(machines.create());
+    }
+
+    private RequestMachine recorded(RequestMachine machine) {
+      InvocationHandler handler =
+          (proxy, method, arguments) -> {
+            if (responsesFail && method.getName().equals("responseHead")) {
+              throw new IllegalStateException("defect of the test");
+            }
+            if (method.getName().equals("connectionFailed")) {
+              faults.add((ConnectionFault) arguments[1]);
+            }
+            return method.invoke(machine, arguments);
+          };
+      return (RequestMachine)
+          Proxy.newProxyInstance(
+              RequestMachine.class.getClassLoader(),
+              new Class<?>[] {RequestMachine.class},
+              handler);
+    }
 
     /** Sets what to do within the end of each request. */
     void whenEnded(Runnable action) {
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/UnexpectedErrorTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/UnexpectedErrorTest.java
@@ -11,8 +11,10 @@
 import java.net.http.HttpResponse.BodyHandlers;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.chivecross.model.request.ConnectionFault;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -79,6 +81,25 @@
     assertEquals(502, read().statusCode());
   }
 
+  /** Guards against an error of this entry that counts as a failure of the target. */
+  @Test
+  void errorOnAResponseIsNoFaultOfItsTarget() throws Exception {
+    entry.observer().setResponsesFail(true);
+    assertEquals(502, read().statusCode());
+    assertEquals(List.of(), entry.observer().faults());
+    assertEquals(1, entry.observer().unexpectedCount());
+    entry.observer().setResponsesFail(false);
+    assertEquals(200, read().statusCode());
+  }
+
+  @Test
+  void responseThatCannotBeParsedIsAFaultOfItsTarget() throws Exception {
+    upstream.setScript(call -> call.reply("HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"));
+    assertEquals(502, read().statusCode());
+    assertEquals(ConnectionFault.MALFORMED, entry.observer().faults().get(0));
+    assertEquals(0, entry.observer().unexpectedCount());
+  }
+
   @Test
   void laterRequestsAreServed() throws Exception {
     entry.setAddressesFail(true);
