Count no fault of this entry as a failure of its target in the stand-alone entry

The stand-alone entry counted an attempt that ended as LOCAL (this entry ends, lacks descriptors, can't bind an address) as a failure of its target, which feeds the removal of outliers. AttemptEnds of the platform's entry made the difference already; PolicyRequestMachine now abandons such an attempt as well. Whether the request is sent again is decided as before.

PolicyRequestMachineTest.faultOfThisEntryIsNoFailureOfTheTarget: before 2 failures for 2 such attempts, now 0. Green: PolicyRequestMachineTest (26), InterleavingTest, FaultScheduleTest, GoldenSessionTest, BalancerEngineTest.

--- a/chivecross-core/src/main/java/org/chivecross/logic/request/PolicyRequestMachine.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/PolicyRequestMachine.java
@@ -141,7 +141,12 @@
       return abort(relaying, "connection " + fault, nowNanos);
     }
     if (state instanceof RequestState.Sending sending) {
-      return attemptFailed(sending, attempt, "connection " + fault, nowNanos);
+      if (fault == ConnectionFault.LOCAL) {
+        completion.abandon(attempt, nowNanos);
+      } else {
+        completion.fail(attempt, nowNanos);
+      }
+      return afterFailure(sending, attempt, "connection " + fault, nowNanos);
     }
     return await();
   }
@@ -279,6 +284,11 @@
   private Decision attemptFailed(
       RequestState.Sending sending, int attempt, String detail, long nowNanos) {
     completion.fail(attempt, nowNanos);
+    return afterFailure(sending, attempt, detail, nowNanos);
+  }
+
+  private Decision afterFailure(
+      RequestState.Sending sending, int attempt, String detail, long nowNanos) {
     if (attempts.hasOpen() || sending.retryAtNanos() != AttemptTable.NEVER) {
       return await();
     }
--- a/chivecross-core/src/main/java/org/chivecross/logic/request/RequestCompletion.java
+++ b/chivecross-core/src/main/java/org/chivecross/logic/request/RequestCompletion.java
@@ -38,13 +38,18 @@
   void abandonOthers(int kept, long nowNanos) {
     for (int i = 0; i < attempts.size(); i++) {
       if (i != kept && attempts.isOpen(i)) {
-        attempts.close(i);
-        long elapsedNanos = nowNanos - attempts.startedNanos(i);
-        policies.observer().attemptAbandoned(attempts.target(i), elapsedNanos, nowNanos);
+        abandon(i, nowNanos);
       }
     }
   }
 
+  /** Closes an attempt without counting it against its target. */
+  void abandon(int attempt, long nowNanos) {
+    attempts.close(attempt);
+    long elapsedNanos = nowNanos - attempts.startedNanos(attempt);
+    policies.observer().attemptAbandoned(attempts.target(attempt), elapsedNanos, nowNanos);
+  }
+
   /** Ends the attempt whose answer was relayed, and with it the request. */
   void finishRelaying(RequestState.Relaying relaying, boolean succeeded, long nowNanos) {
     int attempt = relaying.attempt();
--- a/chivecross-core/src/test/java/org/chivecross/logic/request/FakePolicies.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/request/FakePolicies.java
@@ -32,6 +32,7 @@
   public int released;
   public int started;
   public int ended;
+  public int failed;
   public int nextTarget;
   public final List<String> finished = new ArrayList<>();
   public final List<ConnectionFault> faults = new ArrayList<>();
@@ -101,6 +102,12 @@
     @Override
     public void attemptEnded(int target, long latencyNanos, boolean succeeded, long nowNanos) {
       ended++;
+      failed += succeeded ? 0 : 1;
+    }
+
+    @Override
+    public void attemptAbandoned(int target, long waitedNanos, long nowNanos) {
+      ended++;
     }
 
     @Override
--- a/chivecross-core/src/test/java/org/chivecross/logic/request/PolicyRequestMachineTest.java
+++ b/chivecross-core/src/test/java/org/chivecross/logic/request/PolicyRequestMachineTest.java
@@ -190,6 +190,17 @@
     assertEquals(List.of(ConnectionFault.MALFORMED), fakes.faults);
   }
 
+  /** Guards against targets that count as failed since this entry ends or lacks descriptors. */
+  @Test
+  void faultOfThisEntryIsNoFailureOfTheTarget() {
+    arrive("/read", 0);
+    machine.connectionFailed(0, ConnectionFault.LOCAL, 1);
+    machine.timer(machine.nextTimerNanos());
+    machine.connectionFailed(1, ConnectionFault.LOCAL, 2 * MILLI);
+    assertEquals(2, fakes.ended);
+    assertEquals(0, fakes.failed);
+  }
+
   @Test
   void brokenAnswerIsAborted() {
     arrive("/read", 0);
