Read what has arrived before a probe counts as unanswered

When the process was suspended, or a selector thread is slow, as after the start of a cold process, the timer may run before the selector reads responses that arrived in time. Such a probe counted as unanswered; three of them make an entry say that it is isolated.

At the time-out of a probe on a connection, the selector thread of that connection now handles everything that has arrived, and only then does the silence count (SelectorRounds.afterNextRound). A target that is silent is found one selector round later than before.

A silent target still fails.

Not covered: a probe that still waits for its connection, and the time-outs of requests (deadline, connect, first byte).

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/TargetProber.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/TargetProber.java
@@ -51,9 +51,7 @@
       int target, String host, String path, long timeoutMillis, ProbeListener listener) {
     Probe probe = new Probe(target, host, path, listener);
     long now = System.nanoTime();
-    scheduler.scheduleAt(
-        now + TimeUnit.MILLISECONDS.toNanos(timeoutMillis),
-        () -> probe.failed(ConnectionFault.SILENT));
+    scheduler.scheduleAt(now + TimeUnit.MILLISECONDS.toNanos(timeoutMillis), probe::timedOut);
     client.acquire(target, ConnectionKind.ANY, now, probe);
   }
 
@@ -139,6 +137,22 @@
       return true;
     }
 
+    /**
+     * Ends the probe without a response, unless one has arrived that this entry has not read yet: a
+     * suspended or slow entry would take its own delay for the target's.
+     */
+    void timedOut() {
+      UpstreamConnection used;
+      synchronized (this) {
+        used = connection;
+      }
+      if (used == null) {
+        failed(ConnectionFault.SILENT);
+      } else {
+        client.afterArrived(used, () -> failed(ConnectionFault.SILENT));
+      }
+    }
+
     @Override
     public void failed(ConnectionFault fault) {
       UpstreamConnection used;
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
@@ -37,6 +37,7 @@
 
   private static final String TARGET_PEER = "target ";
 
+  private final SelectorRounds rounds;
   private final UpstreamAddresses addresses;
   private final DataPathSettings settings;
   private final TCPNIOConnectorHandler connector;
@@ -45,7 +46,11 @@
   private final Map<InetSocketAddress, UpstreamPool> pools = new ConcurrentHashMap<>();
 
   UpstreamClient(
-      TCPNIOTransport transport, UpstreamAddresses addresses, DataPathSettings settings) {
+      TCPNIOTransport transport,
+      SelectorRounds rounds,
+      UpstreamAddresses addresses,
+      DataPathSettings settings) {
+    this.rounds = rounds;
     this.addresses = addresses;
     this.settings = settings;
     FilterChain chain =
@@ -90,6 +95,11 @@
     upstreams.stop();
   }
 
+  /** Runs a task after everything that has arrived on a connection until now is handled. */
+  void afterArrived(UpstreamConnection connection, Runnable task) {
+    rounds.afterNextRound(connection.connection().getSelectorRunner(), task);
+  }
+
   boolean isStopped() {
     return upstreams.isStopped();
   }
