--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamClient.java
@@ -37,6 +37,7 @@
 
   private static final String TARGET_PEER = "target ";
 
+  private final SelectorRounds rounds;
   private final UpstreamAddresses addresses;
   private final DataPathSettings settings;
   private final TCPNIOConnectorHandler connector;
@@ -45,12 +46,16 @@
   private final Map<InetSocketAddress, UpstreamPool> pools = new ConcurrentHashMap<>();
 
   UpstreamClient(
-      TCPNIOTransport transport, UpstreamAddresses addresses, DataPathSettings settings) {
+      TCPNIOTransport transport,
+      SelectorRounds rounds,
+      UpstreamAddresses addresses,
+      DataPathSettings settings) {
+    this.rounds = rounds;
     this.addresses = addresses;
     this.settings = settings;
     FilterChain chain =
         FilterChainBuilder.stateless()
-            .add(new ResetAwareFilter())
+            .add(new ResetAwareFilter(upstreams))
             .add(new StrictClientFilter(settings.maxHeadBytes(), upstreams))
             .add(new UpstreamFilter(upstreams))
             .build();
@@ -90,6 +95,15 @@
     upstreams.stop();
   }
 
+  /** Runs a task after everything that has arrived on a connection until now is handled. */
+  void afterArrived(UpstreamConnection connection, Runnable task) {
+    rounds.afterNextRound(connection.connection().getSelectorRunner(), task);
+  }
+
+  boolean isStopped() {
+    return upstreams.isStopped();
+  }
+
   /** Returns the number of connections opened so far. */
   long openedCount() {
     return opened.sum();
