Send no request twice on one connection to a target

Seen by callers: 503 "not run, try again" for a write that a target was running, or the write ran at a second target.

Cause: connections are pooled by address, and a retry may go to the address that has just refused the request: two registrations share one while that of an earlier target lasts. If the target writes that refusal once more while the retry runs on the same connection, the copy carries the id of the request that runs, and passed for its refusal.

Change: a further attempt at an address that was already sent the request opens a new connection. No other attempt is changed.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Attempt.java
@@ -1,5 +1,6 @@
 package org.chivecross.cli.entry.http;
 
+import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -38,6 +39,7 @@
   private boolean reusableAfterwards;
   private boolean suspect;
   private long sentNanos;
+  private @Nullable Object peerAddress;
   private boolean decided;
   private boolean over;
 
@@ -100,6 +102,11 @@
     return packet != null;
   }
 
+  /** Returns whether the request was sent to an address. */
+  boolean isSentTo(InetSocketAddress address) {
+    return address.equals(peerAddress);
+  }
+
   boolean headReceived() {
     return headReceived;
   }
@@ -129,6 +136,7 @@
     RequestHeads.fill(head, request, caller, Math.max(1, remaining), identity, ports.dialect());
     ports.addresses().addedHeaders(target(), earlierAttempts).forEach(head::setHeader);
     upstream = connection;
+    peerAddress = connection.connection().getPeerAddress();
     packet = head;
     sentNanos = nowNanos;
     connection.setUser(this);
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/AttemptList.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/AttemptList.java
@@ -1,8 +1,12 @@
 package org.chivecross.cli.entry.http;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.chivecross.logic.routing.Route;
+import org.chivecross.model.request.ConnectionKind;
+import org.chivecross.model.request.Decision;
 import org.jspecify.annotations.Nullable;
 
 /** The attempts of one exchange in the order of their start. Guarded by the exchange's lock. */
@@ -15,6 +19,22 @@
     attempts.add(attempt);
   }
 
+  /**
+   * Returns the kind of connection for a further attempt: a new one if the request has already been
+   * sent to its address. A late copy of that response carries the same id and could not be told
+   * apart on the same connection. Several targets have one address while the registration of an
+   * earlier one lasts.
+   */
+  ConnectionKind kindFor(Decision.Send send, DataPathPorts ports) {
+    Optional<InetSocketAddress> address = ports.addresses().address(send.target());
+    for (Attempt attempt : attempts) {
+      if (address.filter(attempt::isSentTo).isPresent()) {
+        return ConnectionKind.FRESH;
+      }
+    }
+    return send.kind();
+  }
+
   int size() {
     return attempts.size();
   }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -345,7 +345,7 @@
     times.attemptDecided(now);
     Attempt attempt = new Attempt(this, send, services.settings().heldResponseBytes(), now);
     attempts.add(attempt);
-    services.client().acquire(send.target(), send.kind(), now, attempt);
+    services.client().acquire(send.target(), attempts.kindFor(send, ports), now, attempt);
   }
 
   /** Sends an attempt on the connection that was acquired for it. */
