Close a connection of the stand-alone program after a refusal

Seen by callers: a write that ran was answered "not-run", or ran twice.

Cause: responses of this dialect carry no id. A late second copy of a refusal on a connection in use again passed for the refusal of the next request, which runs.

Change: NativeDialect says that a copy of a refusal is not recognisable, so that the connection is closed. It costs a new connection for each refusal. Copies of other responses can't be told apart in this dialect either; not changed.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/NativeDialect.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/NativeDialect.java
@@ -68,7 +68,7 @@
     MimeHeaders headers = response.getHeaders();
     return new ResponseHead(
         response.getStatus(),
-        "1".equals(headers.getHeader("chivecross-not-run")),
+        isNotRun(headers),
         "1".equals(headers.getHeader("chivecross-leaving")),
         parseLoad(headers.getHeader(LOAD)));
   }
@@ -80,7 +80,8 @@
 
   @Override
   public boolean isCopyRecognisable(HttpResponsePacket response) {
-    return true;
+    // Responses carry no id, so that a late copy of a refusal would pass for that of the next.
+    return !isNotRun(response.getHeaders());
   }
 
   @Override
@@ -105,6 +106,10 @@
     return answer;
   }
 
+  private static boolean isNotRun(MimeHeaders headers) {
+    return "1".equals(headers.getHeader("chivecross-not-run"));
+  }
+
   private static Optional<LoadReport> parseLoad(@Nullable String text) {
     if (text == null) {
       return Optional.empty();
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/UpstreamFaultTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/UpstreamFaultTest.java
@@ -7,7 +7,10 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -156,6 +159,38 @@
     assertEquals(2, upstream.callCount());
   }
 
+  /** Guards against a late copy of a refusal that passes for the refusal of a write that runs. */
+  @Test
+  void doesNotUseConnectionAgainAfterARefusal() throws Exception {
+    String refusal = "HTTP/1.1 503 Shed\r\nChivecross-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    entry.exchange(POST);
+    Set<Integer> refusedOn = ConcurrentHashMap.newKeySet();
+    AtomicInteger runs = new AtomicInteger();
+    upstream.setScript(
+        call -> {
+          if (refusedOn.isEmpty()) {
+            refusedOn.add(call.connection());
+            call.reply(refusal);
+            return;
+          }
+          runs.incrementAndGet();
+          // Without other idle connections the next request meets the one with the refusal.
+          call.reply(
+              refusedOn.contains(call.connection())
+                  ? refusal
+                  : ScriptedUpstream.OK.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n"));
+        });
+
+    for (int i = 0; i < 4; i++) {
+      int before = runs.get();
+      String answer = entry.exchange(POST);
+      int ran = runs.get() - before;
+      assertTrue(ran <= 1, "repeated");
+      assertEquals(ran == 1, answer.endsWith("\r\n\r\nok"), answer);
+    }
+    assertTrue(runs.get() > 0, "nothing ran");
+  }
+
   @Test
   void doesNotRepeatWriteWhoseConnectionWasLost() throws Exception {
     upstream.setScript(call -> call.socket().close());
