--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ResetAwareFilter.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ResetAwareFilter.java
@@ -2,7 +2,6 @@
 
 import java.io.EOFException;
 import java.io.IOException;
-import org.chivecross.model.request.ConnectionFault;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
@@ -51,10 +50,6 @@
 
   @Override
   public void exceptionOccurred(FilterChainContext context, Throwable error) {
-    // Reported before the close, which would count as an act of the target.
-    upstreams
-        .userOf(context.getConnection())
-        .ifPresent(user -> user.failed(ConnectionFault.MALFORMED));
-    context.getConnection().terminateSilently();
+    upstreams.closeMalformed(context.getConnection());
   }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamFilter.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamFilter.java
@@ -46,9 +46,6 @@
 
   @Override
   public void exceptionOccurred(FilterChainContext context, Throwable error) {
-    upstreams
-        .userOf(context.getConnection())
-        .ifPresent(user -> user.failed(ConnectionFault.MALFORMED));
-    context.getConnection().terminateSilently();
+    upstreams.closeMalformed(context.getConnection());
   }
 }
--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamRegistry.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/UpstreamRegistry.java
@@ -41,6 +41,13 @@
     return upstream == null ? Optional.empty() : Optional.ofNullable(upstream.user());
   }
 
+  /** Closes a connection on which bytes arrived that are no response. */
+  void closeMalformed(Connection<?> connection) {
+    // Reported before the close, which would count as an act of the target.
+    userOf(connection).ifPresent(user -> user.failed(ConnectionFault.MALFORMED));
+    connection.terminateSilently();
+  }
+
   /** Records activity on a connection. */
   void recordActivity(Connection<?> connection, long nowNanos) {
     UpstreamConnection upstream = attribute.get(connection);
