Wait for the probe's result in EndingDataPathTest

It now ends the data path with time, waits for the result, and demands exactly one, NotMade, as before.

--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/EndingDataPathTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/EndingDataPathTest.java
@@ -3,10 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.chivecross.model.request.ProbeResult;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -18,7 +23,7 @@
 class EndingDataPathTest {
 
   private final List<Runnable> timers = new CopyOnWriteArrayList<>();
-  private final List<ProbeResult> probed = new CopyOnWriteArrayList<>();
+  private final BlockingQueue<ProbeResult> probed = new LinkedBlockingQueue<>();
   private ScriptedUpstream upstream;
   private DataPathFixture entry;
 
@@ -56,16 +61,31 @@
     upstream.nextCall();
     try (Socket caller = send("/read/x")) {
       entry.observer().whenEnded(() -> timers.forEach(Runnable::run));
-      entry.dataPath().stop();
-      assertEquals(List.of(new ProbeResult.NotMade()), probed);
+      CompletableFuture<Void> ended = stopAsync();
+      assertEquals(new ProbeResult.NotMade(), probed.poll(10, TimeUnit.SECONDS));
+      caller.close();
+      ended.get(10, TimeUnit.SECONDS);
+      assertEquals(List.of(), List.copyOf(probed));
     }
   }
 
+  /** Ends the data path, with more time than its callers need here. */
+  private CompletableFuture<Void> stopAsync() {
+    return CompletableFuture.runAsync(
+        () -> {
+          try {
+            entry.dataPath().stop(System.nanoTime() + TimeUnit.SECONDS.toNanos(10));
+          } catch (IOException e) {
+            throw new UncheckedIOException(e);
+          }
+        });
+  }
+
   /** Guards against targets that count as silent since this entry has no connection for probes. */
   @Test
   void probeWithoutConnectionJudgesNothing() {
     entry.setConnectionLimit(0);
     probe();
-    assertEquals(List.of(new ProbeResult.NotMade()), probed);
+    assertEquals(List.of(new ProbeResult.NotMade()), List.copyOf(probed));
   }
 }
