Close listeners and idle connections before requests in flight are ended

On a busy machine (load 26) the first look for requests in flight took the whole 0.2 s; idle connections and listeners stayed open meanwhile, and what was read then could only be cut.

The end now closes listeners and idle connections first. Red before: PlannedCloseTest.idleConnectionsAreClosedBeforeRequestsInFlightAreEnded (read timed out after 10 s) and, from the review, EndingDataPathTest .noCallerIsAcceptedWhileAnswersAreTaken; green after. The transport is shut down whatever happens before.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/DataPath.java
@@ -155,17 +155,27 @@
    */
   public void stop(long closeUntilNanos) throws IOException {
     client.stop();
-    stopExchanges();
-    while (System.nanoTime() < closeUntilNanos && callers.count() + forwarders.count() > 0) {
-      callers.closeAllIdle();
-      forwarders.closeAllIdle();
-      LockSupport.parkNanos(CLOSE_POLL_NANOS);
-      // A request that was being read may have begun since.
+    try {
+      stopAccepting();
+      // First, as what arrives on them while others are answered could only be cut.
+      closeAllIdle();
       stopExchanges();
+      while (System.nanoTime() < closeUntilNanos && callers.count() + forwarders.count() > 0) {
+        closeAllIdle();
+        LockSupport.parkNanos(CLOSE_POLL_NANOS);
+        // A request that was being read may have begun since.
+        stopExchanges();
+      }
+      callers.noteStopOver();
+      forwarders.noteStopOver();
+    } finally {
+      transport.shutdownNow();
     }
-    callers.noteStopOver();
-    forwarders.noteStopOver();
-    transport.shutdownNow();
+  }
+
+  private void closeAllIdle() {
+    callers.closeAllIdle();
+    forwarders.closeAllIdle();
   }
 
   private void stopExchanges() {
@@ -204,8 +214,7 @@
       return false;
     }
     stopAccepting();
-    callers.closeAllIdle();
-    forwarders.closeAllIdle();
+    closeAllIdle();
     return isDrained();
   }
 
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/EndingDataPathTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/EndingDataPathTest.java
@@ -1,9 +1,11 @@
 package org.chivecross.cli.entry.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.ConnectException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -88,4 +90,17 @@
     probe();
     assertEquals(List.of(new ProbeResult.NotMade()), List.copyOf(probed));
   }
+
+  /** Guards against callers that connect to an entry that ends, and are reset. */
+  @Test
+  void noCallerIsAcceptedWhileAnswersAreTaken() throws Exception {
+    try (Socket caller = send("/read/x")) {
+      CompletableFuture<Void> ended = stopAsync();
+      // The end is at work once the request in flight is answered.
+      caller.getInputStream().read();
+      assertThrows(ConnectException.class, () -> entry.connect().close());
+      caller.close();
+      ended.get(10, TimeUnit.SECONDS);
+    }
+  }
 }
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/PlannedCloseTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/PlannedCloseTest.java
@@ -120,6 +120,35 @@
     }
   }
 
+  /** Guards against requests that are read, and cut, while the end is busy with others. */
+  @Test
+  void idleConnectionsAreClosedBeforeRequestsInFlightAreEnded() throws Exception {
+    upstream.setScript(call -> {});
+    CountDownLatch isIdleClosed = new CountDownLatch(1);
+    try (Socket idle = connect();
+        Socket running = connect()) {
+      send(running, "POST /write HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+      upstream.nextCall();
+      entry.observer().whenEnded(() -> awaitUnchecked(isIdleClosed));
+      CompletableFuture<Void> ended = CompletableFuture.runAsync(this::end);
+
+      assertEquals(-1, idle.getInputStream().read());
+      isIdleClosed.countDown();
+      assertTrue(read(running).startsWith("HTTP/1.1 502 "));
+      ended.get(10, TimeUnit.SECONDS);
+    } finally {
+      isIdleClosed.countDown();
+    }
+  }
+
+  private static void awaitUnchecked(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Sends many requests whose responses this caller doesn't read, then the last ones. */
   private void sendMany(Socket socket, String last) throws Exception {
     send(socket, get().repeat(MANY) + last);
