Contain errors in the requests that the end of an entry ends

The other requests got no answer, and the process went on with its transport open until it was killed. Exchange.stop is contained like all other steps of an exchange.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/Exchange.java
@@ -174,12 +174,13 @@
 
   @Override
   public void stop(StoppedRequestLog stopped) {
-    synchronized (lock) {
-      if (!over) {
-        stopped.cut(request, route, times, attempts);
-        refuse(attempts.isAnySent() ? 502 : 503, "this entry ends", false);
-      }
-    }
+    containment.run(
+        () -> {
+          if (!over) {
+            stopped.cut(request, route, times, attempts);
+            refuse(attempts.isAnySent() ? 502 : 503, "this entry ends", false);
+          }
+        });
   }
 
   /** Handles a part of a response; returns whether more may be read now. */
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/EndingDataPathTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/EndingDataPathTest.java
@@ -1,5 +1,6 @@
 package org.chivecross.cli.entry.http;
 
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
@@ -14,6 +15,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.chivecross.model.request.ProbeResult;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -103,4 +105,26 @@
       ended.get(10, TimeUnit.SECONDS);
     }
   }
+
+  /** Guards against requests left unanswered since the end of another one failed unexpectedly. */
+  @Test
+  void unexpectedErrorAtTheEndOfARequestDoesNotKeepTheOthersFromTheirAnswers() throws Exception {
+    try (Socket first = send("/read/x");
+        Socket second = send("/read/y")) {
+      AtomicBoolean failed = new AtomicBoolean();
+      entry
+          .observer()
+          .whenEnded(
+              () -> {
+                if (failed.compareAndSet(false, true)) {
+                  throw new IllegalStateException("defect of the test");
+                }
+              });
+      assertDoesNotThrow(
+          () -> entry.dataPath().stop(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(200)));
+      String one = new String(first.getInputStream().readNBytes(12), StandardCharsets.ISO_8859_1);
+      String two = new String(second.getInputStream().readNBytes(12), StandardCharsets.ISO_8859_1);
+      assertEquals("HTTP/1.1 502|HTTP/1.1 502", one + "|" + two);
+    }
+  }
 }
