Recognise refused connections in any language of the system

With another language, targets that refuse connections counted as not reached, and crashes were not confirmed. A ConnectException is now a refusal unless it is a time-out. ConnectFailuresTest has the German text; it was not run against the form before.

--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ConnectFailures.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/http/ConnectFailures.java
@@ -1,9 +1,8 @@
 package org.chivecross.cli.entry.http;
 
-import java.io.IOException;
-import java.net.BindException;
 import java.net.ConnectException;
 import java.net.NoRouteToHostException;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.util.Locale;
 import java.util.concurrent.TimeoutException;
@@ -20,21 +19,24 @@
 
   /** Returns the fault that a failure to connect to a target stands for. */
   static ConnectionFault faultOf(@Nullable Throwable cause) {
-    if (cause instanceof BindException || !(cause instanceof IOException)) {
-      return cause instanceof TimeoutException
-          ? ConnectionFault.CONNECT_TIMEOUT
-          : ConnectionFault.LOCAL;
+    if (cause instanceof TimeoutException
+        || cause instanceof SocketTimeoutException
+        || cause instanceof NoRouteToHostException) {
+      return ConnectionFault.CONNECT_TIMEOUT;
     }
-    String message = String.valueOf(cause.getMessage()).toLowerCase(Locale.ROOT);
-    if (message.contains("refused")) {
-      return ConnectionFault.REFUSED;
+    if (cause instanceof ConnectException) {
+      // The other reason is a time-out of the system, which is longer than that of this entry.
+      return contains(cause, "timed out")
+          ? ConnectionFault.CONNECT_TIMEOUT
+          : ConnectionFault.REFUSED;
     }
     boolean isUnreachable =
-        cause instanceof SocketTimeoutException
-            || cause instanceof ConnectException
-            || cause instanceof NoRouteToHostException
-            || message.contains("unreachable")
-            || message.contains("reset");
+        cause instanceof SocketException
+            && (contains(cause, "unreachable") || contains(cause, "reset"));
     return isUnreachable ? ConnectionFault.CONNECT_TIMEOUT : ConnectionFault.LOCAL;
   }
+
+  private static boolean contains(Throwable cause, String text) {
+    return String.valueOf(cause.getMessage()).toLowerCase(Locale.ROOT).contains(text);
+  }
 }
--- a/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/ConnectFailuresTest.java
+++ b/chivecross-entry/src/test/java/org/chivecross/cli/entry/http/ConnectFailuresTest.java
@@ -30,6 +30,8 @@
     InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
     IOException cause = assertThrows(IOException.class, () -> SocketChannel.open(address).close());
     assertEquals(ConnectionFault.REFUSED, ConnectFailures.faultOf(cause));
+    // The text of the system depends on its language.
+    assertFault(ConnectionFault.REFUSED, new ConnectException("Verbindungsaufbau abgelehnt"));
   }
 
   @Test
