--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/StopTimes.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/fleet/StopTimes.java
@@ -7,8 +7,8 @@
  * requested, and {@code latestEndNanos} is the last one. Immutable and safe for use by many
  * threads.
  *
- * @param acceptUntilNanos half of the stop, so that requests sent before have at least the other
- *     half to end; from then on only those whose own deadline ends in time are sent
+ * @param acceptUntilNanos half of the stop at most, so that requests sent before have at least the
+ *     other half to end; from then on only those whose own deadline ends in time are sent
  * @param lastResponseNanos time by which all responses must be complete
  * @param earliestEndNanos earliest end, as callers may still use the address of this entry
  * @param latestEndNanos latest end, also with requests in flight
@@ -19,6 +19,12 @@
   /** Minimum time for which a leaving entry serves callers that still use its address. */
   private static final long MIN_DRAIN_MILLIS = 4_500;
 
+  /**
+   * Time after the signal until which a request may be sent that may outlast the stop, however long
+   * that is; a cut of a later one counts as lost.
+   */
+  private static final long MAX_ACCEPT_MILLIS = 3_000;
+
   /** Margin between the end of the process and the time at which the platform kills it. */
   private static final long KILL_MARGIN_MILLIS = 700;
 
@@ -35,7 +41,8 @@
     long maxDrainMillis = Math.max(0, graceMillis - KILL_MARGIN_MILLIS);
     long lastResponseMillis = Math.max(0, maxDrainMillis - LAST_RESPONSE_MILLIS);
     return new StopTimes(
-        requestedNanos + TimeUnit.MILLISECONDS.toNanos(maxDrainMillis / 2),
+        requestedNanos
+            + TimeUnit.MILLISECONDS.toNanos(Math.min(MAX_ACCEPT_MILLIS, maxDrainMillis / 2)),
         requestedNanos + TimeUnit.MILLISECONDS.toNanos(lastResponseMillis),
         requestedNanos + TimeUnit.MILLISECONDS.toNanos(Math.min(MIN_DRAIN_MILLIS, maxDrainMillis)),
         requestedNanos + TimeUnit.MILLISECONDS.toNanos(maxDrainMillis));
