--- a/chivecross-entry/src/main/java/org/chivecross/cli/entry/StopSignals.java
+++ b/chivecross-entry/src/main/java/org/chivecross/cli/entry/StopSignals.java
@@ -5,6 +5,9 @@
 /**
  * Handlers for the signals that request a stop or a reload of the settings. A shutdown hook would
  * not suffice: it runs for the first signal only, and a second one must force the stop. Stateless.
+ *
+ * <p>Install them before listeners are open: by default, the signals end the process at once, also
+ * with requests in flight.
  */
 public final class StopSignals {
 
